--- /dev/null
+++ b/cli/src/main/java/org/fuchsiaford/cli/BundleFiles.java
@@ -0,0 +1,25 @@
+package org.fuchsiaford.cli;
+
+import java.util.stream.Collectors;
+import org.fuchsiaford.bundle.Bundle;
+import org.fuchsiaford.bundle.BundleException;
+import org.fuchsiaford.bundle.BundleReader;
+import org.fuchsiaford.json.JsonProblem;
+
+/** Reads bundles named on the command line. Stateless, hence thread-safe. */
+final class BundleFiles {
+    private BundleFiles() {}
+
+    static Bundle read(String path) throws CommandException {
+        String text = Files.read(path);
+        try {
+            return new BundleReader().read(text);
+        } catch (BundleException e) {
+            String problems =
+                    e.problems().stream()
+                            .map(JsonProblem::toString)
+                            .collect(Collectors.joining("\n"));
+            throw new CommandException(ExitCode.INVALID, problems);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsiaford/cli/Files.java
@@ -0,0 +1,25 @@
+package org.fuchsiaford.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** Reads and writes files named on the command line. Stateless, hence thread-safe. */
+final class Files {
+    private Files() {}
+
+    static String read(String path) throws CommandException {
+        try {
+            return java.nio.file.Files.readString(Path.of(path));
+        } catch (IOException e) {
+            throw new CommandException(ExitCode.FAILED, "cannot read " + path);
+        }
+    }
+
+    static void write(String path, String text) throws CommandException {
+        try {
+            java.nio.file.Files.writeString(Path.of(path), text);
+        } catch (IOException e) {
+            throw new CommandException(ExitCode.FAILED, "cannot write " + path);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsiaford/cli/Main.java
@@ -0,0 +1,83 @@
+package org.fuchsiaford.cli;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/** The operators' program. Exit codes are those of {@link ExitCode}. */
+public final class Main {
+    private static final List<Command> COMMANDS =
+            List.of(
+                    new CheckCommand(),
+                    new SignCommand(),
+                    new RollCommand(),
+                    new RollbackCommand(),
+                    new StatusCommand(),
+                    new KeysCommand(),
+                    new LoadCommand());
+
+    private Main() {}
+
+    /** Runs the command that the first argument names. */
+    public static void main(String[] args) throws IOException {
+        System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
+        java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.SEVERE);
+        System.exit(run(args).code());
+    }
+
+    /** Runs a command and returns its exit code. */
+    static ExitCode run(String[] args) throws IOException {
+        Optional<Command> command =
+                COMMANDS.stream()
+                        .filter(c -> args.length > 0 && c.name().equals(args[0]))
+                        .findFirst();
+        if (command.isEmpty()) {
+            showHelp();
+            boolean asked = args.length > 0 && args[0].equals("--help");
+            return asked ? ExitCode.OK : ExitCode.USAGE;
+        }
+        return run(command.get(), Arrays.copyOfRange(args, 1, args.length));
+    }
+
+    private static ExitCode run(Command command, String[] args) throws IOException {
+        OptionParser parser = new OptionParser();
+        OptionSpec<Void> help = parser.accepts("help", "show this help").forHelp();
+        OptionSpec<Void> json = parser.accepts("json", "print JSON, one object a line");
+        command.declare(parser);
+        try {
+            OptionSet options = parser.parse(args);
+            if (options.has(help)) {
+                System.out.println(command.summary());
+                parser.printHelpOn(System.out);
+                showExitCodes();
+                return ExitCode.OK;
+            }
+            command.run(options, new Output(System.out, options.has(json)));
+            return ExitCode.OK;
+        } catch (OptionException e) {
+            System.err.println(e.getMessage());
+            parser.printHelpOn(System.err);
+            return ExitCode.USAGE;
+        } catch (CommandException e) {
+            System.err.println(e.getMessage());
+            return e.exitCode();
+        }
+    }
+
+    private static void showHelp() {
+        System.out.println("fuchsiaford COMMAND [OPTIONS]; COMMAND --help shows the options");
+        COMMANDS.forEach(c -> System.out.printf("  %-9s %s%n", c.name(), c.summary()));
+        showExitCodes();
+    }
+
+    private static void showExitCodes() {
+        System.out.println("exit codes:");
+        Arrays.stream(ExitCode.values())
+                .forEach(code -> System.out.printf("  %d  %s%n", code.code(), code.meaning()));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsiaford/cli/RollCommand.java
@@ -0,0 +1,76 @@
+package org.fuchsiaford.cli;
+
+import java.util.Arrays;
+import java.util.Optional;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.fuchsiaford.bundle.Bundle;
+import org.fuchsiaford.bundle.Piece;
+import org.fuchsiaford.bundle.PieceCodec;
+import org.fuchsiaford.platform.StoreEntry;
+import org.fuchsiaford.platform.StoreException;
+import org.fuchsiaford.platform.StoreLayout;
+import org.fuchsiaford.platform.StoreRecords;
+
+/** Rolls a signed bundle out. */
+final class RollCommand implements Command {
+    private OptionSpec<String> mBundle;
+    private OptionSpec<String> mSignature;
+    private StoreOptions mStore;
+
+    @Override
+    public String name() {
+        return "roll";
+    }
+
+    @Override
+    public String summary() {
+        return "roll a signed bundle out and follow it until it is accepted";
+    }
+
+    @Override
+    public void declare(OptionParser parser) {
+        mBundle = parser.accepts("bundle", "bundle file").withRequiredArg().required();
+        mSignature = parser.accepts("signature", "signature file").withRequiredArg().required();
+        mStore = new StoreOptions(parser);
+    }
+
+    @Override
+    public void run(OptionSet options, Output output) throws CommandException {
+        Bundle bundle = BundleFiles.read(options.valueOf(mBundle));
+        String signature = Files.read(options.valueOf(mSignature)).trim();
+        PieceCodec.Split split = new PieceCodec().split(bundle);
+        StoreAccess store = mStore.open(options);
+        SignedBundle signed = new SignedBundle(bundle.version(), split.manifest(), signature);
+        try {
+            upload(store, split);
+            remember(store, signed);
+            HeadRoll roll = new HeadRoll(store, output);
+            roll.follow(roll.swap(signed));
+        } catch (StoreException e) {
+            throw new CommandException(ExitCode.UNKNOWN, e.getMessage());
+        }
+    }
+
+    private static void upload(StoreAccess store, PieceCodec.Split split) throws StoreException {
+        for (Piece piece : split.pieces()) {
+            store.putOnce(StoreLayout.piece(piece.digest()), piece.bytes());
+        }
+    }
+
+    /** A version number stands for one bundle for ever, else a rollback could bring another. */
+    private static void remember(StoreAccess store, SignedBundle signed)
+            throws CommandException, StoreException {
+        byte[] value = StoreRecords.encode(signed);
+        store.putOnce(StoreLayout.bundle(signed.version()), value);
+        Optional<StoreEntry> present = store.read(StoreLayout.bundle(signed.version()));
+        if (present.filter(entry -> Arrays.equals(entry.value(), value)).isEmpty()) {
+            throw new CommandException(
+                    ExitCode.INVALID,
+                    "version "
+                            + signed.version()
+                            + " has been rolled with other content or another signature; raise it");
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsiaford/cli/RollbackCommand.java
@@ -0,0 +1,54 @@
+package org.fuchsiaford.cli;
+
+import java.util.Optional;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.fuchsiaford.platform.StoreEntry;
+import org.fuchsiaford.platform.StoreException;
+import org.fuchsiaford.platform.StoreLayout;
+import org.fuchsiaford.platform.StoreRecords;
+
+/** Rolls back to a bundle that was rolled before. */
+final class RollbackCommand implements Command {
+    private OptionSpec<Long> mVersion;
+    private StoreOptions mStore;
+
+    @Override
+    public String name() {
+        return "rollback";
+    }
+
+    @Override
+    public String summary() {
+        return "roll an earlier version out again, as a new generation";
+    }
+
+    @Override
+    public void declare(OptionParser parser) {
+        mVersion =
+                parser.accepts("to", "bundle version")
+                        .withRequiredArg()
+                        .ofType(Long.class)
+                        .required();
+        mStore = new StoreOptions(parser);
+    }
+
+    @Override
+    public void run(OptionSet options, Output output) throws CommandException {
+        StoreAccess store = mStore.open(options);
+        long version = options.valueOf(mVersion);
+        try {
+            Optional<StoreEntry> entry = store.read(StoreLayout.bundle(version));
+            if (entry.isEmpty()) {
+                throw new CommandException(
+                        ExitCode.INVALID, "version " + version + " was never rolled");
+            }
+            SignedBundle bundle = StoreRecords.decode(entry.get().value(), SignedBundle.class);
+            HeadRoll roll = new HeadRoll(store, output);
+            roll.follow(roll.swap(bundle));
+        } catch (StoreException e) {
+            throw new CommandException(ExitCode.UNKNOWN, e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsiaford/cli/StoreAccess.java
@@ -0,0 +1,71 @@
+package org.fuchsiaford.cli;
+
+import java.util.List;
+import java.util.Optional;
+import org.fuchsiaford.bundle.BundleHead;
+import org.fuchsiaford.host.SlotRecord;
+import org.fuchsiaford.platform.Store;
+import org.fuchsiaford.platform.StoreEntry;
+import org.fuchsiaford.platform.StoreException;
+import org.fuchsiaford.platform.StoreKey;
+import org.fuchsiaford.platform.StoreLayout;
+import org.fuchsiaford.platform.StoreLeaseId;
+import org.fuchsiaford.platform.StoreRecords;
+import org.fuchsiaford.platform.StoreSnapshot;
+import org.fuchsiaford.platform.etcd.EtcdStore;
+import reactor.core.Exceptions;
+import reactor.core.publisher.Mono;
+
+/** Blocking access to the store for commands. Not thread-safe. */
+final class StoreAccess {
+    private final Store mStore;
+    private final StoreRecords mRecords;
+
+    /** The head record with its revision. */
+    record HeadRead(Optional<BundleHead> head, long revision) {}
+
+    StoreAccess(List<String> urls) {
+        mStore = new EtcdStore(urls);
+        mRecords = new StoreRecords(mStore);
+    }
+
+    HeadRead readHead() throws StoreException {
+        StoreSnapshot snapshot = await(mStore.read(List.of(StoreLayout.HEAD)));
+        return new HeadRead(
+                StoreRecords.find(snapshot, StoreLayout.HEAD, BundleHead.class),
+                snapshot.revisionOf(StoreLayout.HEAD));
+    }
+
+    /** Writes a value that never changes, unless it is there. */
+    void putOnce(StoreKey key, byte[] value) throws StoreException {
+        await(mStore.compareAndSwap(key, StoreEntry.ABSENT, value, StoreLeaseId.NONE));
+    }
+
+    Optional<StoreEntry> read(StoreKey key) throws StoreException {
+        return await(mStore.read(List.of(key))).entry(key);
+    }
+
+    StoreRecords.Swap swap(StoreKey key, long revision, Object value) throws StoreException {
+        return await(mRecords.swap(key, revision, value, StoreLeaseId.NONE));
+    }
+
+    List<SlotRecord> slots() throws StoreException {
+        StoreSnapshot snapshot = await(mStore.readPrefix(StoreLayout.SLOTS));
+        List<SlotRecord> slots = new java.util.ArrayList<>();
+        for (StoreEntry entry : snapshot.entries()) {
+            slots.add(StoreRecords.decode(entry.value(), SlotRecord.class));
+        }
+        return slots;
+    }
+
+    private static <T> T await(Mono<T> mono) throws StoreException {
+        try {
+            return mono.block();
+        } catch (RuntimeException e) {
+            if (Exceptions.unwrap(e) instanceof StoreException failure) {
+                throw failure;
+            }
+            throw e;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/fuchsiaford/cli/StoreOptions.java
@@ -0,0 +1,24 @@
+package org.fuchsiaford.cli;
+
+import java.util.List;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/** The option that names the store. Not thread-safe. */
+final class StoreOptions {
+    private final OptionSpec<String> mUrls;
+
+    StoreOptions(OptionParser parser) {
+        mUrls =
+                parser.accepts("store", "addresses of the store, http://ip:port,...")
+                        .withRequiredArg()
+                        .withValuesSeparatedBy(',')
+                        .required();
+    }
+
+    StoreAccess open(OptionSet options) {
+        List<String> urls = options.valuesOf(mUrls);
+        return new StoreAccess(urls);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/backend/BackendServerId.java
@@ -0,0 +1,29 @@
+package org.fuchsiaford.backend;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a backend server. Immutable.
+ *
+ * @param value a non-empty name without white space
+ */
+public record BackendServerId(@JsonValue String value) implements Comparable<BackendServerId> {
+    /** Creates an id. */
+    @JsonCreator
+    public BackendServerId {
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException("BackendServerId is empty");
+        }
+    }
+
+    @Override
+    public int compareTo(BackendServerId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/backend/PoolId.java
@@ -0,0 +1,29 @@
+package org.fuchsiaford.backend;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a pool: the model engines that one keeper places requests on. Immutable.
+ *
+ * @param value a non-empty name without white space
+ */
+public record PoolId(@JsonValue String value) implements Comparable<PoolId> {
+    /** Creates an id. */
+    @JsonCreator
+    public PoolId {
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException("PoolId is empty");
+        }
+    }
+
+    @Override
+    public int compareTo(PoolId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/backend/ServiceId.java
@@ -0,0 +1,29 @@
+package org.fuchsiaford.backend;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a plain service. Immutable.
+ *
+ * @param value a non-empty name without white space
+ */
+public record ServiceId(@JsonValue String value) implements Comparable<ServiceId> {
+    /** Creates an id. */
+    @JsonCreator
+    public ServiceId {
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException("ServiceId is empty");
+        }
+    }
+
+    @Override
+    public int compareTo(ServiceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/bundle/BackendKind.java
@@ -0,0 +1,8 @@
+package org.fuchsiaford.bundle;
+
+/** What a backend server does. Immutable. */
+public enum BackendKind {
+    PREFILL,
+    DECODE,
+    SERVICE
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/bundle/BundleReader.java
@@ -0,0 +1,161 @@
+package org.fuchsiaford.bundle;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ModelId;
+import org.fuchsiaford.backend.PoolId;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.json.CheckedObject;
+import org.fuchsiaford.json.CommentedJson;
+import org.fuchsiaford.json.JsonProblem;
+import org.fuchsiaford.workspace.KeyHash;
+import org.fuchsiaford.workspace.WorkspaceId;
+
+/**
+ * Reads a bundle from JSON with comments and checks it in full. All mistakes are reported at once.
+ *
+ * <p>Stateless, hence thread-safe.
+ */
+public final class BundleReader {
+    private static final long MAX_RATE_TOKENS = 1_000_000_000L;
+    private static final long MAX_TIMEOUT_MILLIS = 600_000;
+    private static final int MAX_HOMES = 64;
+
+    /**
+     * Reads a bundle.
+     *
+     * @param text JSON with comments
+     * @return a bundle without mistakes
+     * @throws BundleException with every mistake
+     */
+    public Bundle read(String text) throws BundleException {
+        List<JsonProblem> problems = new ArrayList<>();
+        CheckedObject root = new CheckedObject(parse(text), "$", problems);
+        Bundle bundle = readBundle(root);
+        root.reportUnknownFields();
+        problems.addAll(new BundleReferences(bundle).check());
+        if (!problems.isEmpty()) {
+            throw new BundleException(Step.READ_BUNDLE, problems);
+        }
+        return bundle;
+    }
+
+    private static JsonNode parse(String text) throws BundleException {
+        try {
+            return CommentedJson.parse(text);
+        } catch (JsonProcessingException e) {
+            String reason = "not JSON with comments: " + e.getOriginalMessage();
+            throw new BundleException(
+                    Step.READ_BUNDLE, List.of(new JsonProblem("$" + location(e), reason)));
+        }
+    }
+
+    private static String location(JsonProcessingException e) {
+        if (e.getLocation() == null) {
+            return "";
+        }
+        return " (line " + e.getLocation().getLineNr() + ")";
+    }
+
+    private static Bundle readBundle(CheckedObject root) {
+        return new Bundle(
+                root.number("version", 1, Long.MAX_VALUE),
+                root.objects("failureDomains", BundleReader::readFailureDomain),
+                root.objects("entrySlots", BundleReader::readEntrySlot),
+                root.objects("models", BundleReader::readModel),
+                root.objects("backendServers", BundleReader::readBackendServer),
+                root.objects("routes", BundleReader::readRoute),
+                root.objects("workspaces", BundleReader::readWorkspace));
+    }
+
+    private static FailureDomain readFailureDomain(CheckedObject object) {
+        return new FailureDomain(
+                new FailureDomainId(object.name("id")), new RegionId(object.name("region")));
+    }
+
+    private static EntrySlot readEntrySlot(CheckedObject object) {
+        return new EntrySlot(
+                new SlotId(object.name("id")), new FailureDomainId(object.name("failureDomain")));
+    }
+
+    private static Model readModel(CheckedObject object) {
+        return new Model(
+                new ModelId(object.name("id")),
+                object.number("firstTokenTargetMillis", 1, MAX_TIMEOUT_MILLIS),
+                object.number("betweenTokensTargetMillis", 1, MAX_TIMEOUT_MILLIS),
+                (int) object.number("pieceTokens", 1, 1_000_000, 2_000),
+                (int) object.number("maxContextTokens", 1, 10_000_000),
+                (int) object.number("kvBytesPerToken", 1, 100_000_000, 100_000),
+                (int) object.number("minBytesPerToken", 1, 16, 1));
+    }
+
+    private static BackendServer readBackendServer(CheckedObject object) {
+        BackendKind kind = object.constant("kind", BackendKind.class);
+        boolean service = kind == BackendKind.SERVICE;
+        boolean decode = kind == BackendKind.DECODE;
+        boolean prefill = kind == BackendKind.PREFILL;
+        return new BackendServer(
+                new BackendServerId(object.name("id")),
+                kind,
+                new FailureDomainId(object.name("failureDomain")),
+                readUrl(object),
+                service ? null : new ModelId(object.name("model")),
+                service ? null : new PoolId(object.name("pool")),
+                service ? new ServiceId(object.name("service")) : null,
+                decode ? (int) object.number("seats", 1, 10_000) : 0,
+                service ? 0 : (int) object.number("pieces", 1, 10_000_000),
+                prefill ? object.number("prefillTokensPerSecond", 1, MAX_RATE_TOKENS) : 0,
+                service ? 0 : object.number("linkBytesPerSecond", 1, Long.MAX_VALUE),
+                object.flag("checksFencing", false));
+    }
+
+    private static String readUrl(CheckedObject object) {
+        String url = object.text("url");
+        if (!url.matches("http://[^/\\s:]+:[0-9]{1,5}")) {
+            object.problem("url", "must be of the form http://address:port");
+        }
+        return url;
+    }
+
+    private static Route readRoute(CheckedObject object) {
+        String path = object.text("path");
+        if (!path.matches("(/[A-Za-z0-9._~-]+)+")) {
+            object.problem("path", "must be an absolute path without a slash at the end");
+        }
+        if (path.equals("/v1") || path.startsWith("/v1/")) {
+            object.problem("path", "must not lie below /v1");
+        }
+        return new Route(
+                path,
+                object.texts("methods"),
+                new ServiceId(object.name("service")),
+                object.flag("repeatable", false),
+                object.flag("open", false),
+                object.number("costTokens", 0, MAX_RATE_TOKENS, 1),
+                object.number("timeoutMillis", 1, MAX_TIMEOUT_MILLIS, 10_000));
+    }
+
+    private static Workspace readWorkspace(CheckedObject object) {
+        return new Workspace(
+                new WorkspaceId(object.name("id")),
+                object.number("ratePerSecond", 1, MAX_RATE_TOKENS),
+                object.number("burstTokens", 1, MAX_RATE_TOKENS),
+                (int) object.number("homes", 1, MAX_HOMES, 2),
+                object.texts("models").stream().map(ModelId::new).toList(),
+                object.texts("routes"),
+                readKeys(object));
+    }
+
+    private static List<KeyHash> readKeys(CheckedObject object) {
+        List<String> texts = object.texts("keys");
+        texts.stream()
+                .filter(text -> !KeyHash.isHash(text))
+                .forEach(text -> object.problem("keys", "holds an entry that is no key hash"));
+        return texts.stream().filter(KeyHash::isHash).map(KeyHash::new).toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/bundle/FailureDomainId.java
@@ -0,0 +1,29 @@
+package org.fuchsiaford.bundle;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a failure domain. Immutable.
+ *
+ * @param value a non-empty name without white space
+ */
+public record FailureDomainId(@JsonValue String value) implements Comparable<FailureDomainId> {
+    /** Creates an id. */
+    @JsonCreator
+    public FailureDomainId {
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException("FailureDomainId is empty");
+        }
+    }
+
+    @Override
+    public int compareTo(FailureDomainId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/bundle/PieceCodec.java
@@ -0,0 +1,151 @@
+package org.fuchsiaford.bundle;
+
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.json.JsonProblem;
+
+/**
+ * Splits a bundle into content-addressed pieces and joins them again. Workspaces are spread over a
+ * fixed number of buckets by the hash of their id, so that a change to one workspace changes one
+ * piece and the manifest.
+ *
+ * <p>Invariant: equal bundles give equal pieces. Stateless, hence thread-safe.
+ */
+public final class PieceCodec {
+    private static final int WORKSPACE_BUCKETS = 64;
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY)
+                    .disable(SerializationFeature.FAIL_ON_EMPTY_BEANS)
+                    .build();
+
+    /** The pieces of one bundle; the manifest stands last. */
+    public record Split(Digest manifest, List<Piece> pieces) {}
+
+    private record Fleet(
+            List<FailureDomain> failureDomains,
+            List<EntrySlot> entrySlots,
+            List<Model> models,
+            List<BackendServer> backendServers,
+            List<Route> routes) {}
+
+    private record WorkspaceBucket(List<Workspace> workspaces) {}
+
+    /** Splits a bundle. */
+    public Split split(Bundle bundle) {
+        Piece fleet = encode(fleetOf(bundle));
+        List<Piece> buckets = buckets(bundle).stream().map(PieceCodec::encode).toList();
+        Piece manifest =
+                encode(
+                        new Manifest(
+                                bundle.version(),
+                                fleet.digest(),
+                                buckets.stream().map(Piece::digest).toList()));
+        Map<Digest, Piece> pieces = new LinkedHashMap<>();
+        pieces.put(fleet.digest(), fleet);
+        buckets.forEach(piece -> pieces.put(piece.digest(), piece));
+        pieces.put(manifest.digest(), manifest);
+        return new Split(manifest.digest(), List.copyOf(pieces.values()));
+    }
+
+    /**
+     * Reads a manifest.
+     *
+     * @throws BundleException if the bytes are no manifest
+     */
+    public Manifest readManifest(byte[] bytes) throws BundleException {
+        return decode(bytes, Manifest.class);
+    }
+
+    /**
+     * Joins the pieces that a manifest lists.
+     *
+     * @throws BundleException if a piece is missing or broken
+     */
+    public Bundle join(Manifest manifest, PieceSource source) throws BundleException {
+        Fleet fleet = decode(require(source, manifest.fleet()), Fleet.class);
+        List<Workspace> workspaces = new ArrayList<>();
+        for (Digest digest : manifest.workspaces()) {
+            workspaces.addAll(decode(require(source, digest), WorkspaceBucket.class).workspaces());
+        }
+        return new Bundle(
+                manifest.version(),
+                fleet.failureDomains(),
+                fleet.entrySlots(),
+                fleet.models(),
+                fleet.backendServers(),
+                fleet.routes(),
+                List.copyOf(workspaces));
+    }
+
+    private static Fleet fleetOf(Bundle bundle) {
+        return new Fleet(
+                bundle.failureDomains(),
+                bundle.entrySlots(),
+                bundle.models(),
+                bundle.backendServers(),
+                bundle.routes());
+    }
+
+    private static List<WorkspaceBucket> buckets(Bundle bundle) {
+        Function<Workspace, Integer> bucketOf =
+                w -> Math.floorMod(w.id().value().hashCode(), WORKSPACE_BUCKETS);
+        Map<Integer, List<Workspace>> byBucket =
+                bundle.workspaces().stream()
+                        .sorted(Comparator.comparing(Workspace::id))
+                        .collect(Collectors.groupingBy(bucketOf));
+        return IntStream.range(0, WORKSPACE_BUCKETS)
+                .mapToObj(bucket -> byBucket.getOrDefault(bucket, List.of()))
+                .map(WorkspaceBucket::new)
+                .toList();
+    }
+
+    private static byte[] require(PieceSource source, Digest digest) throws BundleException {
+        byte[] bytes = source.bytes(digest);
+        if (bytes == null) {
+            throw broken("piece " + digest.value() + " is missing");
+        }
+        if (!Digest.of(bytes).equals(digest)) {
+            throw broken("piece " + digest.value() + " has other content");
+        }
+        return bytes;
+    }
+
+    private static Piece encode(Object value) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (GZIPOutputStream gzip = new GZIPOutputStream(bytes)) {
+            MAPPER.writeValue(gzip, value);
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory failed", e);
+        }
+        return new Piece(Digest.of(bytes.toByteArray()), bytes.toByteArray());
+    }
+
+    private static <T> T decode(byte[] bytes, Class<T> type) throws BundleException {
+        try (GZIPInputStream gzip = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
+            return MAPPER.readValue(gzip, type);
+        } catch (IOException e) {
+            throw broken("unreadable " + type.getSimpleName() + ": " + e.getMessage());
+        }
+    }
+
+    private static BundleException broken(String reason) {
+        return new BundleException(Step.READ_BUNDLE, List.of(new JsonProblem("$", reason)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/bundle/RegionId.java
@@ -0,0 +1,29 @@
+package org.fuchsiaford.bundle;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a region, a set of failure domains. Immutable.
+ *
+ * @param value a non-empty name without white space
+ */
+public record RegionId(@JsonValue String value) implements Comparable<RegionId> {
+    /** Creates an id. */
+    @JsonCreator
+    public RegionId {
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException("RegionId is empty");
+        }
+    }
+
+    @Override
+    public int compareTo(RegionId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/json/CommentedJson.java
@@ -0,0 +1,32 @@
+package org.fuchsiaford.json;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+/** Parses JSON with comments and trailing commas. Stateless, hence thread-safe. */
+public final class CommentedJson {
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+                    .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    private CommentedJson() {}
+
+    /**
+     * Parses a document.
+     *
+     * @param text the document
+     * @return its tree; a missing node for an empty document
+     * @throws JsonProcessingException if the text is not JSON with comments
+     */
+    public static JsonNode parse(String text) throws JsonProcessingException {
+        return MAPPER.readTree(text);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/placement/PlacementPolicy.java
@@ -0,0 +1,27 @@
+package org.fuchsiaford.placement;
+
+import java.util.List;
+import org.fuchsiaford.request.RequestId;
+
+/**
+ * Decides which engines of one pool serve which requests, and which requests are refused. A policy
+ * does no I/O and reads no clock; whoever drives it passes in the time and carries out decisions.
+ *
+ * <p>Implementations are not thread-safe unless they say so.
+ */
+public interface PlacementPolicy {
+    /** Takes a request in; its decision comes from {@link #decide}. */
+    void submit(PlacementRequest request, long nowNanos);
+
+    /** Forgets a request that has no decision yet. */
+    void withdraw(RequestId request, long nowNanos);
+
+    /** Takes note of how a placed request goes on. */
+    void record(PlacementEvent event, long nowNanos);
+
+    /** Takes note of an engine's load. */
+    void report(EngineLoad load, long nowNanos);
+
+    /** Returns the decisions that are due, in order. */
+    List<PlacementDecision> decide(long nowNanos);
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/request/RequestId.java
@@ -0,0 +1,29 @@
+package org.fuchsiaford.request;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a request through all hops. Immutable.
+ *
+ * @param value a non-empty name without white space
+ */
+public record RequestId(@JsonValue String value) implements Comparable<RequestId> {
+    /** Creates an id. */
+    @JsonCreator
+    public RequestId {
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException("RequestId is empty");
+        }
+    }
+
+    @Override
+    public int compareTo(RequestId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/workspace/HomeLedger.java
@@ -0,0 +1,103 @@
+package org.fuchsiaford.workspace;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.bundle.BundleIndex;
+import org.fuchsiaford.bundle.EntrySlot;
+import org.fuchsiaford.bundle.Workspace;
+import org.fuchsiaford.host.SlotId;
+
+/**
+ * The buckets of all workspaces that have a home at the slot this host holds.
+ *
+ * <p>Invariants: a bucket starts empty, and no earlier than when the slot's former holder is
+ * fenced, since the ledger is made then. While a bundle is not accepted, other hosts may still act
+ * on the one before, so each share is the lesser of both; it is raised only on acceptance.
+ * Thread-safe.
+ */
+public final class HomeLedger {
+    /** How long a host may spend a grant of another host, by its own clock, from when it asked. */
+    public static final long SPEND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    /** How long the giver counts a grant as unspent: longer than the spender has, by any clock. */
+    public static final long HOLD_NANOS = SPEND_NANOS + SPEND_NANOS / 20;
+
+    private final SlotId mSlot;
+    private final Map<WorkspaceId, HomeBucket> mBuckets = new HashMap<>();
+
+    /** Creates a ledger for a slot without any bucket. */
+    public HomeLedger(SlotId slot) {
+        mSlot = slot;
+    }
+
+    /** Takes over the limits of a bundle. */
+    public synchronized void apply(BundleIndex index, boolean accepted, long nowNanos) {
+        List<EntrySlot> slots = index.bundle().entrySlots();
+        Map<WorkspaceId, Share> shares = new HashMap<>();
+        index.bundle().workspaces().forEach(w -> addShare(shares, w, slots));
+        mBuckets.keySet().stream()
+                .filter(id -> !shares.containsKey(id))
+                .toList()
+                .forEach(mBuckets::remove);
+        shares.forEach((id, share) -> applyShare(id, share, accepted, nowNanos));
+    }
+
+    private void addShare(Map<WorkspaceId, Share> shares, Workspace w, List<EntrySlot> slots) {
+        List<SlotId> homes = HomeSlots.of(w, slots);
+        if (homes.contains(mSlot)) {
+            shares.put(w.id(), Share.of(w, homes.size()));
+        }
+    }
+
+    private void applyShare(WorkspaceId id, Share share, boolean accepted, long nowNanos) {
+        HomeBucket bucket =
+                mBuckets.computeIfAbsent(id, unused -> new HomeBucket(Share.NONE, nowNanos));
+        bucket.reshare(accepted ? share : share.least(bucket.share()), nowNanos);
+    }
+
+    /**
+     * Gives tokens that are spent at once on this host.
+     *
+     * @return the tokens given, at most those wanted; zero if this slot is no home
+     */
+    public synchronized long grantLocally(
+            WorkspaceId workspace, GrantId id, long wantedTokens, long nowNanos) {
+        HomeBucket bucket = mBuckets.get(workspace);
+        return bucket == null ? 0 : bucket.grant(id, wantedTokens, nowNanos, nowNanos);
+    }
+
+    /**
+     * Gives tokens to another host, which spends them within {@link #SPEND_NANOS} of asking.
+     *
+     * @return the tokens given, at most those wanted; zero if this slot is no home
+     */
+    public synchronized long grantToHost(
+            WorkspaceId workspace, GrantId id, long wantedTokens, long nowNanos) {
+        HomeBucket bucket = mBuckets.get(workspace);
+        if (bucket == null) {
+            return 0;
+        }
+        return bucket.grant(id, wantedTokens, nowNanos + HOLD_NANOS, nowNanos);
+    }
+
+    /**
+     * Ends a grant.
+     *
+     * @param unusedTokens tokens given back; negative if more was used than granted
+     */
+    public synchronized void settle(
+            WorkspaceId workspace, GrantId id, long unusedTokens, long nowNanos) {
+        HomeBucket bucket = mBuckets.get(workspace);
+        if (bucket != null) {
+            bucket.settle(id, unusedTokens, nowNanos);
+        }
+    }
+
+    /** Returns the whole tokens at hand for a workspace; zero if this slot is no home. */
+    public synchronized long levelTokens(WorkspaceId workspace, long nowNanos) {
+        HomeBucket bucket = mBuckets.get(workspace);
+        return bucket == null ? 0 : bucket.levelTokens(nowNanos);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/EntryHost.java
@@ -0,0 +1,244 @@
+package org.fuchsiaford.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.stream.Collectors;
+import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ServerAvailability;
+import org.fuchsiaford.bundle.BackendServer;
+import org.fuchsiaford.entry.backend.CompletionsEngineClient;
+import org.fuchsiaford.entry.backend.EngineClient;
+import org.fuchsiaford.entry.http.AdminServer;
+import org.fuchsiaford.entry.http.Authenticator;
+import org.fuchsiaford.entry.http.CallerServer;
+import org.fuchsiaford.entry.http.CompletionsHandler;
+import org.fuchsiaford.entry.http.EntryHostsHandler;
+import org.fuchsiaford.entry.http.InFlight;
+import org.fuchsiaford.entry.http.RouteHandler;
+import org.fuchsiaford.entry.keeper.KeeperRegistry;
+import org.fuchsiaford.entry.keeper.PlacementClient;
+import org.fuchsiaford.entry.limit.Admission;
+import org.fuchsiaford.entry.limit.LimitHandler;
+import org.fuchsiaford.entry.member.AcceptanceDriver;
+import org.fuchsiaford.entry.member.BundleLoader;
+import org.fuchsiaford.entry.member.HeadFollower;
+import org.fuchsiaford.entry.member.HeldSlot;
+import org.fuchsiaford.entry.member.HostAddresses;
+import org.fuchsiaford.entry.member.LeaseRenewer;
+import org.fuchsiaford.entry.member.LiveKey;
+import org.fuchsiaford.entry.member.MemberHandler;
+import org.fuchsiaford.entry.member.MemberLoop;
+import org.fuchsiaford.entry.member.Membership;
+import org.fuchsiaford.entry.member.SlotClaimer;
+import org.fuchsiaford.entry.member.SlotDirectory;
+import org.fuchsiaford.entry.metrics.EntryMetrics;
+import org.fuchsiaford.entry.model.ModelRouter;
+import org.fuchsiaford.entry.service.IdempotencyGuard;
+import org.fuchsiaford.entry.service.ServiceClient;
+import org.fuchsiaford.entry.service.ServiceRouter;
+import org.fuchsiaford.entry.settings.EntrySettings;
+import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.host.SlotRecord;
+import org.fuchsiaford.peer.PeerClient;
+import org.fuchsiaford.peer.PeerServer;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.platform.Store;
+import org.fuchsiaford.platform.etcd.EtcdStore;
+import org.fuchsiaford.platform.hostlist.HostList;
+import org.fuchsiaford.platform.hostlist.HttpHostList;
+import org.fuchsiaford.platform.hostlist.ListedHost;
+import org.fuchsiaford.time.Ticker;
+import org.jboss.logging.Logger;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+
+/**
+ * An entry host: wires all parts together, starts and stops them.
+ *
+ * <p>Invariant: a stop refuses new work first, finishes all that runs, and only then gives the slot
+ * up. Thread-safe.
+ */
+public final class EntryHost {
+    private static final Logger LOG = Logger.getLogger(EntryHost.class);
+    private static final Duration HOST_LIST_POLL = Duration.ofMillis(1_000);
+    private static final Duration STORE_PATIENCE = Duration.ofSeconds(5);
+
+    private final EntrySettings mSettings;
+    private final Ticker mTicker = Ticker.SYSTEM;
+    private final ServerAvailability mAvailability = new ServerAvailability();
+    private final InFlight mInFlight = new InFlight();
+    private final Membership mMembership;
+    private final SlotClaimer mClaimer;
+    private final MemberLoop mLoop;
+    private final KeeperRegistry mKeepers;
+    private final PeerServer mPeerServer;
+    private final CallerServer mCallerServer;
+    private final AdminServer mAdminServer;
+    private final List<DisposableServer> mServers = new ArrayList<>();
+    private Disposable mHostListTask;
+
+    /** Wires a host; it runs once {@link #start} is called. */
+    public EntryHost(EntrySettings settings) {
+        mSettings = settings;
+        HostId host = new HostId(UUID.randomUUID().toString());
+        Store store = new EtcdStore(settings.storeUrls());
+        PeerClient peers = new PeerClient();
+        SlotDirectory directory = new SlotDirectory();
+        mMembership = new Membership(host, mTicker);
+        BundleLoader loader = new BundleLoader(store, peers, settings.signingKeys());
+        HeadFollower follower =
+                new HeadFollower(mMembership, loader, directory, peers, settings.seedPeers());
+        mClaimer =
+                new SlotClaimer(
+                        mMembership, directory, loader, peers, store, addresses(host), mTicker);
+        mLoop =
+                new MemberLoop(
+                        mMembership,
+                        directory,
+                        follower,
+                        new LeaseRenewer(mMembership, directory, follower, peers, store, mTicker),
+                        mClaimer,
+                        new AcceptanceDriver(mMembership, directory, loader, peers, store, mTicker),
+                        new LiveKey(mMembership, store, mTicker),
+                        store);
+        EngineClient engines = new CompletionsEngineClient();
+        mKeepers = new KeeperRegistry(mMembership, engines, mAvailability, mTicker);
+        MemberHandler memberHandler = new MemberHandler(mMembership, directory, follower, loader);
+        LimitHandler limitHandler = new LimitHandler(mMembership, mTicker);
+        mPeerServer =
+                new PeerServer(
+                        settings.peerAddress(),
+                        message -> handle(message, memberHandler, limitHandler));
+        EntryMetrics metrics = new EntryMetrics();
+        mCallerServer = callerServer(directory, peers, store, engines, metrics);
+        mAdminServer =
+                new AdminServer(settings.adminAddress(), mMembership, mInFlight, metrics, mTicker);
+    }
+
+    private HostAddresses addresses(HostId host) {
+        return new HostAddresses(
+                host,
+                mSettings.failureDomain(),
+                mSettings.peerAddress().toString(),
+                mSettings.callerAddress().toString(),
+                mSettings.adminAddress().toString());
+    }
+
+    private CallerServer callerServer(
+            SlotDirectory directory,
+            PeerClient peers,
+            Store store,
+            EngineClient engines,
+            EntryMetrics metrics) {
+        Authenticator authenticator = new Authenticator(mMembership);
+        Admission admission = new Admission(mMembership, directory, peers, mTicker);
+        PlacementClient placement = new PlacementClient(mMembership, directory, mKeepers, peers);
+        ModelRouter models = new ModelRouter(authenticator, placement, engines, metrics, mTicker);
+        ServiceRouter services = new ServiceRouter(new ServiceClient(), mAvailability, mTicker);
+        return new CallerServer(
+                mSettings.callerAddress(),
+                mInFlight,
+                new CompletionsHandler(authenticator, admission, models, metrics, mTicker),
+                new EntryHostsHandler(authenticator, directory),
+                new RouteHandler(
+                        mMembership,
+                        authenticator,
+                        admission,
+                        services,
+                        new IdempotencyGuard(store, mTicker),
+                        metrics,
+                        mTicker));
+    }
+
+    private Mono<PeerMessage> handle(
+            PeerMessage message, MemberHandler members, LimitHandler limits) {
+        return members.handle(message)
+                .or(() -> limits.handle(message))
+                .map(Mono::just)
+                .or(() -> mKeepers.handle(message))
+                .orElseGet(() -> Mono.just(new PeerMessage.Failed("not a request")));
+    }
+
+    /** Starts to listen and to take part; completes once all ports are open. */
+    public Mono<Void> start() {
+        return mPeerServer
+                .start()
+                .doOnNext(mServers::add)
+                .then(Mono.defer(mAdminServer::start))
+                .doOnNext(mServers::add)
+                .then(Mono.defer(mCallerServer::start))
+                .doOnNext(mServers::add)
+                .doOnNext(server -> startTasks())
+                .then();
+    }
+
+    private void startTasks() {
+        mLoop.start();
+        if (!mSettings.hostListUrl().isEmpty()) {
+            mHostListTask = followHostList(new HttpHostList(mSettings.hostListUrl()));
+        }
+        LOG.infof("listening for callers on %s", mSettings.callerAddress());
+    }
+
+    private Disposable followHostList(HostList list) {
+        return Mono.defer(list::read)
+                .doOnNext(this::takeHostList)
+                .onErrorResume(e -> Mono.empty())
+                .then(Mono.delay(HOST_LIST_POLL))
+                .repeat()
+                .subscribe();
+    }
+
+    private void takeHostList(List<ListedHost> hosts) {
+        Set<String> leaving =
+                hosts.stream()
+                        .filter(host -> host.state() == ListedHost.State.LEAVING)
+                        .map(ListedHost::address)
+                        .collect(Collectors.toSet());
+        Map<BackendServerId, BackendServer> servers =
+                mMembership.newestView().stream()
+                        .flatMap(view -> view.index().bundle().backendServers().stream())
+                        .filter(server -> leaving.contains(server.url().substring(7)))
+                        .collect(Collectors.toMap(BackendServer::id, server -> server));
+        mAvailability.replaceLeaving(servers.keySet());
+    }
+
+    /** Stops gracefully: nothing new, everything that runs is finished, then the slot is freed. */
+    public Mono<Void> stop() {
+        Optional<HeldSlot> held = mMembership.held();
+        LOG.infof("shutting down with %d requests in flight", mInFlight.count());
+        mLoop.startLeaving();
+        return Mono.justOrEmpty(held)
+                .flatMap(slot -> move(slot, SlotRecord.State.LEAVING))
+                .then(Mono.defer(mInFlight::drain))
+                .then(Mono.fromRunnable(mMembership::drop))
+                .then(Mono.justOrEmpty(held))
+                .flatMap(slot -> move(slot, SlotRecord.State.VACANT))
+                .then(Mono.defer(this::close));
+    }
+
+    private Mono<Void> move(HeldSlot held, SlotRecord.State state) {
+        return mClaimer.move(held, state).timeout(STORE_PATIENCE).onErrorResume(e -> Mono.empty());
+    }
+
+    /** Closes everything at once; completes when all ports are closed. */
+    public Mono<Void> close() {
+        mLoop.stop();
+        mKeepers.stop();
+        if (mHostListTask != null) {
+            mHostListTask.dispose();
+        }
+        return Flux.fromIterable(mServers)
+                .doOnNext(DisposableServer::dispose)
+                .flatMap(DisposableServer::onDispose)
+                .then()
+                .doOnTerminate(() -> LOG.info("stopped"));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/EntryMain.java
@@ -0,0 +1,96 @@
+package org.fuchsiaford.entry;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+import org.fuchsiaford.entry.settings.EntrySettings;
+import org.fuchsiaford.entry.settings.EntrySettingsReader;
+import org.fuchsiaford.entry.settings.SettingsException;
+
+/**
+ * Starts the daemon. Exit codes: 0 after a graceful stop or a successful {@code --check}, 1 if the
+ * host cannot start, 2 for wrong arguments, 3 for wrong settings.
+ */
+public final class EntryMain {
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_SETTINGS = 3;
+    private static final List<String> OVERRIDES =
+            List.of(
+                    "callerAddress",
+                    "peerAddress",
+                    "adminAddress",
+                    "failureDomain",
+                    "hostListUrl",
+                    "logLevel");
+
+    private EntryMain() {}
+
+    /** Runs the daemon until it is told to stop. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
+        OptionParser parser = new OptionParser();
+        OptionSpec<String> settingsFile =
+                parser.accepts("settings", "settings file, JSON with comments")
+                        .withRequiredArg()
+                        .describedAs("file");
+        OptionSpec<Void> check = parser.accepts("check", "check the settings and exit");
+        OptionSpec<Void> help = parser.accepts("help", "show this help").forHelp();
+        OVERRIDES.forEach(field -> parser.accepts(field, "replaces the setting").withRequiredArg());
+        try {
+            OptionSet options = parser.parse(args);
+            if (options.has(help)) {
+                parser.printHelpOn(System.out);
+                return;
+            }
+            if (!options.has(settingsFile)) {
+                throw new IllegalArgumentException("--settings is required");
+            }
+            run(read(options, settingsFile), options.has(check));
+        } catch (OptionException | IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+            parser.printHelpOn(System.err);
+            System.exit(EXIT_USAGE);
+        } catch (SettingsException e) {
+            e.problems().forEach(problem -> System.err.println(problem));
+            System.exit(EXIT_SETTINGS);
+        } catch (IOException e) {
+            System.err.println("cannot read the settings: " + e.getMessage());
+            System.exit(EXIT_SETTINGS);
+        }
+    }
+
+    private static EntrySettings read(OptionSet options, OptionSpec<String> file)
+            throws IOException, SettingsException {
+        Map<String, String> overrides =
+                OVERRIDES.stream()
+                        .filter(options::has)
+                        .collect(Collectors.toMap(f -> f, f -> (String) options.valueOf(f)));
+        String text = Files.readString(Path.of(options.valueOf(file)));
+        return new EntrySettingsReader().read(text, overrides);
+    }
+
+    private static void run(EntrySettings settings, boolean checkOnly) throws InterruptedException {
+        if (checkOnly) {
+            System.out.println("settings are correct");
+            return;
+        }
+        LogSetup.apply(settings);
+        EntryHost host = new EntryHost(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> host.stop().block(), "shutdown"));
+        try {
+            host.start().block();
+        } catch (RuntimeException e) {
+            System.err.println("cannot start: " + e.getMessage());
+            Runtime.getRuntime().halt(EXIT_FAILED);
+        }
+        Thread.currentThread().join();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/backend/CompletionsEngineClient.java
@@ -0,0 +1,181 @@
+package org.fuchsiaford.entry.backend;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.fuchsiaford.bundle.BackendServer;
+import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.placement.EngineLoad;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Speaks the completions API with server-sent events and the transfer fields of disaggregated
+ * prefill. Each call has a connection of its own, which has thereby just proved alive and whose
+ * closing tells the engine that the request is cancelled.
+ *
+ * <p>Thread-safe.
+ */
+public final class CompletionsEngineClient implements EngineClient {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration LOAD_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration PREFILL_TIMEOUT = Duration.ofSeconds(30);
+
+    /** Transfer and first step together; a transfer that takes longer has stalled. */
+    private static final Duration FIRST_TOKEN_TIMEOUT = Duration.ofSeconds(2);
+
+    private static final Duration BETWEEN_TOKENS_TIMEOUT = Duration.ofSeconds(1);
+    private static final int MAX_LINE_BYTES = 1024 * 1024;
+    private static final String DATA = "data: ";
+    private static final String END = "[DONE]";
+
+    private final JsonMapper mMapper = JsonMapper.builder().build();
+    private final HttpClient mClient =
+            HttpClient.create(ConnectionProvider.newConnection())
+                    .disableRetry(true)
+                    .headers(headers -> headers.set("Content-Type", "application/json"))
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis());
+    private final HttpClient mStreamClient =
+            mClient.doOnConnected(c -> c.addHandlerLast(new LineBasedFrameDecoder(MAX_LINE_BYTES)));
+
+    @Override
+    public Mono<EngineLoad> load(BackendServer engine) {
+        return mClient.get()
+                .uri(engine.url() + "/load")
+                .responseContent()
+                .aggregate()
+                .asByteArray()
+                .timeout(LOAD_TIMEOUT)
+                .flatMap(bytes -> Mono.fromCallable(() -> toLoad(engine, bytes)))
+                .onErrorMap(e -> failed(Step.PLACE, engine, false, e));
+    }
+
+    private EngineLoad toLoad(BackendServer engine, byte[] bytes) throws IOException {
+        JsonNode load = mMapper.readTree(bytes);
+        List<EngineLoad.CacheEvent> events = new ArrayList<>();
+        load.path("cache_events")
+                .forEach(
+                        event ->
+                                events.add(
+                                        new EngineLoad.CacheEvent(
+                                                event.path("hash").asLong(),
+                                                event.path("stored").asBoolean())));
+        return new EngineLoad(
+                engine.id(),
+                load.path("running").asInt(),
+                load.path("waiting").asInt(),
+                load.path("free_pieces").asInt(),
+                events);
+    }
+
+    @Override
+    public Mono<PrefillResult> prefill(BackendServer engine, ModelCall call) {
+        ObjectNode body = body(call).put("stream", false).put("max_tokens", 1);
+        body.putObject("kv_transfer_params").put("do_remote_decode", true);
+        AtomicBoolean sent = new AtomicBoolean();
+        return post(mClient, engine, call, body, sent)
+                .responseSingle(
+                        (response, content) ->
+                                check(Step.PREFILL, engine, response).then(content.asByteArray()))
+                .timeout(PREFILL_TIMEOUT)
+                .flatMap(bytes -> Mono.fromCallable(() -> toResult(bytes)))
+                .onErrorMap(e -> failed(Step.PREFILL, engine, sent.get(), e));
+    }
+
+    private PrefillResult toResult(byte[] bytes) throws IOException {
+        JsonNode reply = mMapper.readTree(bytes);
+        JsonNode usage = reply.path("usage");
+        return new PrefillResult(
+                reply.path("kv_transfer_params"),
+                usage.path("prompt_tokens").asInt(),
+                usage.path("prompt_tokens_details").path("cached_tokens").asInt());
+    }
+
+    @Override
+    public Flux<AnswerChunk> decode(BackendServer engine, ModelCall call, PrefillResult prefill) {
+        ObjectNode body = body(call).put("stream", true).put("max_tokens", call.maxTokens());
+        body.set("kv_transfer_params", prefill.transfer());
+        body.putObject("stream_options")
+                .put("include_usage", true)
+                .put("continuous_usage_stats", true);
+        AtomicBoolean sent = new AtomicBoolean();
+        return post(mStreamClient, engine, call, body, sent)
+                .response(
+                        (response, content) ->
+                                check(Step.DECODE, engine, response)
+                                        .thenMany(content.asString(StandardCharsets.UTF_8)))
+                .filter(line -> line.startsWith(DATA) && !line.endsWith(END))
+                .concatMap(line -> Mono.fromCallable(() -> toChunk(line)))
+                .timeout(
+                        Mono.delay(FIRST_TOKEN_TIMEOUT),
+                        chunk -> Mono.delay(BETWEEN_TOKENS_TIMEOUT))
+                .takeUntil(AnswerChunk::isLast)
+                .switchIfEmpty(Flux.error(() -> new IOException("the stream is empty")))
+                .onErrorMap(e -> failed(Step.DECODE, engine, sent.get(), e));
+    }
+
+    private AnswerChunk toChunk(String line) throws IOException {
+        JsonNode chunk = mMapper.readTree(line.substring(DATA.length()));
+        JsonNode choice = chunk.path("choices").path(0);
+        return new AnswerChunk(
+                choice.path("text").asText(),
+                chunk.path("usage").path("completion_tokens").asInt(),
+                choice.path("finish_reason").asText(null));
+    }
+
+    private ObjectNode body(ModelCall call) {
+        return call.fields().deepCopy().put("prompt", call.prompt());
+    }
+
+    private HttpClient.ResponseReceiver<?> post(
+            HttpClient client,
+            BackendServer engine,
+            ModelCall call,
+            ObjectNode body,
+            AtomicBoolean sent) {
+        return client.headers(headers -> headers.set("X-Request-Id", call.request().value()))
+                .doOnRequest((request, connection) -> sent.set(true))
+                .post()
+                .uri(engine.url() + "/v1/completions")
+                .send(
+                        Mono.fromSupplier(
+                                () ->
+                                        Unpooled.wrappedBuffer(
+                                                body.toString().getBytes(StandardCharsets.UTF_8))));
+    }
+
+    private static Mono<Void> check(Step step, BackendServer engine, HttpClientResponse response) {
+        int status = response.status().code();
+        if (status == 200) {
+            return Mono.empty();
+        }
+        BackendException.Kind kind =
+                status == 503 || status == 429
+                        ? BackendException.Kind.REFUSED
+                        : BackendException.Kind.BROKEN;
+        return Mono.error(new BackendException(step, engine.id(), kind, "status " + status, null));
+    }
+
+    private static BackendException failed(
+            Step step, BackendServer engine, boolean sent, Throwable cause) {
+        if (cause instanceof BackendException already) {
+            return already;
+        }
+        BackendException.Kind kind =
+                sent ? BackendException.Kind.BROKEN : BackendException.Kind.UNREACHABLE;
+        return new BackendException(
+                step, engine.id(), kind, String.valueOf(cause.getMessage()), cause);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/InFlight.java
@@ -0,0 +1,58 @@
+package org.fuchsiaford.entry.http;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.fuchsiaford.failure.RefusalException;
+import org.fuchsiaford.failure.RefusalReason;
+import org.fuchsiaford.failure.Step;
+import reactor.core.publisher.Mono;
+
+/**
+ * Counts the requests in flight, and refuses new ones once the host is leaving.
+ *
+ * <p>Invariant: a request is either counted or refused, also while leaving begins. Thread-safe.
+ */
+public final class InFlight {
+    private static final long RETRY_MILLIS = 100;
+    private static final Duration POLL = Duration.ofMillis(20);
+
+    private final AtomicInteger mCount = new AtomicInteger();
+    private volatile boolean mLeaving;
+
+    /**
+     * Begins a request.
+     *
+     * @throws RefusalException if the host is leaving; the request has not run
+     */
+    void begin() throws RefusalException {
+        mCount.incrementAndGet();
+        if (mLeaving) {
+            mCount.decrementAndGet();
+            throw RefusalException.notRunRetry(
+                    RefusalReason.HOST_NOT_SERVING,
+                    RETRY_MILLIS,
+                    Step.ADMIT,
+                    "this host is shutting down; use another one");
+        }
+    }
+
+    void end() {
+        mCount.decrementAndGet();
+    }
+
+    /** Returns how many requests are in flight. */
+    public int count() {
+        return mCount.get();
+    }
+
+    /** Returns whether the host is leaving. */
+    public boolean isLeaving() {
+        return mLeaving;
+    }
+
+    /** Refuses new requests from now on; completes when none is in flight. */
+    public Mono<Void> drain() {
+        mLeaving = true;
+        return Mono.delay(POLL).repeat(() -> mCount.get() > 0).then();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/RequestBody.java
@@ -0,0 +1,54 @@
+package org.fuchsiaford.entry.http;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.concurrent.TimeoutException;
+import org.fuchsiaford.failure.RefusalException;
+import org.fuchsiaford.failure.RefusalReason;
+import org.fuchsiaford.failure.Step;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+
+/** Reads bodies of requests within bounds of size and time. Stateless, hence thread-safe. */
+final class RequestBody {
+    /** The largest body that is read, in bytes. */
+    static final int MAX_BYTES = 4 * 1024 * 1024;
+
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
+
+    private RequestBody() {}
+
+    /** Reads the whole body; fails with {@link RefusalException} beyond a bound. */
+    static Mono<byte[]> read(HttpServerRequest request) {
+        return request.receive()
+                .asByteArray()
+                .reduceWith(ByteArrayOutputStream::new, RequestBody::append)
+                .map(ByteArrayOutputStream::toByteArray)
+                .timeout(READ_TIMEOUT)
+                .onErrorMap(TimeoutException.class, e -> tooSlow())
+                .onErrorMap(BodyTooLargeException.class, e -> tooLarge());
+    }
+
+    private static ByteArrayOutputStream append(ByteArrayOutputStream body, byte[] bytes) {
+        if (body.size() + bytes.length > MAX_BYTES) {
+            throw new BodyTooLargeException();
+        }
+        body.writeBytes(bytes);
+        return body;
+    }
+
+    private static RefusalException tooLarge() {
+        return RefusalException.notRun(
+                RefusalReason.TOO_LARGE, Step.ADMIT, "the body exceeds " + MAX_BYTES + " bytes");
+    }
+
+    /** Leaves the operator chain, which cannot throw checked exceptions. */
+    private static final class BodyTooLargeException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    private static RefusalException tooSlow() {
+        return RefusalException.notRun(
+                RefusalReason.CALLER_TOO_SLOW, Step.ADMIT, "the body came too slowly");
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/keeper/KeeperRegistry.java
@@ -0,0 +1,103 @@
+package org.fuchsiaford.entry.keeper;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.fuchsiaford.backend.PoolId;
+import org.fuchsiaford.backend.ServerAvailability;
+import org.fuchsiaford.bundle.BackendServer;
+import org.fuchsiaford.bundle.BundleIndex;
+import org.fuchsiaford.bundle.Model;
+import org.fuchsiaford.entry.backend.EngineClient;
+import org.fuchsiaford.entry.member.Membership;
+import org.fuchsiaford.entry.member.ServingView;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.placement.ModelSpec;
+import org.fuchsiaford.placement.PlacementDecision;
+import org.fuchsiaford.time.Ticker;
+import reactor.core.publisher.Mono;
+
+/**
+ * The pools that this host is the keeper of. A keeper is made on the first request for its pool and
+ * follows the bundle and the list of leaving hosts with each request.
+ *
+ * <p>Thread-safe.
+ */
+public final class KeeperRegistry {
+    private static final long UNKNOWN_POOL_RETRY_MILLIS = 500;
+
+    private final Membership mMembership;
+    private final EngineClient mClient;
+    private final ServerAvailability mAvailability;
+    private final Ticker mTicker;
+    private final Map<PoolId, PoolKeeper> mKeepers = new ConcurrentHashMap<>();
+
+    /** Creates a registry without keepers. */
+    public KeeperRegistry(
+            Membership membership,
+            EngineClient client,
+            ServerAvailability availability,
+            Ticker ticker) {
+        mMembership = membership;
+        mClient = client;
+        mAvailability = availability;
+        mTicker = ticker;
+    }
+
+    /** Returns the answer to a request, or nothing if it concerns something else. */
+    public Optional<Mono<PeerMessage>> handle(PeerMessage message) {
+        if (message instanceof PeerMessage.Place place) {
+            return Optional.of(place(place));
+        }
+        if (message instanceof PeerMessage.Withdraw withdraw) {
+            Optional.ofNullable(mKeepers.get(withdraw.pool()))
+                    .ifPresent(keeper -> keeper.withdraw(withdraw.request()));
+            return Optional.of(Mono.just(new PeerMessage.Done()));
+        }
+        if (message instanceof PeerMessage.Report report) {
+            Optional.ofNullable(mKeepers.get(report.pool()))
+                    .ifPresent(keeper -> keeper.record(report.event()));
+            return Optional.of(Mono.just(new PeerMessage.Done()));
+        }
+        return Optional.empty();
+    }
+
+    private Mono<PeerMessage> place(PeerMessage.Place place) {
+        Optional<PoolKeeper> keeper =
+                mMembership.serving().flatMap(view -> keeper(view, place.pool()));
+        if (keeper.isEmpty()) {
+            PlacementDecision refusal =
+                    PlacementDecision.refuse(place.request().request(), UNKNOWN_POOL_RETRY_MILLIS);
+            return Mono.just(new PeerMessage.Decided(refusal));
+        }
+        return keeper.get().place(place.request()).map(PeerMessage.Decided::new);
+    }
+
+    private Optional<PoolKeeper> keeper(ServingView view, PoolId pool) {
+        BundleIndex index = view.index();
+        List<BackendServer> engines = available(index.engines(pool));
+        return index.engines(pool).stream()
+                .findFirst()
+                .flatMap(engine -> index.model(engine.model()))
+                .map(model -> keeper(pool, model, engines));
+    }
+
+    private List<BackendServer> available(List<BackendServer> engines) {
+        return engines.stream().filter(e -> !mAvailability.isLeaving(e.id())).toList();
+    }
+
+    private PoolKeeper keeper(PoolId pool, Model model, List<BackendServer> engines) {
+        ModelSpec spec = ModelSpec.of(model);
+        PoolKeeper keeper =
+                mKeepers.computeIfAbsent(
+                        pool, id -> new PoolKeeper(spec, engines, mClient, mTicker));
+        keeper.reconfigure(spec, engines);
+        return keeper;
+    }
+
+    /** Stops all keepers. */
+    public void stop() {
+        mKeepers.values().forEach(PoolKeeper::stop);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/keeper/PoolKeeper.java
@@ -0,0 +1,142 @@
+package org.fuchsiaford.entry.keeper;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.bundle.BackendServer;
+import org.fuchsiaford.entry.backend.EngineClient;
+import org.fuchsiaford.placement.EngineLoad;
+import org.fuchsiaford.placement.EngineSpec;
+import org.fuchsiaford.placement.ModelSpec;
+import org.fuchsiaford.placement.PlacementDecision;
+import org.fuchsiaford.placement.PlacementEvent;
+import org.fuchsiaford.placement.PlacementRequest;
+import org.fuchsiaford.placement.PoolScheduler;
+import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.time.Ticker;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/**
+ * Runs the placement policy of one pool at its keeper: takes requests and events, reads the
+ * engines' load while the pool is in use, and hands out decisions.
+ *
+ * <p>All state is soft. Two keepers of a pool at once cost performance only, since an engine's own
+ * refusal is final. Thread-safe.
+ */
+final class PoolKeeper {
+    private static final Duration DECISION_POLL = Duration.ofMillis(5);
+    private static final Duration LOAD_POLL = Duration.ofMillis(250);
+    private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private volatile List<BackendServer> mEngines;
+    private final EngineClient mClient;
+    private final Ticker mTicker;
+    private final PoolScheduler mScheduler;
+    private final Map<RequestId, Sinks.One<PlacementDecision>> mWaiting = new HashMap<>();
+    private final Disposable mDecisionTask;
+    private final Disposable mLoadTask;
+    private long mLastUseNanos;
+
+    PoolKeeper(ModelSpec model, List<BackendServer> engines, EngineClient client, Ticker ticker) {
+        mEngines = List.copyOf(engines);
+        mClient = client;
+        mTicker = ticker;
+        mScheduler = new PoolScheduler(model, engines.stream().map(EngineSpec::of).toList());
+        mLastUseNanos = ticker.nowNanos();
+        mDecisionTask = Flux.interval(DECISION_POLL).onBackpressureDrop().subscribe(tick -> poll());
+        mLoadTask = Mono.defer(this::readLoads).then(Mono.delay(LOAD_POLL)).repeat().subscribe();
+    }
+
+    /** Takes other engines over; requests that wait or run go on. */
+    void reconfigure(ModelSpec model, List<BackendServer> engines) {
+        if (engines.equals(mEngines)) {
+            return;
+        }
+        mEngines = List.copyOf(engines);
+        synchronized (this) {
+            mScheduler.reconfigure(model, engines.stream().map(EngineSpec::of).toList());
+        }
+        decide();
+    }
+
+    Mono<PlacementDecision> place(PlacementRequest request) {
+        Sinks.One<PlacementDecision> sink = Sinks.one();
+        synchronized (this) {
+            mLastUseNanos = mTicker.nowNanos();
+            mWaiting.put(request.request(), sink);
+            mScheduler.submit(request, mLastUseNanos);
+        }
+        decide();
+        return sink.asMono().doOnCancel(() -> withdraw(request.request()));
+    }
+
+    void withdraw(RequestId request) {
+        synchronized (this) {
+            mWaiting.remove(request);
+            mScheduler.withdraw(request, mTicker.nowNanos());
+        }
+        decide();
+    }
+
+    void record(PlacementEvent event) {
+        synchronized (this) {
+            mLastUseNanos = mTicker.nowNanos();
+            mScheduler.record(event, mLastUseNanos);
+        }
+        decide();
+    }
+
+    private void poll() {
+        boolean waiting;
+        synchronized (this) {
+            waiting = !mWaiting.isEmpty();
+        }
+        if (waiting) {
+            decide();
+        }
+    }
+
+    private void decide() {
+        List<PlacementDecision> decisions;
+        Map<RequestId, Sinks.One<PlacementDecision>> sinks = new HashMap<>();
+        synchronized (this) {
+            decisions = mScheduler.decide(mTicker.nowNanos());
+            decisions.forEach(d -> sinks.put(d.request(), mWaiting.remove(d.request())));
+        }
+        decisions.forEach(decision -> emit(sinks.get(decision.request()), decision));
+    }
+
+    private void emit(Sinks.One<PlacementDecision> sink, PlacementDecision decision) {
+        if (sink != null) {
+            sink.tryEmitValue(decision);
+        }
+    }
+
+    private Mono<Void> readLoads() {
+        if (isIdle()) {
+            return Mono.empty();
+        }
+        return Flux.fromIterable(mEngines)
+                .flatMap(engine -> mClient.load(engine).onErrorResume(e -> Mono.empty()))
+                .doOnNext(this::report)
+                .then();
+    }
+
+    private synchronized void report(EngineLoad load) {
+        mScheduler.report(load, mTicker.nowNanos());
+    }
+
+    synchronized boolean isIdle() {
+        return mWaiting.isEmpty() && mTicker.nowNanos() - mLastUseNanos > IDLE_NANOS;
+    }
+
+    void stop() {
+        mDecisionTask.dispose();
+        mLoadTask.dispose();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/limit/LimitHandler.java
@@ -0,0 +1,56 @@
+package org.fuchsiaford.entry.limit;
+
+import java.util.Optional;
+import org.fuchsiaford.entry.member.Membership;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.time.Ticker;
+
+/**
+ * Answers the messages that concern limits. Tokens are given only while this host holds the slot by
+ * a valid lease. Thread-safe.
+ */
+public final class LimitHandler {
+    private final Membership mMembership;
+    private final Ticker mTicker;
+
+    /** Creates a handler. */
+    public LimitHandler(Membership membership, Ticker ticker) {
+        mMembership = membership;
+        mTicker = ticker;
+    }
+
+    /** Returns the answer to a request, or nothing if it concerns something else. */
+    public Optional<PeerMessage> handle(PeerMessage message) {
+        if (message instanceof PeerMessage.Acquire acquire) {
+            return Optional.of(new PeerMessage.Granted(grant(acquire)));
+        }
+        if (message instanceof PeerMessage.Settle settle) {
+            mMembership
+                    .held()
+                    .ifPresent(
+                            held ->
+                                    held.ledger()
+                                            .settle(
+                                                    settle.workspace(),
+                                                    settle.grant(),
+                                                    settle.unusedTokens(),
+                                                    mTicker.nowNanos()));
+            return Optional.of(new PeerMessage.Done());
+        }
+        return Optional.empty();
+    }
+
+    private long grant(PeerMessage.Acquire acquire) {
+        return mMembership
+                .servingHeld()
+                .map(
+                        held ->
+                                held.ledger()
+                                        .grantToHost(
+                                                acquire.workspace(),
+                                                acquire.grant(),
+                                                acquire.tokens(),
+                                                mTicker.nowNanos()))
+                .orElse(0L);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/AcceptanceDriver.java
@@ -0,0 +1,155 @@
+package org.fuchsiaford.entry.member;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.fuchsiaford.bundle.Bundle;
+import org.fuchsiaford.bundle.BundleHead;
+import org.fuchsiaford.bundle.EntrySlot;
+import org.fuchsiaford.bundle.Generation;
+import org.fuchsiaford.host.Panel;
+import org.fuchsiaford.host.PanelTable;
+import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.host.SlotRecord;
+import org.fuchsiaford.peer.PeerCalls;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.platform.Store;
+import org.fuchsiaford.platform.StoreEntry;
+import org.fuchsiaford.platform.StoreException;
+import org.fuchsiaford.platform.StoreLayout;
+import org.fuchsiaford.platform.StoreLeaseId;
+import org.fuchsiaford.platform.StoreRecords;
+import org.fuchsiaford.platform.StoreSnapshot;
+import org.fuchsiaford.time.Ticker;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Mono;
+
+/**
+ * Has a swapped head accepted: informs a majority of each panel of the bundle before, waits until
+ * no host can act on that any more, and marks the head. Any host may do so, and several at once do
+ * no harm; hosts take turns in an order that differs for each generation.
+ *
+ * <p>Thread-safe.
+ */
+public final class AcceptanceDriver {
+    private static final Logger LOG = Logger.getLogger(AcceptanceDriver.class);
+    private static final Duration TURN = Duration.ofMillis(4_000);
+
+    private final Membership mMembership;
+    private final SlotDirectory mDirectory;
+    private final BundleLoader mLoader;
+    private final PanelInformer mInformer;
+    private final Store mStore;
+    private final StoreRecords mRecords;
+    private final AtomicReference<Generation> mDriving = new AtomicReference<>(Generation.NONE);
+
+    /** Creates a driver. */
+    public AcceptanceDriver(
+            Membership membership,
+            SlotDirectory directory,
+            BundleLoader loader,
+            PeerCalls peers,
+            Store store,
+            Ticker ticker) {
+        mMembership = membership;
+        mDirectory = directory;
+        mLoader = loader;
+        mInformer = new PanelInformer(membership, directory, peers, ticker);
+        mStore = store;
+        mRecords = new StoreRecords(store);
+    }
+
+    /**
+     * Drives the newest head if it is not accepted and nobody else got it done by this host's turn.
+     */
+    public Mono<Void> drive() {
+        Optional<BundleHead> head = mMembership.newestHead().filter(h -> !h.accepted());
+        Generation driving = mDriving.get();
+        boolean fresh = head.filter(h -> !h.generation().equals(driving)).isPresent();
+        if (!fresh || !mDriving.compareAndSet(driving, head.get().generation())) {
+            return Mono.empty();
+        }
+        return Mono.delay(TURN.multipliedBy(turn(head.get().generation())))
+                .then(Mono.defer(this::acceptNewest))
+                .doFinally(signal -> mDriving.set(Generation.NONE));
+    }
+
+    private long turn(Generation generation) {
+        List<SlotId> order = mDirectory.order("accept/" + generation.number());
+        return mMembership
+                .held()
+                .map(held -> order.indexOf(held.slot()))
+                .filter(index -> index >= 0)
+                .orElse(order.size());
+    }
+
+    private Mono<Void> acceptNewest() {
+        return mStore.read(List.of(StoreLayout.HEAD))
+                .zipWith(mStore.readPrefix(StoreLayout.SLOTS))
+                .flatMap(reads -> accept(reads.getT1(), reads.getT2()))
+                .doOnError(e -> LOG.warnf("head not accepted yet: %s", e.getMessage()))
+                .onErrorResume(e -> Mono.empty());
+    }
+
+    private Mono<Void> accept(StoreSnapshot headRead, StoreSnapshot slotsRead) {
+        return Mono.fromCallable(
+                        () -> StoreRecords.find(headRead, StoreLayout.HEAD, BundleHead.class))
+                .flatMap(Mono::justOrEmpty)
+                .filter(head -> !head.accepted())
+                .flatMap(head -> fence(head, slotsRead).then(mark(head, headRead)));
+    }
+
+    private Mono<Void> fence(BundleHead head, StoreSnapshot slotsRead) {
+        if (head.previousManifest() == null) {
+            return Mono.empty();
+        }
+        PeerMessage notice = new PeerMessage.InformHead(head);
+        return mLoader.loadManifest(head.previousManifest(), List.of())
+                .flatMap(
+                        bundle ->
+                                Mono.fromCallable(() -> vacant(bundle, slotsRead))
+                                        .flatMap(
+                                                vacant ->
+                                                        mInformer.informAndWait(
+                                                                panels(bundle), vacant, notice)));
+    }
+
+    private static List<Panel> panels(Bundle bundle) {
+        return new PanelTable(bundle.entrySlots()).panels();
+    }
+
+    private static List<SlotId> vacant(Bundle bundle, StoreSnapshot slotsRead)
+            throws StoreException {
+        Map<SlotId, SlotRecord> records = records(slotsRead);
+        return bundle.entrySlots().stream()
+                .map(EntrySlot::id)
+                .filter(slot -> !records.containsKey(slot) || !records.get(slot).isOccupied())
+                .toList();
+    }
+
+    private static Map<SlotId, SlotRecord> records(StoreSnapshot slotsRead) throws StoreException {
+        List<SlotRecord> records = new java.util.ArrayList<>();
+        for (StoreEntry entry : slotsRead.entries()) {
+            records.add(StoreRecords.decode(entry.value(), SlotRecord.class));
+        }
+        return records.stream().collect(Collectors.toMap(SlotRecord::slot, Function.identity()));
+    }
+
+    private Mono<Void> mark(BundleHead head, StoreSnapshot headRead) {
+        return Mono.defer(
+                        () ->
+                                mRecords.swap(
+                                        StoreLayout.HEAD,
+                                        headRead.revisionOf(StoreLayout.HEAD),
+                                        head.asAccepted(),
+                                        StoreLeaseId.NONE))
+                .filter(swap -> swap == StoreRecords.Swap.DONE)
+                .doOnNext(swap -> mMembership.accept(head.generation()))
+                .doOnNext(swap -> LOG.infof("generation %d accepted", head.generation().number()))
+                .then();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/HeadFollower.java
@@ -0,0 +1,111 @@
+package org.fuchsiaford.entry.member;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+import org.fuchsiaford.bundle.BundleHead;
+import org.fuchsiaford.bundle.Generation;
+import org.fuchsiaford.host.SlotRecord;
+import org.fuchsiaford.peer.PeerAddress;
+import org.fuchsiaford.peer.PeerCalls;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Takes over each newer head that this host hears of, whoever tells: the store, another host, the
+ * operators. One bundle is loaded at a time.
+ *
+ * <p>Thread-safe.
+ */
+public final class HeadFollower {
+    private static final Logger LOG = Logger.getLogger(HeadFollower.class);
+    private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
+
+    private final Membership mMembership;
+    private final BundleLoader mLoader;
+    private final SlotDirectory mDirectory;
+    private final PeerCalls mPeers;
+    private final List<PeerAddress> mSeeds;
+    private final AtomicReference<Generation> mLoading = new AtomicReference<>(Generation.NONE);
+
+    /** Creates a follower. */
+    public HeadFollower(
+            Membership membership,
+            BundleLoader loader,
+            SlotDirectory directory,
+            PeerCalls peers,
+            List<PeerAddress> seeds) {
+        mMembership = membership;
+        mLoader = loader;
+        mDirectory = directory;
+        mPeers = peers;
+        mSeeds = List.copyOf(seeds);
+    }
+
+    /** Takes a head over if it is newer than the ones before, or newly accepted. */
+    public void follow(BundleHead head) {
+        if (head.accepted()) {
+            mMembership.accept(head.generation());
+        }
+        Generation loading = mLoading.get();
+        boolean newer =
+                mMembership.newestGeneration().isBefore(head.generation())
+                        && loading.isBefore(head.generation());
+        if (newer && mLoading.compareAndSet(loading, head.generation())) {
+            load(head).subscribe();
+        }
+    }
+
+    private Mono<Void> load(BundleHead head) {
+        return mLoader.load(head, peers())
+                .doOnNext(bundle -> mMembership.install(head, bundle))
+                .doOnNext(bundle -> logInstalled(head))
+                .doOnError(e -> LOG.errorf("head not taken over: %s", e.getMessage()))
+                .doFinally(signal -> mLoading.set(Generation.NONE))
+                .onErrorResume(e -> Mono.empty())
+                .then();
+    }
+
+    private static void logInstalled(BundleHead head) {
+        LOG.infof(
+                "bundle version %d loaded as generation %d",
+                head.bundleVersion(), head.generation().number());
+    }
+
+    /** Asks other hosts for the head and for the slot records, for use while the store is out. */
+    public Mono<Void> askPeers() {
+        return Flux.fromIterable(peers()).flatMap(this::askPeer).then();
+    }
+
+    private Mono<Void> askPeer(PeerAddress peer) {
+        Mono<Void> head =
+                mPeers.call(peer, new PeerMessage.FetchHead(), PeerMessage.Head.class, PEER_TIMEOUT)
+                        .mapNotNull(PeerMessage.Head::head)
+                        .doOnNext(this::follow)
+                        .then();
+        Mono<Void> slots =
+                mPeers.call(
+                                peer,
+                                new PeerMessage.FetchSlots(),
+                                PeerMessage.Slots.class,
+                                PEER_TIMEOUT)
+                        .doOnNext(answer -> mDirectory.merge(answer.records(), answer.live()))
+                        .then();
+        return slots.then(head).onErrorResume(e -> Mono.empty());
+    }
+
+    private List<PeerAddress> peers() {
+        List<PeerAddress> known = new ArrayList<>(mSeeds);
+        Stream<SlotRecord> records = mDirectory.records().stream();
+        records.filter(SlotRecord::isOccupied)
+                .filter(record -> !record.host().equals(mMembership.host()))
+                .map(record -> PeerAddress.parse(record.peerAddress()))
+                .filter(address -> !known.contains(address))
+                .forEach(known::add);
+        return known;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/HeldSlot.java
@@ -0,0 +1,17 @@
+package org.fuchsiaford.entry.member;
+
+import org.fuchsiaford.host.Incarnation;
+import org.fuchsiaford.host.PromiseBook;
+import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.workspace.HomeLedger;
+
+/**
+ * A slot that this host holds, with the state that only its holder has. Immutable, but for book and
+ * ledger, which are thread-safe.
+ *
+ * @param slot the slot
+ * @param incarnation this host's incarnation
+ * @param book what this host promises to other hosts
+ * @param ledger the token buckets that this host accrues
+ */
+public record HeldSlot(SlotId slot, Incarnation incarnation, PromiseBook book, HomeLedger ledger) {}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/LeaseRenewer.java
@@ -0,0 +1,187 @@
+package org.fuchsiaford.entry.member;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.fuchsiaford.bundle.BundleHead;
+import org.fuchsiaford.host.LeaseSubject;
+import org.fuchsiaford.host.LeaseTerm;
+import org.fuchsiaford.host.PromiseRequest;
+import org.fuchsiaford.host.ServingLease;
+import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.host.SlotRecord;
+import org.fuchsiaford.peer.PeerAddress;
+import org.fuchsiaford.peer.PeerCalls;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.platform.Store;
+import org.fuchsiaford.platform.StoreException;
+import org.fuchsiaford.platform.StoreKey;
+import org.fuchsiaford.platform.StoreLayout;
+import org.fuchsiaford.platform.StoreRecords;
+import org.fuchsiaford.platform.StoreSnapshot;
+import org.fuchsiaford.time.Ticker;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Renews this host's leases: from the panel, and from the store when the panel leaves a lease
+ * short.
+ *
+ * <p>Thread-safe.
+ */
+public final class LeaseRenewer {
+    private static final Logger LOG = Logger.getLogger(LeaseRenewer.class);
+    private static final Duration PROMISE_TIMEOUT = Duration.ofMillis(400);
+
+    private final Membership mMembership;
+    private final SlotDirectory mDirectory;
+    private final HeadFollower mFollower;
+    private final PeerCalls mPeers;
+    private final Store mStore;
+    private final Ticker mTicker;
+
+    /** Creates a renewer. */
+    public LeaseRenewer(
+            Membership membership,
+            SlotDirectory directory,
+            HeadFollower follower,
+            PeerCalls peers,
+            Store store,
+            Ticker ticker) {
+        mMembership = membership;
+        mDirectory = directory;
+        mFollower = follower;
+        mPeers = peers;
+        mStore = store;
+        mTicker = ticker;
+    }
+
+    /** Renews once: asks every panel, then the store for each lease still short of half a term. */
+    public Mono<Void> renew() {
+        return Flux.fromIterable(mMembership.views())
+                .flatMap(view -> askPanel(view.lease()))
+                .then(Mono.defer(this::confirmShortLeases));
+    }
+
+    private Mono<Void> askPanel(ServingLease lease) {
+        return Flux.fromIterable(lease.panel().members())
+                .flatMap(member -> askMember(lease, member))
+                .then();
+    }
+
+    private Mono<Void> askMember(ServingLease lease, SlotId member) {
+        long askedNanos = mTicker.nowNanos();
+        PromiseRequest request = new PromiseRequest(lease.subject());
+        if (mMembership.held().filter(held -> held.slot().equals(member)).isPresent()) {
+            promiseToSelf(request).ifPresent(promised -> take(lease, promised, member, askedNanos));
+            return Mono.empty();
+        }
+        return Mono.justOrEmpty(mDirectory.address(member))
+                .flatMap(address -> ask(address, request))
+                .doOnNext(promised -> take(lease, promised, member, askedNanos))
+                .onErrorResume(e -> Mono.empty())
+                .then();
+    }
+
+    private Optional<PeerMessage.Promised> promiseToSelf(PromiseRequest request) {
+        return mMembership
+                .servingHeld()
+                .map(own -> new PeerMessage.Promised(own.slot(), own.book().answer(request, true)));
+    }
+
+    private Mono<PeerMessage.Promised> ask(PeerAddress address, PromiseRequest request) {
+        return mPeers.call(
+                address,
+                new PeerMessage.Promise(request),
+                PeerMessage.Promised.class,
+                PROMISE_TIMEOUT);
+    }
+
+    private void take(
+            ServingLease lease, PeerMessage.Promised promised, SlotId member, long askedNanos) {
+        switch (promised.reply().outcome()) {
+            case GRANTED -> {
+                if (member.equals(promised.member())) {
+                    lease.confirmByMember(member, askedNanos);
+                }
+            }
+            case NEWER_GENERATION -> mFollower.askPeers().subscribe();
+            case NEWER_INCARNATION -> loseSlot(lease.subject());
+            case MEMBER_NOT_SERVING -> {}
+        }
+    }
+
+    private Mono<Void> confirmShortLeases() {
+        return Flux.fromIterable(mMembership.views())
+                .map(ServingView::lease)
+                .filter(this::isShort)
+                .concatMap(lease -> confirm(lease.subject()))
+                .then();
+    }
+
+    private boolean isShort(ServingLease lease) {
+        return lease.remainingNanos(mTicker.nowNanos()) < LeaseTerm.TERM_NANOS / 2;
+    }
+
+    /** Asks the store whether a subject is current, and confirms the lease if so. */
+    private Mono<Void> confirm(LeaseSubject subject) {
+        long askedNanos = mTicker.nowNanos();
+        return mStore.read(keys(subject))
+                .flatMap(snapshot -> takeConfirmation(subject, snapshot, askedNanos))
+                .doOnError(e -> LOG.debugf("lease not confirmed: %s", e.getMessage()))
+                .onErrorResume(e -> Mono.empty());
+    }
+
+    private static List<StoreKey> keys(LeaseSubject subject) {
+        return subject.heldSlot()
+                .map(slot -> List.of(StoreLayout.HEAD, StoreLayout.slot(slot)))
+                .orElse(List.of(StoreLayout.HEAD));
+    }
+
+    private Mono<Void> takeConfirmation(
+            LeaseSubject subject, StoreSnapshot snapshot, long askedNanos) {
+        return Mono.fromCallable(() -> judge(subject, snapshot, askedNanos)).then();
+    }
+
+    private boolean judge(LeaseSubject subject, StoreSnapshot snapshot, long askedNanos)
+            throws StoreException {
+        Optional<BundleHead> head = StoreRecords.find(snapshot, StoreLayout.HEAD, BundleHead.class);
+        head.ifPresent(mFollower::follow);
+        if (!slotIsOwn(subject, snapshot)) {
+            loseSlot(subject);
+            return false;
+        }
+        boolean current = head.filter(h -> h.generation().equals(subject.generation())).isPresent();
+        if (current) {
+            mMembership.views().stream()
+                    .map(ServingView::lease)
+                    .filter(lease -> lease.subject().equals(subject))
+                    .forEach(lease -> lease.confirmByStore(askedNanos));
+        }
+        return current;
+    }
+
+    private boolean slotIsOwn(LeaseSubject subject, StoreSnapshot snapshot) throws StoreException {
+        if (subject.heldSlot().isEmpty()) {
+            return true;
+        }
+        return StoreRecords.find(snapshot, StoreLayout.slot(subject.slot()), SlotRecord.class)
+                .filter(record -> record.incarnation().equals(subject.incarnation()))
+                .filter(record -> record.host().equals(mMembership.host()))
+                .isPresent();
+    }
+
+    private void loseSlot(LeaseSubject subject) {
+        boolean present =
+                mMembership
+                        .held()
+                        .filter(held -> held.slot().equals(subject.slot()))
+                        .filter(held -> held.incarnation().equals(subject.incarnation()))
+                        .isPresent();
+        if (present) {
+            LOG.warnf("slot %s now belongs to another host", subject.slot());
+            mMembership.drop();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/MemberHandler.java
@@ -0,0 +1,106 @@
+package org.fuchsiaford.entry.member;
+
+import java.util.Optional;
+import org.fuchsiaford.bundle.BundleHead;
+import org.fuchsiaford.host.PromiseReply;
+import org.fuchsiaford.host.PromiseRequest;
+import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.peer.message.PeerMessage;
+
+/**
+ * Answers the messages that concern bundles, slots and leases. Thread-safe.
+ *
+ * <p>Invariant: a promise or an acknowledgement is given only while this host holds its slot by a
+ * valid lease.
+ */
+public final class MemberHandler {
+    private final Membership mMembership;
+    private final SlotDirectory mDirectory;
+    private final HeadFollower mFollower;
+    private final BundleLoader mLoader;
+
+    /** Creates a handler. */
+    public MemberHandler(
+            Membership membership,
+            SlotDirectory directory,
+            HeadFollower follower,
+            BundleLoader loader) {
+        mMembership = membership;
+        mDirectory = directory;
+        mFollower = follower;
+        mLoader = loader;
+    }
+
+    /** Returns the answer to a request, or nothing if it concerns something else. */
+    public Optional<PeerMessage> handle(PeerMessage message) {
+        if (message instanceof PeerMessage.Promise promise) {
+            return Optional.of(promise(promise.request()));
+        }
+        if (message instanceof PeerMessage.InformHead inform) {
+            mFollower.follow(inform.head());
+            return Optional.of(acknowledge(mMembership, message));
+        }
+        if (message instanceof PeerMessage.InformSlot) {
+            return Optional.of(acknowledge(mMembership, message));
+        }
+        return handleQuery(message);
+    }
+
+    private Optional<PeerMessage> handleQuery(PeerMessage message) {
+        if (message instanceof PeerMessage.FetchHead) {
+            BundleHead head = mMembership.newestHead().orElse(null);
+            return Optional.of(new PeerMessage.Head(head));
+        }
+        if (message instanceof PeerMessage.FetchPiece fetch) {
+            return Optional.of(new PeerMessage.PieceContent(mLoader.piece(fetch.digest())));
+        }
+        if (message instanceof PeerMessage.FetchSlots) {
+            return Optional.of(new PeerMessage.Slots(mDirectory.records(), mDirectory.live()));
+        }
+        if (message instanceof PeerMessage.Identify) {
+            return Optional.of(identity());
+        }
+        return Optional.empty();
+    }
+
+    private PeerMessage identity() {
+        Optional<HeldSlot> held = mMembership.held();
+        return new PeerMessage.Identity(
+                mMembership.host(),
+                held.map(HeldSlot::slot).orElse(null),
+                held.map(HeldSlot::incarnation).orElse(null));
+    }
+
+    private PeerMessage promise(PromiseRequest request) {
+        return mMembership
+                .servingHeld()
+                .map(held -> promised(held.slot(), held.book().answer(request, true)))
+                .orElseGet(() -> promised(null, notServing()));
+    }
+
+    private PromiseReply notServing() {
+        return new PromiseReply(
+                PromiseReply.Outcome.MEMBER_NOT_SERVING, mMembership.newestGeneration());
+    }
+
+    private static PeerMessage promised(SlotId slot, PromiseReply reply) {
+        return new PeerMessage.Promised(slot, reply);
+    }
+
+    /** Takes note of a head or a claim in this host's book. */
+    static PeerMessage.Acknowledged acknowledge(Membership membership, PeerMessage notice) {
+        // The lease is looked at first: if the host is paused in between, a later holder of the
+        // slot cannot have become able to promise before the notice was sent.
+        Optional<HeldSlot> serving = membership.servingHeld();
+        membership.held().ifPresent(held -> takeNote(held, notice));
+        return new PeerMessage.Acknowledged(serving.map(HeldSlot::slot).orElse(null));
+    }
+
+    private static void takeNote(HeldSlot held, PeerMessage notice) {
+        if (notice instanceof PeerMessage.InformHead inform) {
+            held.book().inform(inform.head().generation());
+        } else if (notice instanceof PeerMessage.InformSlot inform) {
+            held.book().inform(inform.slot(), inform.incarnation());
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/MemberLoop.java
@@ -0,0 +1,153 @@
+package org.fuchsiaford.entry.member;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fuchsiaford.bundle.BundleHead;
+import org.fuchsiaford.host.LeaseTerm;
+import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.host.SlotRecord;
+import org.fuchsiaford.platform.Store;
+import org.fuchsiaford.platform.StoreChange;
+import org.fuchsiaford.platform.StoreException;
+import org.fuchsiaford.platform.StoreLayout;
+import org.fuchsiaford.platform.StoreRecords;
+import org.jboss.logging.Logger;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Runs the periodic work of membership: watching the store, renewing leases, claiming slots, having
+ * heads accepted. Each task runs once at a time; a failed run is followed by the next.
+ *
+ * <p>Thread-safe.
+ */
+public final class MemberLoop {
+    private static final Logger LOG = Logger.getLogger(MemberLoop.class);
+    private static final Duration RENEWAL =
+            Duration.ofMillis(TimeUnit.NANOSECONDS.toMillis(LeaseTerm.RENEWAL_NANOS));
+    private static final Duration ACCEPTANCE_POLL = Duration.ofMillis(100);
+    private static final Duration CLAIM_POLL = Duration.ofMillis(250);
+    private static final Duration WATCH_PAUSE = Duration.ofMillis(200);
+    private static final Duration VACATE_POLL = Duration.ofSeconds(5);
+
+    private final Membership mMembership;
+    private final SlotDirectory mDirectory;
+    private final HeadFollower mFollower;
+    private final LeaseRenewer mRenewer;
+    private final SlotClaimer mClaimer;
+    private final AcceptanceDriver mAcceptance;
+    private final LiveKey mLiveKey;
+    private final Store mStore;
+    private final Disposable.Composite mTasks = Disposables.composite();
+    private volatile boolean mClaiming = true;
+
+    /** Creates the loop; it runs once {@link #start} is called. */
+    public MemberLoop(
+            Membership membership,
+            SlotDirectory directory,
+            HeadFollower follower,
+            LeaseRenewer renewer,
+            SlotClaimer claimer,
+            AcceptanceDriver acceptance,
+            LiveKey liveKey,
+            Store store) {
+        mMembership = membership;
+        mDirectory = directory;
+        mFollower = follower;
+        mRenewer = renewer;
+        mClaimer = claimer;
+        mAcceptance = acceptance;
+        mLiveKey = liveKey;
+        mStore = store;
+    }
+
+    /** Starts all tasks. */
+    public void start() {
+        repeat(WATCH_PAUSE, this::watchStore);
+        repeat(RENEWAL, mRenewer::renew);
+        repeat(CLAIM_POLL, () -> mClaiming ? mClaimer.claimAny() : Mono.empty());
+        repeat(ACCEPTANCE_POLL, mAcceptance::drive);
+        repeat(CLAIM_POLL, () -> mClaiming ? mLiveKey.keep() : Mono.empty());
+        repeat(VACATE_POLL, this::vacateGone);
+    }
+
+    /** Stops claiming slots and keeping the live key; leases are still renewed. */
+    public void startLeaving() {
+        mClaiming = false;
+    }
+
+    /** Stops all tasks. */
+    public void stop() {
+        mTasks.dispose();
+    }
+
+    private void repeat(Duration pause, Supplier<Mono<Void>> task) {
+        mTasks.add(
+                Mono.defer(task)
+                        .doOnError(e -> LOG.debugf("task failed: %s", e.getMessage()))
+                        .onErrorResume(e -> Mono.empty())
+                        .then(Mono.delay(pause))
+                        .repeat()
+                        .subscribe());
+    }
+
+    /** Reads all records, then follows changes; ends with an error when the store cannot be had. */
+    private Mono<Void> watchStore() {
+        return mStore.readPrefix(StoreLayout.SLOTS)
+                .zipWith(mStore.readPrefix(StoreLayout.LIVE))
+                .doOnNext(reads -> mDirectory.replace(reads.getT1(), reads.getT2()))
+                .then(mStore.read(List.of(StoreLayout.HEAD)))
+                .doOnNext(head -> head.entry(StoreLayout.HEAD).ifPresent(e -> follow(e.value())))
+                .flatMapMany(head -> watchFrom(head.revision() + 1))
+                .doOnNext(this::apply)
+                .then()
+                .onErrorResume(e -> mFollower.askPeers());
+    }
+
+    /** One watch for each range that matters, so that pieces and other records stay out. */
+    private Flux<StoreChange> watchFrom(long revision) {
+        return Flux.merge(
+                mStore.watch(StoreLayout.HEAD, revision),
+                mStore.watch(StoreLayout.SLOTS, revision),
+                mStore.watch(StoreLayout.LIVE, revision));
+    }
+
+    private void apply(StoreChange change) {
+        if (!change.key().equals(StoreLayout.HEAD)) {
+            mDirectory.apply(change);
+        } else if (!change.isDeletion()) {
+            follow(change.value());
+        }
+    }
+
+    private void follow(byte[] value) {
+        try {
+            mFollower.follow(StoreRecords.decode(value, BundleHead.class));
+        } catch (StoreException e) {
+            LOG.errorf("%s", e.getMessage());
+        }
+    }
+
+    /** One host, by turns of rendezvous hashing, vacates each slot whose holder is gone. */
+    private Mono<Void> vacateGone() {
+        return Flux.fromStream(mDirectory.records().stream())
+                .filter(SlotRecord::isOccupied)
+                .map(SlotRecord::slot)
+                .filter(slot -> !mDirectory.isLive(slot))
+                .filter(this::isOwnTurn)
+                .concatMap(mClaimer::vacate)
+                .then();
+    }
+
+    private boolean isOwnTurn(SlotId slot) {
+        List<SlotId> order = mDirectory.order("vacate/" + slot);
+        return mMembership
+                .held()
+                .filter(held -> !order.isEmpty() && held.slot().equals(order.get(0)))
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/ServingView.java
@@ -0,0 +1,29 @@
+package org.fuchsiaford.entry.member;
+
+import org.fuchsiaford.bundle.BundleHead;
+import org.fuchsiaford.bundle.BundleIndex;
+import org.fuchsiaford.host.PanelTable;
+import org.fuchsiaford.host.ServingLease;
+
+/**
+ * What a host acts on: a bundle and the lease for it. Immutable, but for the lease, which is
+ * thread-safe.
+ *
+ * @param head the head record
+ * @param index the bundle
+ * @param panels the panels that the bundle gives
+ * @param lease the lease for the head's generation
+ */
+public record ServingView(
+        BundleHead head, BundleIndex index, PanelTable panels, ServingLease lease) {
+
+    /** Returns the same view with another lease. */
+    public ServingView withLease(ServingLease other) {
+        return new ServingView(head, index, panels, other);
+    }
+
+    /** Returns the same view with the head marked as accepted. */
+    public ServingView asAccepted() {
+        return new ServingView(head.asAccepted(), index, panels, lease);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/SlotClaimer.java
@@ -0,0 +1,270 @@
+package org.fuchsiaford.entry.member;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.fuchsiaford.bundle.Bundle;
+import org.fuchsiaford.bundle.BundleHead;
+import org.fuchsiaford.bundle.EntrySlot;
+import org.fuchsiaford.hash.Rendezvous;
+import org.fuchsiaford.host.Incarnation;
+import org.fuchsiaford.host.Panel;
+import org.fuchsiaford.host.PanelTable;
+import org.fuchsiaford.host.PromiseBook;
+import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.host.SlotRecord;
+import org.fuchsiaford.host.SlotRecord.State;
+import org.fuchsiaford.peer.PeerAddress;
+import org.fuchsiaford.peer.PeerCalls;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.platform.Store;
+import org.fuchsiaford.platform.StoreEntry;
+import org.fuchsiaford.platform.StoreException;
+import org.fuchsiaford.platform.StoreKey;
+import org.fuchsiaford.platform.StoreLayout;
+import org.fuchsiaford.platform.StoreLeaseId;
+import org.fuchsiaford.platform.StoreRecords;
+import org.fuchsiaford.platform.StoreSnapshot;
+import org.fuchsiaford.time.Ticker;
+import org.fuchsiaford.workspace.HomeLedger;
+import org.jboss.logging.Logger;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Claims slots: for this host while it has none, and on behalf of nobody to vacate a slot whose
+ * holder is gone. The claim is a compare-and-swap; then a majority of the slot's panel is informed
+ * and one term waited out, after which the former holder cannot act.
+ *
+ * <p>Invariant: a slot is held only after every former holder is fenced; whether a holder looks
+ * dead decides when to claim, never whether it is safe. Thread-safe.
+ */
+public final class SlotClaimer {
+    private static final Logger LOG = Logger.getLogger(SlotClaimer.class);
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
+
+    private final Membership mMembership;
+    private final BundleLoader mLoader;
+    private final PanelInformer mInformer;
+    private final PeerCalls mPeers;
+    private final Store mStore;
+    private final StoreRecords mRecords;
+    private final HostAddresses mAddresses;
+    private final Ticker mTicker;
+
+    /** Creates a claimer. */
+    public SlotClaimer(
+            Membership membership,
+            SlotDirectory directory,
+            BundleLoader loader,
+            PeerCalls peers,
+            Store store,
+            HostAddresses addresses,
+            Ticker ticker) {
+        mMembership = membership;
+        mLoader = loader;
+        mInformer = new PanelInformer(membership, directory, peers, ticker);
+        mPeers = peers;
+        mStore = store;
+        mRecords = new StoreRecords(store);
+        mAddresses = addresses;
+        mTicker = ticker;
+    }
+
+    /** Claims a free slot of this host's failure domain; completes without one if there is none. */
+    public Mono<Void> claimAny() {
+        if (mMembership.held().isPresent() || mMembership.newestView().isEmpty()) {
+            return Mono.empty();
+        }
+        List<EntrySlot> slots =
+                mMembership.newestView().get().index().bundle().entrySlots().stream()
+                        .filter(slot -> slot.failureDomain().equals(mAddresses.failureDomain()))
+                        .toList();
+        List<SlotId> order =
+                Rendezvous.order(
+                        mAddresses.host().value(), slots.stream().map(EntrySlot::id).toList());
+        return Flux.fromIterable(order)
+                .concatMap(slot -> tryClaim(slot, State.HELD).onErrorReturn(false))
+                .takeUntil(claimed -> claimed)
+                .then();
+    }
+
+    /** Vacates a slot whose holder seems gone, so that it no longer holds up acceptance. */
+    public Mono<Boolean> vacate(SlotId slot) {
+        return tryClaim(slot, State.VACANT);
+    }
+
+    private Mono<Boolean> tryClaim(SlotId slot, State goal) {
+        return mStore.read(List.of(StoreLayout.slot(slot), StoreLayout.live(slot)))
+                .flatMap(snapshot -> claim(slot, goal, snapshot))
+                .doOnError(e -> LOG.debugf("claim of %s failed: %s", slot, e.getMessage()));
+    }
+
+    private Mono<Boolean> claim(SlotId slot, State goal, StoreSnapshot snapshot) {
+        return Mono.fromCallable(
+                        () -> StoreRecords.find(snapshot, StoreLayout.slot(slot), SlotRecord.class))
+                .flatMap(found -> claim(slot, goal, snapshot, found));
+    }
+
+    private Mono<Boolean> claim(
+            SlotId slot, State goal, StoreSnapshot snapshot, Optional<SlotRecord> found) {
+        boolean fenced = found.filter(SlotRecord::isOccupied).isEmpty();
+        if (fenced && goal == State.VACANT) {
+            return Mono.just(false);
+        }
+        boolean live = snapshot.entry(StoreLayout.live(slot)).isPresent();
+        Incarnation next = found.map(r -> r.incarnation().next()).orElse(new Incarnation(1));
+        SlotRecord claim = mAddresses.record(slot, next, State.CLAIMED);
+        long revision = snapshot.revisionOf(StoreLayout.slot(slot));
+        return seemsGone(found, live)
+                .filter(gone -> gone)
+                .flatMap(gone -> swap(claim, revision))
+                .filter(swap -> swap == StoreRecords.Swap.DONE)
+                .flatMap(swap -> fenced ? Mono.just(true) : fence(claim))
+                .flatMap(done -> finish(claim, goal))
+                .defaultIfEmpty(false);
+    }
+
+    private Mono<StoreRecords.Swap> swap(SlotRecord record, long revision) {
+        return mRecords.swap(StoreLayout.slot(record.slot()), revision, record, StoreLeaseId.NONE);
+    }
+
+    /** A holder that answers is not gone, even if the store has lost its live key in an outage. */
+    private Mono<Boolean> seemsGone(Optional<SlotRecord> found, boolean live) {
+        if (found.filter(SlotRecord::isOccupied).isEmpty()) {
+            return Mono.just(true);
+        }
+        if (live) {
+            return Mono.just(false);
+        }
+        SlotRecord record = found.get();
+        return mPeers.call(
+                        PeerAddress.parse(record.peerAddress()),
+                        new PeerMessage.Identify(),
+                        PeerMessage.Identity.class,
+                        PROBE_TIMEOUT)
+                .map(identity -> !identity.host().equals(record.host()))
+                .onErrorReturn(true);
+    }
+
+    /** Fences the former holder under the panels of every bundle that it may act on. */
+    private Mono<Boolean> fence(SlotRecord claim) {
+        return mStore.read(List.of(StoreLayout.HEAD))
+                .flatMap(
+                        snapshot ->
+                                Mono.fromCallable(() -> head(snapshot))
+                                        .flatMap(head -> fenceUnder(claim, head)));
+    }
+
+    private static BundleHead head(StoreSnapshot snapshot) throws StoreException {
+        return StoreRecords.find(snapshot, StoreLayout.HEAD, BundleHead.class).orElseThrow();
+    }
+
+    private Mono<Boolean> fenceUnder(SlotRecord claim, BundleHead head) {
+        PeerMessage notice = new PeerMessage.InformSlot(claim.slot(), claim.incarnation());
+        List<SlotId> vacant = List.of(claim.slot());
+        return panels(claim.slot(), head)
+                .flatMap(panels -> mInformer.informAndWait(panels, vacant, notice))
+                .then(mStore.read(List.of(StoreLayout.HEAD)))
+                .flatMap(snapshot -> Mono.fromCallable(() -> head(snapshot)))
+                .flatMap(
+                        now ->
+                                now.generation().equals(head.generation())
+                                        ? Mono.just(true)
+                                        : fenceUnder(claim, now));
+    }
+
+    private Mono<List<Panel>> panels(SlotId slot, BundleHead head) {
+        return Flux.fromStream(
+                        Stream.of(head.manifest(), head.previousManifest())
+                                .filter(manifest -> manifest != null))
+                .take(head.accepted() ? 1 : 2)
+                .concatMap(manifest -> mLoader.loadManifest(manifest, List.of()))
+                .map(Bundle::entrySlots)
+                .map(slots -> new PanelTable(slots).panel(slot))
+                .collectList();
+    }
+
+    private Mono<Boolean> finish(SlotRecord claim, State goal) {
+        return mStore.read(List.of(StoreLayout.slot(claim.slot())))
+                .flatMap(
+                        snapshot ->
+                                Mono.fromCallable(() -> isStill(claim, snapshot))
+                                        .filter(still -> still)
+                                        .flatMap(
+                                                still ->
+                                                        swap(
+                                                                claim.withState(goal),
+                                                                snapshot.revisionOf(
+                                                                        StoreLayout.slot(
+                                                                                claim.slot())))))
+                .filter(swap -> swap == StoreRecords.Swap.DONE)
+                .flatMap(swap -> goal == State.HELD ? hold(claim) : Mono.just(true));
+    }
+
+    private static boolean isStill(SlotRecord claim, StoreSnapshot snapshot) throws StoreException {
+        return StoreRecords.find(snapshot, StoreLayout.slot(claim.slot()), SlotRecord.class)
+                .filter(claim::equals)
+                .isPresent();
+    }
+
+    /** Reads head and slots once more, after the fencing, and only then starts to promise. */
+    private Mono<Boolean> hold(SlotRecord claim) {
+        return mStore.read(List.of(StoreLayout.HEAD))
+                .zipWith(mStore.readPrefix(StoreLayout.SLOTS))
+                .flatMap(
+                        reads ->
+                                Mono.fromCallable(
+                                        () -> {
+                                            hold(claim, head(reads.getT1()), reads.getT2());
+                                            return true;
+                                        }));
+    }
+
+    private void hold(SlotRecord claim, BundleHead head, StoreSnapshot slots)
+            throws StoreException {
+        PromiseBook book = new PromiseBook(head.generation());
+        for (SlotRecord record : decode(slots.entries())) {
+            book.inform(record.slot(), record.incarnation());
+        }
+        mMembership.hold(
+                new HeldSlot(
+                        claim.slot(), claim.incarnation(), book, new HomeLedger(claim.slot())));
+        LOG.infof("holds slot %s as incarnation %d", claim.slot(), claim.incarnation().number());
+    }
+
+    private static List<SlotRecord> decode(Collection<StoreEntry> entries) throws StoreException {
+        List<SlotRecord> records = new java.util.ArrayList<>();
+        for (StoreEntry entry : entries) {
+            records.add(StoreRecords.decode(entry.value(), SlotRecord.class));
+        }
+        return records;
+    }
+
+    /**
+     * Changes the state of this host's own slot: to leaving when it begins to shut down, to vacant
+     * after it has stopped acting on it.
+     */
+    public Mono<Void> move(HeldSlot held, State state) {
+        StoreKey key = StoreLayout.slot(held.slot());
+        SlotRecord next = mAddresses.record(held.slot(), held.incarnation(), state);
+        return mStore.read(List.of(key))
+                .flatMap(
+                        snapshot ->
+                                Mono.fromCallable(
+                                                () ->
+                                                        StoreRecords.find(
+                                                                snapshot, key, SlotRecord.class))
+                                        .flatMap(Mono::justOrEmpty)
+                                        .filter(record -> isOwn(record, held))
+                                        .flatMap(own -> swap(next, snapshot.revisionOf(key))))
+                .then();
+    }
+
+    private boolean isOwn(SlotRecord record, HeldSlot held) {
+        return record.host().equals(mAddresses.host())
+                && record.incarnation().equals(held.incarnation());
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/fuchsiaford/peer/PeerCodec.java
@@ -0,0 +1,41 @@
+package org.fuchsiaford.peer;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.io.IOException;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/** Frames with a length of four bytes around MessagePack. Stateless, hence thread-safe. */
+final class PeerCodec {
+    private static final int LENGTH_BYTES = 4;
+    private static final int MAX_FRAME_BYTES = 2 * 1024 * 1024;
+    private static final ObjectMapper MAPPER =
+            new MessagePackMapper()
+                    .setSerializationInclusion(JsonInclude.Include.NON_NULL)
+                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private PeerCodec() {}
+
+    static void addFraming(ChannelPipeline pipeline) {
+        pipeline.addFirst(
+                "length-decoder",
+                new LengthFieldBasedFrameDecoder(
+                        MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        pipeline.addFirst("length-prepender", new LengthFieldPrepender(LENGTH_BYTES));
+    }
+
+    static ByteBuf encode(PeerFrame frame) throws IOException {
+        return Unpooled.wrappedBuffer(MAPPER.writeValueAsBytes(frame));
+    }
+
+    static PeerFrame decode(ByteBuf buffer) throws IOException {
+        return MAPPER.readValue(ByteBufUtil.getBytes(buffer), PeerFrame.class);
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/fuchsiaford/peer/PeerHandler.java
@@ -0,0 +1,11 @@
+package org.fuchsiaford.peer;
+
+import org.fuchsiaford.peer.message.PeerMessage;
+import reactor.core.publisher.Mono;
+
+/** Carries out the requests of other entry hosts. Implementations are thread-safe. */
+@FunctionalInterface
+public interface PeerHandler {
+    /** Returns the answer to a request; an error is answered as a failure. */
+    Mono<PeerMessage> handle(PeerMessage request);
+}
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiaford/standin/engine/AnswerText.java
@@ -0,0 +1,41 @@
+package org.fuchsiaford.standin.engine;
+
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Makes the answer of a model engine: each token depends on the whole text before it and on nothing
+ * else, so that any engine continues a broken answer in the same way. Not thread-safe.
+ */
+public final class AnswerText {
+    /** The bytes of text that stand for one token, in prompts and answers. */
+    public static final int BYTES_PER_TOKEN = 4;
+
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private long mHash = FNV_OFFSET;
+
+    /** Starts an answer to a prompt. */
+    public AnswerText(String prompt) {
+        append(prompt);
+    }
+
+    /** Returns the tokens of a text. */
+    public static int tokens(String text) {
+        int bytes = text.getBytes(StandardCharsets.UTF_8).length;
+        return Math.max((bytes + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN, 1);
+    }
+
+    /** Returns the next token. */
+    public String next() {
+        String token = String.format(" %03x", (mHash >>> 20) & 0xfff);
+        append(token);
+        return token;
+    }
+
+    private void append(String text) {
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+            mHash = (mHash ^ (b & 0xff)) * FNV_PRIME;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiaford/standin/engine/EngineCore.java
@@ -0,0 +1,113 @@
+package org.fuchsiaford.standin.engine;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The state of an engine stand-in in real time: its memory, its prefill queue and its seats.
+ *
+ * <p>Thread-safe.
+ */
+final class EngineCore {
+    private final EngineProfile mProfile;
+    private final EngineMemory mMemory;
+    private final Map<String, Result> mResults = new HashMap<>();
+    private long mPrefillFreeNanos;
+    private boolean mPrefilledBefore;
+    private int mRunning;
+
+    /** A prefill under way or its result. */
+    private static final class Result {
+        private final int mTokens;
+        private final long mReadyNanos;
+        private boolean mTransferring;
+
+        Result(int tokens, long readyNanos) {
+            mTokens = tokens;
+            mReadyNanos = readyNanos;
+        }
+    }
+
+    EngineCore(EngineProfile profile) {
+        mProfile = profile;
+        mMemory = new EngineMemory(profile.pieces());
+    }
+
+    /** Starts a prefill; returns the tokens found in the cache, or -1 if there is no room. */
+    synchronized int startPrefill(String id, int tokens, long[] prefixHashes, long nowNanos) {
+        if (!mMemory.hold(id, mProfile.pieces(tokens))) {
+            return -1;
+        }
+        int cached = Math.min(mMemory.cachedPieces(prefixHashes) * mProfile.pieceTokens(), tokens);
+        boolean queued = mPrefilledBefore && mPrefillFreeNanos - nowNanos > 0;
+        long startNanos = queued ? mPrefillFreeNanos : nowNanos;
+        mPrefillFreeNanos = startNanos + mProfile.prefillNanos(Math.max(tokens - cached, 1));
+        mPrefilledBefore = true;
+        mRunning++;
+        mResults.put(id, new Result(tokens, mPrefillFreeNanos));
+        return cached;
+    }
+
+    synchronized long prefillDelayNanos(String id, long nowNanos) {
+        return Math.max(mResults.get(id).mReadyNanos - nowNanos, 0);
+    }
+
+    synchronized void finishPrefill(String id, long[] prefixHashes) {
+        mMemory.store(prefixHashes);
+    }
+
+    /** Frees a result that nobody has begun to fetch. */
+    synchronized void expire(String id) {
+        Result result = mResults.get(id);
+        if (result != null && !result.mTransferring) {
+            release(id);
+        }
+    }
+
+    /** Starts a transfer; returns the tokens, or -1 if the result is gone. */
+    synchronized int startTransfer(String id) {
+        Result result = mResults.get(id);
+        if (result == null || result.mTransferring) {
+            return -1;
+        }
+        result.mTransferring = true;
+        return result.mTokens;
+    }
+
+    synchronized void release(String id) {
+        if (mResults.remove(id) != null) {
+            mRunning--;
+            mMemory.release(id);
+        }
+    }
+
+    synchronized boolean startDecode(String id, int tokens) {
+        if (mRunning >= mProfile.seats() || !mMemory.hold(id, mProfile.pieces(tokens))) {
+            return false;
+        }
+        mRunning++;
+        return true;
+    }
+
+    synchronized void endDecode(String id) {
+        mRunning--;
+        mMemory.release(id);
+    }
+
+    synchronized int running() {
+        return mRunning;
+    }
+
+    synchronized int freePieces() {
+        return mMemory.freePieces();
+    }
+
+    synchronized int heldPieces() {
+        return mMemory.heldPieces();
+    }
+
+    synchronized List<EngineMemory.Change> takeChanges() {
+        return mMemory.takeChanges();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiaford/standin/engine/EngineStandin.java
@@ -0,0 +1,265 @@
+package org.fuchsiaford.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fuchsiaford.placement.PrefixHashes;
+import org.fuchsiaford.standin.FaultMode;
+import org.fuchsiaford.standin.FaultModes;
+import org.fuchsiaford.standin.Json;
+import org.fuchsiaford.standin.Standin;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Stands in for a model engine with the published completions API and the transfer fields of
+ * disaggregated prefill. Times and memory follow an {@link EngineProfile}. Thread-safe.
+ */
+public final class EngineStandin implements Standin {
+    private final EngineProfile mProfile;
+    private final String mName;
+    private final EngineCore mCore;
+    private final List<ObjectNode> mSeen = new CopyOnWriteArrayList<>();
+    private final AtomicLong mLastId = new AtomicLong();
+    private final HttpClient mPeers =
+            HttpClient.create(ConnectionProvider.newConnection()).disableRetry(true);
+    private volatile FaultMode mFault = FaultMode.NONE;
+    private volatile int mBreakAfterTokens = Integer.MAX_VALUE;
+    private volatile int mPort;
+
+    /** Creates an engine. */
+    public EngineStandin(String name, EngineProfile profile) {
+        mName = name;
+        mProfile = profile;
+        mCore = new EngineCore(profile);
+    }
+
+    /** Sets what goes wrong from now on. */
+    public void setFault(FaultMode fault) {
+        mFault = fault;
+    }
+
+    /** Breaks off each stream after so many tokens. */
+    public void breakAfterTokens(int tokens) {
+        mBreakAfterTokens = tokens;
+    }
+
+    /** Returns the pieces of memory held by requests. */
+    public int heldPieces() {
+        return mCore.heldPieces();
+    }
+
+    /** Returns the headers and bodies of all completions asked for. */
+    public List<ObjectNode> seen() {
+        return List.copyOf(mSeen);
+    }
+
+    @Override
+    public DisposableServer start(int port) {
+        DisposableServer server =
+                HttpServer.create().host("127.0.0.1").port(port).route(this::addRoutes).bindNow();
+        mPort = server.port();
+        return server;
+    }
+
+    private void addRoutes(HttpServerRoutes routes) {
+        routes.post("/v1/completions", this::complete)
+                .get("/load", (request, response) -> Json.send(response, 200, load()))
+                .get("/standin/kv/{id}", this::transfer)
+                .post("/standin/fault", this::changeFault);
+    }
+
+    private Publisher<Void> changeFault(HttpServerRequest request, HttpServerResponse response) {
+        return Json.body(request)
+                .doOnNext(
+                        body -> {
+                            mFault = FaultModes.parse(body.path("mode").asText("none"));
+                            mBreakAfterTokens =
+                                    body.path("breakAfterTokens").asInt(Integer.MAX_VALUE);
+                        })
+                .flatMap(body -> Mono.from(Json.send(response, 200, Json.object())));
+    }
+
+    private ObjectNode load() {
+        ObjectNode load = Json.object();
+        load.put("engine", mName).put("running", mCore.running()).put("waiting", 0);
+        load.put("free_pieces", mCore.freePieces()).put("held_pieces", mCore.heldPieces());
+        ArrayNode events = load.putArray("cache_events");
+        mCore.takeChanges()
+                .forEach(
+                        change ->
+                                events.addObject()
+                                        .put("hash", change.prefixHash())
+                                        .put("stored", change.stored()));
+        return load;
+    }
+
+    private Publisher<Void> complete(HttpServerRequest request, HttpServerResponse response) {
+        if (mFault == FaultMode.SILENT) {
+            return Mono.never();
+        }
+        if (mFault == FaultMode.DOWN) {
+            return Json.send(response, 503, Json.object());
+        }
+        return Json.body(request).flatMap(body -> dispatch(request, body, response));
+    }
+
+    private Mono<Void> dispatch(
+            HttpServerRequest request, JsonNode body, HttpServerResponse response) {
+        ObjectNode seen = Json.object();
+        seen.set("body", body);
+        ObjectNode headers = seen.putObject("headers");
+        request.requestHeaders().forEach(header -> headers.put(header.getKey(), header.getValue()));
+        mSeen.add(seen);
+        JsonNode transfer = body.path("kv_transfer_params");
+        if (transfer.path("do_remote_decode").asBoolean(false)) {
+            return prefill(body, response);
+        }
+        return decode(body, transfer, response);
+    }
+
+    private Mono<Void> prefill(JsonNode body, HttpServerResponse response) {
+        String prompt = body.path("prompt").asText();
+        String id = mName + "-" + mLastId.incrementAndGet();
+        int tokens = AnswerText.tokens(prompt);
+        int cached = mCore.startPrefill(id, tokens, prefixHashes(prompt), System.nanoTime());
+        if (cached < 0) {
+            return refuse(response, "no_memory");
+        }
+        Duration work = Duration.ofNanos(mCore.prefillDelayNanos(id, System.nanoTime()));
+        return Mono.delay(work)
+                .doOnNext(tick -> mCore.finishPrefill(id, prefixHashes(prompt)))
+                .doOnNext(tick -> expireLater(id))
+                .flatMap(tick -> Mono.from(Json.send(response, 200, result(id, tokens, cached))))
+                .doOnCancel(() -> mCore.release(id));
+    }
+
+    private long[] prefixHashes(String prompt) {
+        return PrefixHashes.of(
+                prompt.getBytes(StandardCharsets.UTF_8),
+                mProfile.pieceTokens() * AnswerText.BYTES_PER_TOKEN);
+    }
+
+    private void expireLater(String id) {
+        Mono.delay(Duration.ofNanos(mProfile.resultLifeNanos()))
+                .subscribe(tick -> mCore.expire(id));
+    }
+
+    private ObjectNode result(String id, int tokens, int cached) {
+        ObjectNode reply = Json.object();
+        reply.put("id", id).put("object", "text_completion");
+        reply.putArray("choices").addObject().put("index", 0).put("text", "");
+        ObjectNode usage = reply.putObject("usage").put("prompt_tokens", tokens);
+        usage.put("completion_tokens", 1);
+        usage.putObject("prompt_tokens_details").put("cached_tokens", cached);
+        ObjectNode transfer = reply.putObject("kv_transfer_params");
+        transfer.put("do_remote_prefill", true).put("remote_engine_id", mName);
+        transfer.put("remote_host", "127.0.0.1").put("remote_port", mPort);
+        transfer.put("remote_request_id", id).putArray("remote_block_ids");
+        return reply;
+    }
+
+    /** Hands the result of a prefill to the decode engine that asks for it, once. */
+    private Publisher<Void> transfer(HttpServerRequest request, HttpServerResponse response) {
+        if (mFault == FaultMode.SILENT) {
+            return Mono.never();
+        }
+        String id = request.param("id");
+        int tokens = mCore.startTransfer(id);
+        if (tokens < 0) {
+            return Json.send(response, 404, Json.object());
+        }
+        return Mono.delay(Duration.ofNanos(mProfile.transferNanos(tokens)))
+                .flatMap(tick -> Mono.from(Json.send(response, 200, Json.object())))
+                .doFinally(signal -> mCore.release(id));
+    }
+
+    private Mono<Void> decode(JsonNode body, JsonNode transfer, HttpServerResponse response) {
+        String prompt = body.path("prompt").asText();
+        String id = mName + "-" + mLastId.incrementAndGet();
+        int maxTokens = body.path("max_tokens").asInt(16);
+        int tokens = AnswerText.tokens(prompt);
+        if (!mCore.startDecode(id, tokens + maxTokens)) {
+            return refuse(response, "no_seat");
+        }
+        return pull(transfer, tokens)
+                .flatMap(
+                        found ->
+                                found
+                                        ? stream(prompt, maxTokens, response)
+                                        : refuse(response, "kv_expired"))
+                .doFinally(signal -> mCore.endDecode(id));
+    }
+
+    private Mono<Boolean> pull(JsonNode transfer, int tokens) {
+        if (!transfer.path("do_remote_prefill").asBoolean(false)) {
+            return Mono.delay(Duration.ofNanos(mProfile.prefillNanos(tokens))).thenReturn(true);
+        }
+        String url =
+                "http://"
+                        + transfer.path("remote_host").asText()
+                        + ":"
+                        + transfer.path("remote_port").asInt()
+                        + "/standin/kv/"
+                        + transfer.path("remote_request_id").asText();
+        return mPeers.get()
+                .uri(url)
+                .response()
+                .map(reply -> reply.status().code() == 200)
+                .onErrorReturn(false);
+    }
+
+    private Mono<Void> stream(String prompt, int maxTokens, HttpServerResponse response) {
+        AnswerText text = new AnswerText(prompt);
+        int promptTokens = AnswerText.tokens(prompt);
+        Flux<String> chunks =
+                Flux.range(0, maxTokens)
+                        .concatMap(i -> afterStep().map(tick -> chunk(text, i, maxTokens)), 1)
+                        .map(chunk -> withUsage(chunk, promptTokens))
+                        .take(mBreakAfterTokens)
+                        .map(chunk -> "data: " + chunk + "\n\n");
+        Flux<String> end =
+                mBreakAfterTokens < maxTokens
+                        ? Flux.error(new IllegalStateException("stream broken off"))
+                        : Flux.just("data: [DONE]\n\n");
+        return response.sse().sendString(Flux.concat(chunks, end)).then();
+    }
+
+    private Mono<Long> afterStep() {
+        return Mono.defer(() -> Mono.delay(Duration.ofNanos(mProfile.stepNanos(mCore.running()))));
+    }
+
+    private static ObjectNode chunk(AnswerText text, int index, int maxTokens) {
+        ObjectNode chunk = Json.object();
+        chunk.put("object", "text_completion");
+        ObjectNode choice = chunk.putArray("choices").addObject().put("index", 0);
+        choice.put("text", text.next());
+        choice.put("finish_reason", index == maxTokens - 1 ? "length" : null);
+        chunk.putObject("usage").put("completion_tokens", index + 1);
+        return chunk;
+    }
+
+    private static ObjectNode withUsage(ObjectNode chunk, int promptTokens) {
+        ((ObjectNode) chunk.path("usage")).put("prompt_tokens", promptTokens);
+        return chunk;
+    }
+
+    private static Mono<Void> refuse(HttpServerResponse response, String code) {
+        ObjectNode reply = Json.object();
+        reply.putObject("error").put("code", code);
+        return Mono.from(Json.send(response, 503, reply));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiaford/standin/service/ServiceStandin.java
@@ -0,0 +1,124 @@
+package org.fuchsiaford.standin.service;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.fuchsiaford.standin.FaultMode;
+import org.fuchsiaford.standin.FaultModes;
+import org.fuchsiaford.standin.Json;
+import org.fuchsiaford.standin.Standin;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Stands in for a plain service. It answers any request with what it executed, and keeps a record
+ * of every execution ({@code GET /standin/seen}) with all headers, so that tests can count
+ * executions and look for keys. Thread-safe.
+ */
+public final class ServiceStandin implements Standin {
+    private static final Duration BREAK_AFTER = Duration.ofMillis(20);
+
+    private final List<ObjectNode> mSeen = new CopyOnWriteArrayList<>();
+    private final String mName;
+    private volatile FaultMode mFault = FaultMode.NONE;
+    private volatile Duration mDelay = Duration.ZERO;
+
+    /** Creates a service. */
+    public ServiceStandin(String name) {
+        mName = name;
+    }
+
+    /** Sets what goes wrong from now on. */
+    public void setFault(FaultMode fault) {
+        mFault = fault;
+    }
+
+    /** Sets the time from execution to answer. */
+    public void setDelay(Duration delay) {
+        mDelay = delay;
+    }
+
+    /** Returns what was executed, in order. */
+    public List<ObjectNode> seen() {
+        return List.copyOf(mSeen);
+    }
+
+    @Override
+    public DisposableServer start(int port) {
+        return HttpServer.create().host("127.0.0.1").port(port).handle(this::handle).bindNow();
+    }
+
+    private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        return switch (request.uri()) {
+            case "/standin/seen" -> sendSeen(response);
+            case "/standin/fault" -> changeFault(request, response);
+            default -> execute(request, response);
+        };
+    }
+
+    private Publisher<Void> sendSeen(HttpServerResponse response) {
+        ObjectNode reply = Json.object();
+        ArrayNode seen = reply.putArray("seen");
+        mSeen.forEach(seen::add);
+        return Json.send(response, 200, reply);
+    }
+
+    private Publisher<Void> changeFault(HttpServerRequest request, HttpServerResponse response) {
+        return Json.body(request)
+                .doOnNext(
+                        body -> {
+                            mFault = FaultModes.parse(body.path("mode").asText("none"));
+                            mDelay = Duration.ofMillis(body.path("delayMillis").asLong(0));
+                        })
+                .flatMap(body -> Mono.from(Json.send(response, 200, Json.object())));
+    }
+
+    private Publisher<Void> execute(HttpServerRequest request, HttpServerResponse response) {
+        if (mFault == FaultMode.SILENT) {
+            return Mono.never();
+        }
+        if (mFault == FaultMode.DOWN) {
+            return Json.send(response, 503, Json.object());
+        }
+        return request.receive()
+                .aggregate()
+                .asString()
+                .defaultIfEmpty("")
+                .flatMap(body -> answer(record(request, body), response));
+    }
+
+    private ObjectNode record(HttpServerRequest request, String body) {
+        ObjectNode seen = Json.object();
+        seen.put("server", mName).put("method", request.method().name());
+        seen.put("uri", request.uri()).put("body", body);
+        ObjectNode headers = seen.putObject("headers");
+        request.requestHeaders().forEach(header -> headers.put(header.getKey(), header.getValue()));
+        mSeen.add(seen);
+        return seen;
+    }
+
+    private Mono<Void> answer(ObjectNode seen, HttpServerResponse response) {
+        if (mFault == FaultMode.LOSE_REPLIES) {
+            return Mono.never();
+        }
+        if (mFault == FaultMode.BREAK_ANSWERS) {
+            return Mono.delay(BREAK_AFTER)
+                    .doOnNext(
+                            tick ->
+                                    response.withConnection(
+                                            connection -> connection.channel().close()))
+                    .then();
+        }
+        ObjectNode reply = Json.object();
+        reply.put("server", mName).put("execution", mSeen.size());
+        reply.put("echo", seen.path("body").asText());
+        Mono<Void> sent = Mono.defer(() -> Mono.from(Json.send(response, 200, reply)));
+        return mDelay.isZero() ? sent : Mono.delay(mDelay).then(sent);
+    }
+}
