Prove serving leases under generated faults; recover without an operator

Cause: the first run of the fleet test (real membership code on a fake store, network and clocks in virtual time) found no two holders and no host behind an accepted bundle, but hosts that never held a slot again. Now a process counts as ended when another process owns its address; the slot record keeps the one former holder that may still act. - a claim whose last read failed left a record in the name of a live host, which nobody else may take. Hosts now vacate such records of their own. - a failed fencing left the claim waiting for a proof of death for ever.

--- a/core/src/main/java/org/fuchsiaford/host/SlotRecord.java
+++ b/core/src/main/java/org/fuchsiaford/host/SlotRecord.java
@@ -1,9 +1,13 @@
 package org.fuchsiaford.host;
 
+import java.util.Optional;
+
 /**
  * The store's record of who holds a slot. It changes only by compare-and-swap.
  *
- * <p>Invariant: incarnations only rise. Immutable.
+ * <p>Invariants: incarnations only rise; of all processes that ever held the slot at most one may
+ * still act on it, which is the holder or, while a claim is under way, the former holder.
+ * Immutable.
  *
  * @param slot the slot
  * @param incarnation the incarnation of its present or last holder
@@ -12,6 +16,7 @@
  * @param callerAddress where callers reach the holder, {@code ip:port}
  * @param adminAddress where operators read status and metrics, {@code ip:port}
  * @param state whether somebody holds the slot
+ * @param former while claimed, the holder before that may still act; else null
  */
 public record SlotRecord(
         SlotId slot,
@@ -20,7 +25,8 @@
         String peerAddress,
         String callerAddress,
         String adminAddress,
-        State state) {
+        State state,
+        HostProcess former) {
 
     /** Whether somebody holds a slot. */
     public enum State {
@@ -34,14 +40,36 @@
         VACANT
     }
 
-    /** Returns whether some host may act for the slot or is about to. */
+    /** Returns whether some host holds the slot or is about to. */
     public boolean isOccupied() {
         return state != State.VACANT;
     }
 
-    /** Returns this record in another state. */
+    /** Returns the one process that may act on the slot by this record, if there is one. */
+    public Optional<HostProcess> actingProcess() {
+        return switch (state) {
+            case HELD, LEAVING -> Optional.of(new HostProcess(host, peerAddress));
+            case CLAIMED -> Optional.ofNullable(former);
+            case VACANT -> Optional.empty();
+        };
+    }
+
+    /** Returns this record in another state, with the former holder fenced. */
     public SlotRecord withState(State next) {
         return new SlotRecord(
-                slot, incarnation, host, peerAddress, callerAddress, adminAddress, next);
+                slot, incarnation, host, peerAddress, callerAddress, adminAddress, next, null);
+    }
+
+    /** Returns this record as a claim over a holder that may still act. */
+    public SlotRecord claimedOver(HostProcess holder) {
+        return new SlotRecord(
+                slot,
+                incarnation,
+                host,
+                peerAddress,
+                callerAddress,
+                adminAddress,
+                State.CLAIMED,
+                holder);
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/EntryHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/EntryHost.java
@@ -24,15 +24,11 @@
 import org.fuchsiaford.entry.keeper.PlacementClient;
 import org.fuchsiaford.entry.limit.Admission;
 import org.fuchsiaford.entry.limit.LimitHandler;
-import org.fuchsiaford.entry.member.AcceptanceDriver;
-import org.fuchsiaford.entry.member.BundleLoader;
-import org.fuchsiaford.entry.member.HeadFollower;
 import org.fuchsiaford.entry.member.HeldSlot;
 import org.fuchsiaford.entry.member.HostAddresses;
-import org.fuchsiaford.entry.member.LeaseRenewer;
-import org.fuchsiaford.entry.member.LiveKey;
 import org.fuchsiaford.entry.member.MemberHandler;
 import org.fuchsiaford.entry.member.MemberLoop;
+import org.fuchsiaford.entry.member.MemberModule;
 import org.fuchsiaford.entry.member.Membership;
 import org.fuchsiaford.entry.member.SlotClaimer;
 import org.fuchsiaford.entry.member.SlotDirectory;
@@ -90,34 +86,26 @@
         HostId host = new HostId(UUID.randomUUID().toString());
         Store store = new EtcdStore(settings.storeUrls());
         PeerClient peers = new PeerClient();
-        SlotDirectory directory = new SlotDirectory();
-        mMembership = new Membership(host, mTicker);
-        BundleLoader loader = new BundleLoader(store, peers, settings.signingKeys());
-        HeadFollower follower =
-                new HeadFollower(mMembership, loader, directory, peers, settings.seedPeers());
-        mClaimer =
-                new SlotClaimer(
-                        mMembership, directory, loader, peers, store, addresses(host), mTicker);
-        mLoop =
-                new MemberLoop(
-                        mMembership,
-                        directory,
-                        follower,
-                        new LeaseRenewer(mMembership, directory, follower, peers, store, mTicker),
-                        mClaimer,
-                        new AcceptanceDriver(mMembership, directory, loader, peers, store, mTicker),
-                        new LiveKey(mMembership, store, mTicker),
-                        store);
+        MemberModule members =
+                MemberModule.create(
+                        addresses(host),
+                        settings.seedPeers(),
+                        settings.signingKeys(),
+                        peers,
+                        store,
+                        mTicker);
+        mMembership = members.membership();
+        mClaimer = members.claimer();
+        mLoop = members.loop();
         EngineClient engines = new CompletionsEngineClient();
         mKeepers = new KeeperRegistry(mMembership, engines, mAvailability, mTicker);
-        MemberHandler memberHandler = new MemberHandler(mMembership, directory, follower, loader);
         LimitHandler limitHandler = new LimitHandler(mMembership, mTicker);
         mPeerServer =
                 new PeerServer(
                         settings.peerAddress(),
-                        message -> handle(message, memberHandler, limitHandler));
+                        message -> handle(message, members.handler(), limitHandler));
         EntryMetrics metrics = new EntryMetrics();
-        mCallerServer = callerServer(directory, peers, store, engines, metrics);
+        mCallerServer = callerServer(members.directory(), peers, store, engines, metrics);
         mAdminServer =
                 new AdminServer(settings.adminAddress(), mMembership, mInFlight, metrics, mTicker);
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/member/AcceptanceDriver.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/AcceptanceDriver.java
@@ -2,29 +2,20 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Function;
-import java.util.stream.Collectors;
 import org.fuchsiaford.bundle.Bundle;
 import org.fuchsiaford.bundle.BundleHead;
-import org.fuchsiaford.bundle.EntrySlot;
 import org.fuchsiaford.bundle.Generation;
 import org.fuchsiaford.host.Panel;
 import org.fuchsiaford.host.PanelTable;
 import org.fuchsiaford.host.SlotId;
-import org.fuchsiaford.host.SlotRecord;
-import org.fuchsiaford.peer.PeerCalls;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.platform.Store;
-import org.fuchsiaford.platform.StoreEntry;
-import org.fuchsiaford.platform.StoreException;
 import org.fuchsiaford.platform.StoreLayout;
 import org.fuchsiaford.platform.StoreLeaseId;
 import org.fuchsiaford.platform.StoreRecords;
 import org.fuchsiaford.platform.StoreSnapshot;
-import org.fuchsiaford.time.Ticker;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
 
@@ -52,13 +43,12 @@
             Membership membership,
             SlotDirectory directory,
             BundleLoader loader,
-            PeerCalls peers,
-            Store store,
-            Ticker ticker) {
+            PanelInformer informer,
+            Store store) {
         mMembership = membership;
         mDirectory = directory;
         mLoader = loader;
-        mInformer = new PanelInformer(membership, directory, peers, ticker);
+        mInformer = informer;
         mStore = store;
         mRecords = new StoreRecords(store);
     }
@@ -89,8 +79,10 @@
 
     private Mono<Void> acceptNewest() {
         return mStore.read(List.of(StoreLayout.HEAD))
-                .zipWith(mStore.readPrefix(StoreLayout.SLOTS))
-                .flatMap(reads -> accept(reads.getT1(), reads.getT2()))
+                .flatMap(
+                        head ->
+                                mStore.readPrefix(StoreLayout.SLOTS)
+                                        .flatMap(slots -> accept(head, slots)))
                 .doOnError(e -> LOG.warnf("head not accepted yet: %s", e.getMessage()))
                 .onErrorResume(e -> Mono.empty());
     }
@@ -111,34 +103,17 @@
         return mLoader.loadManifest(head.previousManifest(), List.of())
                 .flatMap(
                         bundle ->
-                                Mono.fromCallable(() -> vacant(bundle, slotsRead))
+                                Mono.fromCallable(() -> SlotTable.of(slotsRead))
                                         .flatMap(
-                                                vacant ->
+                                                table ->
                                                         mInformer.informAndWait(
-                                                                panels(bundle), vacant, notice)));
+                                                                panels(bundle), table, notice)));
     }
 
     private static List<Panel> panels(Bundle bundle) {
         return new PanelTable(bundle.entrySlots()).panels();
     }
 
-    private static List<SlotId> vacant(Bundle bundle, StoreSnapshot slotsRead)
-            throws StoreException {
-        Map<SlotId, SlotRecord> records = records(slotsRead);
-        return bundle.entrySlots().stream()
-                .map(EntrySlot::id)
-                .filter(slot -> !records.containsKey(slot) || !records.get(slot).isOccupied())
-                .toList();
-    }
-
-    private static Map<SlotId, SlotRecord> records(StoreSnapshot slotsRead) throws StoreException {
-        List<SlotRecord> records = new java.util.ArrayList<>();
-        for (StoreEntry entry : slotsRead.entries()) {
-            records.add(StoreRecords.decode(entry.value(), SlotRecord.class));
-        }
-        return records.stream().collect(Collectors.toMap(SlotRecord::slot, Function.identity()));
-    }
-
     private Mono<Void> mark(BundleHead head, StoreSnapshot headRead) {
         return Mono.defer(
                         () ->
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/DeathProof.java
@@ -0,0 +1,53 @@
+package org.fuchsiaford.entry.member;
+
+import java.time.Duration;
+import org.fuchsiaford.host.HostProcess;
+import org.fuchsiaford.peer.PeerAddress;
+import org.fuchsiaford.peer.PeerCalls;
+import org.fuchsiaford.peer.message.PeerMessage;
+import reactor.core.publisher.Mono;
+
+/**
+ * Proves that a host process has ended: another process owns its address, which a host process
+ * keeps until it ends. Silence or a refused connection proves nothing, since something between the
+ * two ends may cause either.
+ *
+ * <p>Without such proofs a fleet that lost most members of a panel at once could not recover, since
+ * nobody could be informed. Thread-safe.
+ */
+final class DeathProof {
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
+
+    private final HostAddresses mOwn;
+    private final PeerCalls mPeers;
+
+    /** What a probe shows. */
+    enum Finding {
+        /** The process answered. */
+        ALIVE,
+        /** The process has ended. */
+        DEAD,
+        /** Nothing answered. */
+        SILENT
+    }
+
+    DeathProof(HostAddresses own, PeerCalls peers) {
+        mOwn = own;
+        mPeers = peers;
+    }
+
+    /** Probes a process. */
+    Mono<Finding> probe(HostProcess process) {
+        if (process.peerAddress().equals(mOwn.peerAddress())) {
+            return Mono.just(process.host().equals(mOwn.host()) ? Finding.ALIVE : Finding.DEAD);
+        }
+        return mPeers.call(
+                        PeerAddress.parse(process.peerAddress()),
+                        new PeerMessage.Identify(),
+                        PeerMessage.Identity.class,
+                        PROBE_TIMEOUT)
+                .map(identity -> identity.host().equals(process.host()))
+                .map(same -> same ? Finding.ALIVE : Finding.DEAD)
+                .onErrorReturn(Finding.SILENT);
+    }
+}
--- a/entry/src/main/java/org/fuchsiaford/entry/member/HostAddresses.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/HostAddresses.java
@@ -25,6 +25,6 @@
     /** Returns the record of a slot with this host as its holder. */
     public SlotRecord record(SlotId slot, Incarnation incarnation, SlotRecord.State state) {
         return new SlotRecord(
-                slot, incarnation, host, peerAddress, callerAddress, adminAddress, state);
+                slot, incarnation, host, peerAddress, callerAddress, adminAddress, state, null);
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/member/MemberLoop.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/MemberLoop.java
@@ -132,17 +132,29 @@
         }
     }
 
-    /** One host, by turns of rendezvous hashing, vacates each slot whose holder is gone. */
+    /**
+     * Vacates slots whose holder is gone, each by one host, by turns of rendezvous hashing; and
+     * slots that carry this host's name from a claim that it did not finish.
+     */
     private Mono<Void> vacateGone() {
         return Flux.fromStream(mDirectory.records().stream())
                 .filter(SlotRecord::isOccupied)
+                .filter(record -> isAbandoned(record) || isGone(record.slot()))
                 .map(SlotRecord::slot)
-                .filter(slot -> !mDirectory.isLive(slot))
-                .filter(this::isOwnTurn)
-                .concatMap(mClaimer::vacate)
+                .concatMap(slot -> mClaimer.vacate(slot).onErrorReturn(false))
                 .then();
     }
 
+    private boolean isAbandoned(SlotRecord record) {
+        return mMembership.held().isPresent()
+                && record.host().equals(mMembership.host())
+                && mMembership.held().filter(h -> h.slot().equals(record.slot())).isEmpty();
+    }
+
+    private boolean isGone(SlotId slot) {
+        return !mDirectory.isLive(slot) && isOwnTurn(slot);
+    }
+
     private boolean isOwnTurn(SlotId slot) {
         List<SlotId> order = mDirectory.order("vacate/" + slot);
         return mMembership
--- a/entry/src/main/java/org/fuchsiaford/entry/member/PanelInformer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/PanelInformer.java
@@ -5,6 +5,7 @@
 import org.fuchsiaford.host.FencingWait;
 import org.fuchsiaford.host.Panel;
 import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.host.SlotRecord;
 import org.fuchsiaford.peer.PeerAddress;
 import org.fuchsiaford.peer.PeerCalls;
 import org.fuchsiaford.peer.message.PeerMessage;
@@ -16,7 +17,9 @@
  * Tells the members of panels of something newer until a majority of each has acknowledged, then
  * waits until no older lease can be valid.
  *
- * <p>Thread-safe.
+ * <p>A slot on which no process can act counts as informed, since whoever holds it next reads the
+ * store after its claim. This is judged by slot records read after the newer thing was swapped in.
+ * Thread-safe.
  */
 final class PanelInformer {
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
@@ -24,12 +27,19 @@
 
     private final Membership mMembership;
     private final SlotDirectory mDirectory;
+    private final DeathProof mDeathProof;
     private final PeerCalls mPeers;
     private final Ticker mTicker;
 
-    PanelInformer(Membership membership, SlotDirectory directory, PeerCalls peers, Ticker ticker) {
+    PanelInformer(
+            Membership membership,
+            SlotDirectory directory,
+            DeathProof deathProof,
+            PeerCalls peers,
+            Ticker ticker) {
         mMembership = membership;
         mDirectory = directory;
+        mDeathProof = deathProof;
         mPeers = peers;
         mTicker = ticker;
     }
@@ -38,14 +48,17 @@
      * Informs and waits; completes once the older leases have run out.
      *
      * @param panels the panels to inform
-     * @param vacant the slots without a holder
+     * @param table the slot records, read after the newer thing was swapped in
      * @param notice what to tell
      */
-    Mono<Void> informAndWait(List<Panel> panels, List<SlotId> vacant, PeerMessage notice) {
+    Mono<Void> informAndWait(List<Panel> panels, SlotTable table, PeerMessage notice) {
+        List<SlotId> members =
+                panels.stream().flatMap(p -> p.members().stream()).distinct().toList();
         return Mono.defer(
                 () -> {
+                    List<SlotId> vacant = members.stream().filter(table::isVacant).toList();
                     FencingWait wait = new FencingWait(panels, vacant, mTicker.nowNanos());
-                    return informAll(wait, panels, notice)
+                    return informAll(wait, members, table, notice)
                             .then(Mono.delay(RETRY_PAUSE))
                             .repeat(() -> !wait.isInformed())
                             .then(Mono.defer(() -> waitOut(wait)));
@@ -58,11 +71,11 @@
                 .then();
     }
 
-    private Mono<Void> informAll(FencingWait wait, List<Panel> panels, PeerMessage notice) {
-        return Flux.fromStream(
-                        panels.stream().flatMap(panel -> panel.members().stream()).distinct())
+    private Mono<Void> informAll(
+            FencingWait wait, List<SlotId> members, SlotTable table, PeerMessage notice) {
+        return Flux.fromIterable(members)
                 .filter(member -> !wait.hasAcknowledged(member))
-                .flatMap(member -> inform(member, notice))
+                .flatMap(member -> inform(member, notice).switchIfEmpty(proveDead(member, table)))
                 .doOnNext(member -> wait.acknowledge(member, mTicker.nowNanos()))
                 .then();
     }
@@ -82,4 +95,11 @@
     private Mono<PeerMessage.Acknowledged> call(PeerAddress address, PeerMessage notice) {
         return mPeers.call(address, notice, PeerMessage.Acknowledged.class, CALL_TIMEOUT);
     }
+
+    private Mono<SlotId> proveDead(SlotId member, SlotTable table) {
+        return Mono.justOrEmpty(table.record(member).flatMap(SlotRecord::actingProcess))
+                .flatMap(mDeathProof::probe)
+                .filter(finding -> finding == DeathProof.Finding.DEAD)
+                .map(finding -> member);
+    }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/member/SlotClaimer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/SlotClaimer.java
@@ -1,14 +1,16 @@
 package org.fuchsiaford.entry.member;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Stream;
 import org.fuchsiaford.bundle.Bundle;
 import org.fuchsiaford.bundle.BundleHead;
 import org.fuchsiaford.bundle.EntrySlot;
 import org.fuchsiaford.hash.Rendezvous;
+import org.fuchsiaford.host.HostProcess;
 import org.fuchsiaford.host.Incarnation;
 import org.fuchsiaford.host.Panel;
 import org.fuchsiaford.host.PanelTable;
@@ -16,18 +18,14 @@
 import org.fuchsiaford.host.SlotId;
 import org.fuchsiaford.host.SlotRecord;
 import org.fuchsiaford.host.SlotRecord.State;
-import org.fuchsiaford.peer.PeerAddress;
-import org.fuchsiaford.peer.PeerCalls;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.platform.Store;
-import org.fuchsiaford.platform.StoreEntry;
 import org.fuchsiaford.platform.StoreException;
 import org.fuchsiaford.platform.StoreKey;
 import org.fuchsiaford.platform.StoreLayout;
 import org.fuchsiaford.platform.StoreLeaseId;
 import org.fuchsiaford.platform.StoreRecords;
 import org.fuchsiaford.platform.StoreSnapshot;
-import org.fuchsiaford.time.Ticker;
 import org.fuchsiaford.workspace.HomeLedger;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Flux;
@@ -43,34 +41,32 @@
  */
 public final class SlotClaimer {
     private static final Logger LOG = Logger.getLogger(SlotClaimer.class);
-    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration PROBE_PAUSE = Duration.ofMillis(500);
 
     private final Membership mMembership;
     private final BundleLoader mLoader;
     private final PanelInformer mInformer;
-    private final PeerCalls mPeers;
+    private final DeathProof mDeathProof;
     private final Store mStore;
     private final StoreRecords mRecords;
     private final HostAddresses mAddresses;
-    private final Ticker mTicker;
+    private final Set<SlotId> mUnderWay = ConcurrentHashMap.newKeySet();
 
     /** Creates a claimer. */
     public SlotClaimer(
             Membership membership,
-            SlotDirectory directory,
             BundleLoader loader,
-            PeerCalls peers,
+            PanelInformer informer,
+            DeathProof deathProof,
             Store store,
-            HostAddresses addresses,
-            Ticker ticker) {
+            HostAddresses addresses) {
         mMembership = membership;
         mLoader = loader;
-        mInformer = new PanelInformer(membership, directory, peers, ticker);
-        mPeers = peers;
+        mInformer = informer;
+        mDeathProof = deathProof;
         mStore = store;
         mRecords = new StoreRecords(store);
         mAddresses = addresses;
-        mTicker = ticker;
     }
 
     /** Claims a free slot of this host's failure domain; completes without one if there is none. */
@@ -97,9 +93,16 @@
     }
 
     private Mono<Boolean> tryClaim(SlotId slot, State goal) {
-        return mStore.read(List.of(StoreLayout.slot(slot), StoreLayout.live(slot)))
-                .flatMap(snapshot -> claim(slot, goal, snapshot))
-                .doOnError(e -> LOG.debugf("claim of %s failed: %s", slot, e.getMessage()));
+        return Mono.defer(
+                () -> {
+                    if (!mUnderWay.add(slot)) {
+                        return Mono.just(false);
+                    }
+                    return mStore.read(List.of(StoreLayout.slot(slot), StoreLayout.live(slot)))
+                            .flatMap(snapshot -> claim(slot, goal, snapshot))
+                            .doOnError(e -> LOG.debugf("claim failed: %s", e.getMessage()))
+                            .doFinally(signal -> mUnderWay.remove(slot));
+                });
     }
 
     private Mono<Boolean> claim(SlotId slot, State goal, StoreSnapshot snapshot) {
@@ -110,19 +113,23 @@
 
     private Mono<Boolean> claim(
             SlotId slot, State goal, StoreSnapshot snapshot, Optional<SlotRecord> found) {
-        boolean fenced = found.filter(SlotRecord::isOccupied).isEmpty();
-        if (fenced && goal == State.VACANT) {
+        // This host does not act on a slot that it does not hold, whatever its record says.
+        Optional<HostProcess> former =
+                found.flatMap(SlotRecord::actingProcess)
+                        .filter(process -> !process.host().equals(mAddresses.host()));
+        if (goal == State.VACANT && found.filter(SlotRecord::isOccupied).isEmpty()) {
             return Mono.just(false);
         }
         boolean live = snapshot.entry(StoreLayout.live(slot)).isPresent();
         Incarnation next = found.map(r -> r.incarnation().next()).orElse(new Incarnation(1));
-        SlotRecord claim = mAddresses.record(slot, next, State.CLAIMED);
+        SlotRecord claim =
+                mAddresses.record(slot, next, State.CLAIMED).claimedOver(former.orElse(null));
         long revision = snapshot.revisionOf(StoreLayout.slot(slot));
         return seemsGone(found, live)
                 .filter(gone -> gone)
                 .flatMap(gone -> swap(claim, revision))
                 .filter(swap -> swap == StoreRecords.Swap.DONE)
-                .flatMap(swap -> fenced ? Mono.just(true) : fence(claim))
+                .flatMap(swap -> former.isEmpty() ? Mono.just(true) : fence(claim, former.get()))
                 .flatMap(done -> finish(claim, goal))
                 .defaultIfEmpty(false);
     }
@@ -131,26 +138,48 @@
         return mRecords.swap(StoreLayout.slot(record.slot()), revision, record, StoreLeaseId.NONE);
     }
 
-    /** A holder that answers is not gone, even if the store has lost its live key in an outage. */
+    /**
+     * Whether the record's process seems gone. One that answers is not, even if the store has lost
+     * its live key in an outage; one that is proved dead is, even if its live key remains.
+     */
     private Mono<Boolean> seemsGone(Optional<SlotRecord> found, boolean live) {
         if (found.filter(SlotRecord::isOccupied).isEmpty()) {
             return Mono.just(true);
         }
-        if (live) {
-            return Mono.just(false);
-        }
         SlotRecord record = found.get();
-        return mPeers.call(
-                        PeerAddress.parse(record.peerAddress()),
-                        new PeerMessage.Identify(),
-                        PeerMessage.Identity.class,
-                        PROBE_TIMEOUT)
-                .map(identity -> !identity.host().equals(record.host()))
-                .onErrorReturn(true);
+        if (record.host().equals(mAddresses.host())) {
+            return Mono.just(!holds(record.slot()));
+        }
+        return mDeathProof
+                .probe(new HostProcess(record.host(), record.peerAddress()))
+                .map(
+                        finding ->
+                                switch (finding) {
+                                    case ALIVE -> false;
+                                    case DEAD -> true;
+                                    case SILENT -> !live;
+                                });
+    }
+
+    private boolean holds(SlotId slot) {
+        return mMembership.held().filter(held -> held.slot().equals(slot)).isPresent();
+    }
+
+    /** Ends when the former holder is fenced, or is proved dead before that. */
+    private Mono<Boolean> fence(SlotRecord claim, HostProcess former) {
+        Mono<Boolean> proved =
+                mDeathProof
+                        .probe(former)
+                        .filter(finding -> finding == DeathProof.Finding.DEAD)
+                        .map(finding -> true)
+                        .repeatWhenEmpty(tries -> tries.delayElements(PROBE_PAUSE));
+        // A failed fencing must end the claim; the next one takes the former holder over.
+        return Mono.firstWithValue(proved, fenceByPanel(claim).onErrorReturn(false))
+                .filter(fenced -> fenced);
     }
 
     /** Fences the former holder under the panels of every bundle that it may act on. */
-    private Mono<Boolean> fence(SlotRecord claim) {
+    private Mono<Boolean> fenceByPanel(SlotRecord claim) {
         return mStore.read(List.of(StoreLayout.HEAD))
                 .flatMap(
                         snapshot ->
@@ -164,9 +193,15 @@
 
     private Mono<Boolean> fenceUnder(SlotRecord claim, BundleHead head) {
         PeerMessage notice = new PeerMessage.InformSlot(claim.slot(), claim.incarnation());
-        List<SlotId> vacant = List.of(claim.slot());
         return panels(claim.slot(), head)
-                .flatMap(panels -> mInformer.informAndWait(panels, vacant, notice))
+                .zipWith(mStore.readPrefix(StoreLayout.SLOTS))
+                .flatMap(
+                        reads ->
+                                Mono.fromCallable(() -> SlotTable.of(reads.getT2()))
+                                        .flatMap(
+                                                table ->
+                                                        mInformer.informAndWait(
+                                                                reads.getT1(), table, notice)))
                 .then(mStore.read(List.of(StoreLayout.HEAD)))
                 .flatMap(snapshot -> Mono.fromCallable(() -> head(snapshot)))
                 .flatMap(
@@ -217,30 +252,20 @@
                 .flatMap(
                         reads ->
                                 Mono.fromCallable(
-                                        () -> {
-                                            hold(claim, head(reads.getT1()), reads.getT2());
-                                            return true;
-                                        }));
+                                        () ->
+                                                hold(
+                                                        claim,
+                                                        head(reads.getT1()),
+                                                        SlotTable.of(reads.getT2()))));
     }
 
-    private void hold(SlotRecord claim, BundleHead head, StoreSnapshot slots)
-            throws StoreException {
+    private boolean hold(SlotRecord claim, BundleHead head, SlotTable table) {
         PromiseBook book = new PromiseBook(head.generation());
-        for (SlotRecord record : decode(slots.entries())) {
-            book.inform(record.slot(), record.incarnation());
-        }
-        mMembership.hold(
-                new HeldSlot(
-                        claim.slot(), claim.incarnation(), book, new HomeLedger(claim.slot())));
+        table.records().forEach(record -> book.inform(record.slot(), record.incarnation()));
+        HomeLedger ledger = new HomeLedger(claim.slot());
+        mMembership.hold(new HeldSlot(claim.slot(), claim.incarnation(), book, ledger));
         LOG.infof("holds slot %s as incarnation %d", claim.slot(), claim.incarnation().number());
-    }
-
-    private static List<SlotRecord> decode(Collection<StoreEntry> entries) throws StoreException {
-        List<SlotRecord> records = new java.util.ArrayList<>();
-        for (StoreEntry entry : entries) {
-            records.add(StoreRecords.decode(entry.value(), SlotRecord.class));
-        }
-        return records;
+        return true;
     }
 
     /**
--- /dev/null
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeHost.java
@@ -0,0 +1,100 @@
+package org.fuchsiaford.entry.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.entry.limit.Admission;
+import org.fuchsiaford.entry.limit.LimitHandler;
+import org.fuchsiaford.entry.member.HostAddresses;
+import org.fuchsiaford.entry.member.MemberHandler;
+import org.fuchsiaford.entry.member.MemberLoop;
+import org.fuchsiaford.entry.member.MemberModule;
+import org.fuchsiaford.entry.member.Membership;
+import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.peer.PeerAddress;
+import org.fuchsiaford.peer.PeerCalls;
+import org.fuchsiaford.peer.PeerException;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.platform.Store;
+import org.fuchsiaford.time.Ticker;
+import reactor.core.publisher.Mono;
+
+/** The parts of one entry host that concern membership and limits, on fakes. Not thread-safe. */
+final class FakeHost {
+    private final String mAddress;
+    private final Ticker mClock;
+    private final Membership mMembership;
+    private final MemberLoop mLoop;
+    private final MemberHandler mMemberHandler;
+    private final LimitHandler mLimitHandler;
+    private final Admission mAdmission;
+
+    FakeHost(
+            FakeFleet fleet,
+            String address,
+            String name,
+            FailureDomainId failureDomain,
+            Ticker clock,
+            Store store) {
+        mAddress = address;
+        mClock = clock;
+        List<PeerAddress> seeds = fleet.addresses().stream().map(PeerAddress::parse).toList();
+        PeerCalls peers = new Calls(fleet);
+        HostAddresses addresses =
+                new HostAddresses(new HostId(name), failureDomain, address, address, address);
+        MemberModule members =
+                MemberModule.create(addresses, seeds, fleet.signingKeys(), peers, store, clock);
+        mMembership = members.membership();
+        mMemberHandler = members.handler();
+        mLoop = members.loop();
+        mLimitHandler = new LimitHandler(mMembership, clock);
+        mAdmission = new Admission(mMembership, members.directory(), peers, clock);
+    }
+
+    /** Calls other hosts through the fleet's network. */
+    private final class Calls implements PeerCalls {
+        private final FakeFleet mFleet;
+
+        Calls(FakeFleet fleet) {
+            mFleet = fleet;
+        }
+
+        @Override
+        public <T extends PeerMessage> Mono<T> call(
+                PeerAddress peer, PeerMessage request, Class<T> type, Duration timeout) {
+            return mFleet.network()
+                    .call(
+                            mAddress,
+                            peer.toString(),
+                            timeout,
+                            () -> mFleet.deliver(peer.toString(), request))
+                    .cast(type)
+                    .onErrorMap(e -> new PeerException(peer, String.valueOf(e.getMessage()), e));
+        }
+    }
+
+    Mono<PeerMessage> handle(PeerMessage message) {
+        return Mono.justOrEmpty(
+                mMemberHandler.handle(message).or(() -> mLimitHandler.handle(message)));
+    }
+
+    void start() {
+        mLoop.start();
+    }
+
+    void stop() {
+        mLoop.stop();
+    }
+
+    Ticker clock() {
+        return mClock;
+    }
+
+    Membership membership() {
+        return mMembership;
+    }
+
+    Admission admission() {
+        return mAdmission;
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeStore.java
@@ -0,0 +1,190 @@
+package org.fuchsiaford.entry.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.platform.Store;
+import org.fuchsiaford.platform.StoreChange;
+import org.fuchsiaford.platform.StoreEntry;
+import org.fuchsiaford.platform.StoreException;
+import org.fuchsiaford.platform.StoreKey;
+import org.fuchsiaford.platform.StoreLeaseId;
+import org.fuchsiaford.platform.StoreSnapshot;
+import org.fuchsiaford.time.Ticker;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** The platform's store in memory and virtual time, with outages. Not thread-safe. */
+final class FakeStore {
+    private static final Duration WATCH_POLL = Duration.ofMillis(5);
+
+    private final Ticker mTrueTime;
+    private final FakeNetwork mNetwork;
+    private final TreeMap<String, StoreEntry> mEntries = new TreeMap<>();
+    private final Map<String, Long> mLeaseOfKey = new HashMap<>();
+    private final Map<Long, Long> mLeaseEndNanos = new HashMap<>();
+    private final Map<Long, Long> mLeaseTtlNanos = new HashMap<>();
+    private final List<StoreChange> mLog = new ArrayList<>();
+    private long mRevision = 1;
+    private long mLastLease;
+    private long mCalls;
+
+    FakeStore(Ticker trueTime, FakeNetwork network) {
+        mTrueTime = trueTime;
+        mNetwork = network;
+    }
+
+    long calls() {
+        return mCalls;
+    }
+
+    /** Returns the value of a key, whatever the network does. */
+    java.util.Optional<byte[]> stored(StoreKey key) {
+        return java.util.Optional.ofNullable(mEntries.get(key.value())).map(StoreEntry::value);
+    }
+
+    /** Returns the store as one host sees it. */
+    Store seenBy(String host) {
+        return new Store() {
+            @Override
+            public Mono<StoreSnapshot> read(List<StoreKey> keys) {
+                return call(host, Step.READ_STORE, () -> doRead(keys));
+            }
+
+            @Override
+            public Mono<StoreSnapshot> readPrefix(StoreKey prefix) {
+                return call(host, Step.READ_STORE, () -> doReadPrefix(prefix));
+            }
+
+            @Override
+            public Mono<Boolean> compareAndSwap(
+                    StoreKey key, long expectedRevision, byte[] value, StoreLeaseId lease) {
+                return call(
+                        host, Step.SWAP_STORE, () -> doSwap(key, expectedRevision, value, lease));
+            }
+
+            @Override
+            public Mono<StoreLeaseId> grantLease(long timeToLiveSeconds) {
+                return call(host, Step.LEASE_STORE, () -> doGrant(timeToLiveSeconds));
+            }
+
+            @Override
+            public Mono<Boolean> keepAlive(StoreLeaseId lease) {
+                return call(host, Step.LEASE_STORE, () -> doKeepAlive(lease));
+            }
+
+            @Override
+            public Flux<StoreChange> watch(StoreKey prefix, long fromRevision) {
+                return doWatch(host, prefix, fromRevision);
+            }
+        };
+    }
+
+    private <T> Mono<T> call(String host, Step step, java.util.concurrent.Callable<T> operation) {
+        return mNetwork.call(
+                        host,
+                        FakeNetwork.STORE,
+                        Duration.ofSeconds(1),
+                        () -> {
+                            expireLeases();
+                            mCalls++;
+                            return Mono.fromCallable(operation);
+                        })
+                .onErrorMap(e -> new StoreException(step, String.valueOf(e.getMessage()), e));
+    }
+
+    private StoreSnapshot doRead(List<StoreKey> keys) {
+        return new StoreSnapshot(
+                mRevision,
+                keys.stream()
+                        .map(key -> mEntries.get(key.value()))
+                        .filter(entry -> entry != null)
+                        .toList());
+    }
+
+    private StoreSnapshot doReadPrefix(StoreKey prefix) {
+        return new StoreSnapshot(
+                mRevision,
+                mEntries.values().stream()
+                        .filter(entry -> entry.key().value().startsWith(prefix.value()))
+                        .toList());
+    }
+
+    private boolean doSwap(StoreKey key, long expectedRevision, byte[] value, StoreLeaseId lease) {
+        StoreEntry present = mEntries.get(key.value());
+        long revision = present == null ? StoreEntry.ABSENT : present.revision();
+        if (revision != expectedRevision) {
+            return false;
+        }
+        mRevision++;
+        mEntries.put(key.value(), new StoreEntry(key, value, mRevision));
+        mLeaseOfKey.put(key.value(), lease.value());
+        mLog.add(new StoreChange(key, value, mRevision));
+        return true;
+    }
+
+    private StoreLeaseId doGrant(long timeToLiveSeconds) {
+        mLastLease++;
+        mLeaseTtlNanos.put(mLastLease, TimeUnit.SECONDS.toNanos(timeToLiveSeconds));
+        doKeepAlive(new StoreLeaseId(mLastLease));
+        return new StoreLeaseId(mLastLease);
+    }
+
+    private boolean doKeepAlive(StoreLeaseId lease) {
+        Long ttlNanos = mLeaseTtlNanos.get(lease.value());
+        if (ttlNanos == null) {
+            return false;
+        }
+        mLeaseEndNanos.put(lease.value(), mTrueTime.nowNanos() + ttlNanos);
+        return true;
+    }
+
+    private void expireLeases() {
+        long nowNanos = mTrueTime.nowNanos();
+        List<Long> ended =
+                mLeaseEndNanos.entrySet().stream()
+                        .filter(entry -> entry.getValue() <= nowNanos)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        ended.forEach(mLeaseEndNanos::remove);
+        ended.forEach(mLeaseTtlNanos::remove);
+        mLeaseOfKey.entrySet().stream()
+                .filter(entry -> ended.contains(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::delete);
+    }
+
+    private void delete(String key) {
+        mRevision++;
+        mEntries.remove(key);
+        mLeaseOfKey.remove(key);
+        mLog.add(new StoreChange(new StoreKey(key), null, mRevision));
+    }
+
+    private Flux<StoreChange> doWatch(String host, StoreKey prefix, long fromRevision) {
+        long[] next = {fromRevision};
+        return Flux.interval(WATCH_POLL)
+                .concatMap(tick -> nextChanges(host, prefix, next))
+                .onErrorMap(e -> new StoreException(Step.WATCH_STORE, e.getMessage(), e));
+    }
+
+    private Flux<StoreChange> nextChanges(String host, StoreKey prefix, long[] next) {
+        if (!mNetwork.isOpen(host, FakeNetwork.STORE)) {
+            return Flux.error(new IllegalStateException("watch broken"));
+        }
+        expireLeases();
+        List<StoreChange> changes =
+                mLog.stream()
+                        .filter(change -> change.revision() >= next[0])
+                        .filter(change -> change.key().value().startsWith(prefix.value()))
+                        .toList();
+        next[0] = mRevision + 1;
+        return Flux.fromIterable(changes);
+    }
+}
