--- a/entry/src/main/java/org/fuchsiaford/entry/limit/Admission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/limit/Admission.java
@@ -14,6 +14,7 @@
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.hash.Rendezvous;
 import org.fuchsiaford.host.SlotId;
 import org.fuchsiaford.peer.PeerCalls;
 import org.fuchsiaford.peer.message.PeerMessage;
@@ -69,17 +70,19 @@
         long startNanos = mTicker.nowNanos();
         List<SlotId> homes = HomeSlots.of(workspace, view.index().bundle().entrySlots());
         List<Charge.Part> parts = new ArrayList<>();
-        return Flux.fromIterable(ownFirst(homes))
+        return Flux.fromIterable(ownFirst(workspace.id(), homes))
                 .concatMap(home -> acquire(workspace.id(), home, costTokens - sum(parts)), 1)
                 .doOnNext(parts::add)
                 .takeUntil(part -> sum(parts) >= costTokens)
                 .then(Mono.defer(() -> conclude(workspace, parts, costTokens, startNanos)));
     }
 
-    private List<SlotId> ownFirst(List<SlotId> homes) {
+    /** This host's own bucket costs no message; the others are asked in an order of its own. */
+    private List<SlotId> ownFirst(WorkspaceId workspace, List<SlotId> homes) {
         Optional<SlotId> own = mMembership.held().map(HeldSlot::slot).filter(homes::contains);
-        List<SlotId> order = new ArrayList<>(homes);
-        own.ifPresent(slot -> order.remove(slot));
+        List<SlotId> order =
+                new ArrayList<>(Rendezvous.order(mMembership.host() + "/" + workspace, homes));
+        own.ifPresent(order::remove);
         own.ifPresent(slot -> order.add(0, slot));
         return order;
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/member/MemberModule.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/MemberModule.java
@@ -38,7 +38,7 @@
         PanelInformer informer =
                 new PanelInformer(membership, directory, deathProof, peers, ticker);
         SlotClaimer claimer =
-                new SlotClaimer(membership, loader, informer, deathProof, store, addresses);
+                new SlotClaimer(membership, loader, informer, deathProof, store, addresses, ticker);
         MemberLoop loop =
                 new MemberLoop(
                         membership,
--- a/entry/src/main/java/org/fuchsiaford/entry/member/Membership.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/Membership.java
@@ -143,10 +143,18 @@
         }
     }
 
-    /** Takes a slot over, all of whose former holders are fenced. */
-    public synchronized void hold(HeldSlot held) {
+    /**
+     * Takes a slot over, all of whose former holders are fenced.
+     *
+     * @param shown the generation that the store showed after the takeover
+     * @param askedNanos when the store was asked
+     */
+    public synchronized void hold(HeldSlot held, Generation shown, long askedNanos) {
         mHeld = held;
         replaceLeases();
+        views().stream()
+                .filter(view -> view.head().generation().equals(shown))
+                .forEach(view -> view.lease().confirmByStore(askedNanos));
         applyLimits(newest() != null && newest().head().accepted());
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/member/SlotClaimer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/SlotClaimer.java
@@ -26,6 +26,7 @@
 import org.fuchsiaford.platform.StoreLeaseId;
 import org.fuchsiaford.platform.StoreRecords;
 import org.fuchsiaford.platform.StoreSnapshot;
+import org.fuchsiaford.time.Ticker;
 import org.fuchsiaford.workspace.HomeLedger;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Flux;
@@ -50,6 +51,7 @@
     private final Store mStore;
     private final StoreRecords mRecords;
     private final HostAddresses mAddresses;
+    private final Ticker mTicker;
     private final Set<SlotId> mUnderWay = ConcurrentHashMap.newKeySet();
 
     /** Creates a claimer. */
@@ -59,7 +61,8 @@
             PanelInformer informer,
             DeathProof deathProof,
             Store store,
-            HostAddresses addresses) {
+            HostAddresses addresses,
+            Ticker ticker) {
         mMembership = membership;
         mLoader = loader;
         mInformer = informer;
@@ -67,6 +70,7 @@
         mStore = store;
         mRecords = new StoreRecords(store);
         mAddresses = addresses;
+        mTicker = ticker;
     }
 
     /** Claims a free slot of this host's failure domain; completes without one if there is none. */
@@ -247,6 +251,7 @@
 
     /** Reads head and slots once more, after the fencing, and only then starts to promise. */
     private Mono<Boolean> hold(SlotRecord claim) {
+        long askedNanos = mTicker.nowNanos();
         return mStore.read(List.of(StoreLayout.HEAD))
                 .zipWith(mStore.readPrefix(StoreLayout.SLOTS))
                 .flatMap(
@@ -256,14 +261,26 @@
                                                 hold(
                                                         claim,
                                                         head(reads.getT1()),
-                                                        SlotTable.of(reads.getT2()))));
+                                                        SlotTable.of(reads.getT2()),
+                                                        askedNanos)));
     }
 
-    private boolean hold(SlotRecord claim, BundleHead head, SlotTable table) {
+    private boolean hold(SlotRecord claim, BundleHead head, SlotTable table, long askedNanos) {
+        boolean own =
+                table.record(claim.slot())
+                        .filter(record -> record.host().equals(claim.host()))
+                        .filter(record -> record.incarnation().equals(claim.incarnation()))
+                        .isPresent();
+        if (!own) {
+            return false;
+        }
         PromiseBook book = new PromiseBook(head.generation());
         table.records().forEach(record -> book.inform(record.slot(), record.incarnation()));
         HomeLedger ledger = new HomeLedger(claim.slot());
-        mMembership.hold(new HeldSlot(claim.slot(), claim.incarnation(), book, ledger));
+        mMembership.hold(
+                new HeldSlot(claim.slot(), claim.incarnation(), book, ledger),
+                head.generation(),
+                askedNanos);
         LOG.infof("holds slot %s as incarnation %d", claim.slot(), claim.incarnation().number());
         return true;
     }
