--- a/entry/src/main/java/org/fuchsiaford/entry/member/AcceptanceDriver.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/AcceptanceDriver.java
@@ -28,7 +28,7 @@
  */
 public final class AcceptanceDriver {
     private static final Logger LOG = Logger.getLogger(AcceptanceDriver.class);
-    private static final Duration TURN = Duration.ofMillis(4_000);
+    private static final Duration TURN = Duration.ofMillis(1_000);
 
     private final Membership mMembership;
     private final SlotDirectory mDirectory;
--- a/entry/src/main/java/org/fuchsiaford/entry/member/PanelInformer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/PanelInformer.java
@@ -66,7 +66,11 @@
     }
 
     private Mono<Void> waitOut(FencingWait wait) {
-        return Mono.delay(Duration.ofNanos(wait.remainingNanos(mTicker.nowNanos())))
+        return Mono.defer(
+                        () ->
+                                Mono.delay(
+                                        Duration.ofNanos(
+                                                wait.remainingNanos(mTicker.nowNanos()) + 1)))
                 .repeat(() -> !wait.isOver(mTicker.nowNanos()))
                 .then();
     }
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeFleet.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeFleet.java
@@ -26,6 +26,7 @@
 import org.fuchsiaford.bundle.Workspace;
 import org.fuchsiaford.entry.member.HeldSlot;
 import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.host.SlotRecord;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.platform.Store;
 import org.fuchsiaford.platform.StoreException;
@@ -61,14 +62,21 @@
     private final List<String> mAddresses;
     private final KeyPair mSigningKeys;
     private final int mHomes;
+    private final int mSlots;
     private int mStarted;
 
     FakeFleet(long seed, int size, int homes) {
+        this(seed, size, size, homes);
+    }
+
+    /** Makes a fleet with more machines than slots; the hosts without a slot are spares. */
+    FakeFleet(long seed, int size, int slots, int homes) {
         VirtualTimeScheduler.set(mTime);
         mRandom = new Random(seed);
         mNetwork = new FakeNetwork(seed);
         mStore = new FakeStore(mTrueTime, mNetwork);
         mHomes = homes;
+        mSlots = slots;
         mAddresses = IntStream.range(0, size).mapToObj(i -> "10.0.0." + (i + 1) + ":1").toList();
         mSigningKeys = newKeys();
     }
@@ -158,7 +166,7 @@
                         .mapToObj(i -> new FailureDomain(domain(i), new RegionId("r")))
                         .toList();
         List<EntrySlot> slots =
-                IntStream.range(0, mAddresses.size())
+                IntStream.range(0, mSlots)
                         .mapToObj(i -> new EntrySlot(new SlotId("s" + i), domain(i)))
                         .toList();
         Workspace workspace =
@@ -233,15 +241,20 @@
 
     /** Returns the head as the store holds it, outages aside. */
     Optional<BundleHead> storedHead() {
-        return mStore.stored(StoreLayout.HEAD)
-                .map(
-                        value -> {
-                            try {
-                                return StoreRecords.decode(value, BundleHead.class);
-                            } catch (StoreException e) {
-                                throw new IllegalStateException(e);
-                            }
-                        });
+        return mStore.stored(StoreLayout.HEAD).map(v -> decode(v, BundleHead.class));
+    }
+
+    /** Returns a slot record as the store holds it, outages aside. */
+    Optional<SlotRecord> storedSlot(SlotId slot) {
+        return mStore.stored(StoreLayout.slot(slot)).map(v -> decode(v, SlotRecord.class));
+    }
+
+    private static <T> T decode(byte[] value, Class<T> type) {
+        try {
+            return StoreRecords.decode(value, type);
+        } catch (StoreException e) {
+            throw new IllegalStateException(e);
+        }
     }
 
     /** Describes slots and hosts, for the message of a failed check. */
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeNetwork.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeNetwork.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeoutException;
@@ -45,6 +46,14 @@
         mCuts.add(b + "|" + a);
     }
 
+    /** Cuts some nodes off from the store and from all others, but not from each other. */
+    void cutIsland(List<String> island, List<String> nodes) {
+        island.forEach(a -> cut(a, STORE));
+        nodes.stream()
+                .filter(node -> !island.contains(node))
+                .forEach(node -> island.forEach(a -> cut(a, node)));
+    }
+
     void healCuts() {
         mCuts.clear();
     }
