Measure placement against three baselines in virtual time

A model of an engine (continuous batching in seats, memory in pieces, prefix cache with late and lossy events, expiring prefill results, serial links) shared with the process stand-in through EngineProfile, a workload from a seed, and the baselines round robin, least reported load, prefix affinity.

--- a/core/src/main/java/org/fuchsiaford/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/fuchsiaford/placement/PlacementPolicy.java
@@ -22,6 +22,12 @@
     /** Takes note of an engine's load. */
     void report(EngineLoad load, long nowNanos);
 
+    /**
+     * Takes other engines over. Engines that stay keep their state; those that are gone get nothing
+     * new, and what was placed on them goes on.
+     */
+    void reconfigure(ModelSpec model, List<EngineSpec> engines);
+
     /** Returns the decisions that are due, in order. */
     List<PlacementDecision> decide(long nowNanos);
 }
--- a/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
@@ -54,14 +54,15 @@
 
     /** Creates a policy for the engines of a pool. */
     public PoolScheduler(ModelSpec model, List<EngineSpec> engines) {
-        reconfigure(model, engines);
+        configure(model, engines);
     }
 
-    /**
-     * Takes other engines over. Engines that stay keep their state; those that are gone get nothing
-     * new, and what was placed on them goes on.
-     */
+    @Override
     public void reconfigure(ModelSpec model, List<EngineSpec> engines) {
+        configure(model, engines);
+    }
+
+    private void configure(ModelSpec model, List<EngineSpec> engines) {
         mModel = model;
         Map<BackendServerId, PrefillEngine> prefill = new LinkedHashMap<>(mPrefill);
         Map<BackendServerId, DecodeEngine> decode = new LinkedHashMap<>(mDecode);
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiaford/standin/bench/EventLoop.java
@@ -0,0 +1,38 @@
+package org.fuchsiaford.standin.bench;
+
+import java.util.PriorityQueue;
+
+/**
+ * Runs actions in virtual time; actions of the same time run in the order given. Not thread-safe.
+ */
+final class EventLoop {
+    private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
+    private long mNowNanos;
+    private long mLastSequence;
+
+    private record Event(long timeNanos, long sequence, Runnable action)
+            implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(timeNanos, other.timeNanos);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+
+    long nowNanos() {
+        return mNowNanos;
+    }
+
+    void after(long delayNanos, Runnable action) {
+        mEvents.add(new Event(mNowNanos + Math.max(delayNanos, 0), mLastSequence++, action));
+    }
+
+    /** Runs until nothing is left or the time is over. */
+    void run(long endNanos) {
+        while (!mEvents.isEmpty() && mEvents.peek().timeNanos() <= endNanos) {
+            Event event = mEvents.poll();
+            mNowNanos = event.timeNanos();
+            event.action().run();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiaford/standin/bench/RequestRun.java
@@ -0,0 +1,82 @@
+package org.fuchsiaford.standin.bench;
+
+import java.util.concurrent.TimeUnit;
+
+/** What became of a request so far. Not thread-safe. */
+final class RequestRun {
+    private final Workload.Request mRequest;
+    private int mAttempts;
+    private int mDelivered;
+    private long mFirstTokenNanos = -1;
+    private long mLastTokenNanos;
+    private long mLongestGapNanos;
+    private boolean mRefused;
+    private boolean mFailed;
+
+    RequestRun(Workload.Request request) {
+        mRequest = request;
+    }
+
+    Workload.Request request() {
+        return mRequest;
+    }
+
+    int nextAttempt() {
+        return ++mAttempts;
+    }
+
+    int delivered() {
+        return mDelivered;
+    }
+
+    int tokensLeft() {
+        return mRequest.outputTokens() - mDelivered;
+    }
+
+    void deliver(long nowNanos) {
+        if (mFirstTokenNanos < 0) {
+            mFirstTokenNanos = nowNanos;
+        } else {
+            mLongestGapNanos = Math.max(mLongestGapNanos, nowNanos - mLastTokenNanos);
+        }
+        mLastTokenNanos = nowNanos;
+        mDelivered++;
+    }
+
+    void refuse() {
+        mRefused = true;
+    }
+
+    void fail() {
+        mFailed = true;
+    }
+
+    boolean isRefused() {
+        return mRefused;
+    }
+
+    boolean isFailed() {
+        return mFailed;
+    }
+
+    boolean isComplete() {
+        return mDelivered == mRequest.outputTokens();
+    }
+
+    long firstTokenMicros() {
+        return TimeUnit.NANOSECONDS.toMicros(mFirstTokenNanos - mRequest.arrivalNanos());
+    }
+
+    /** Returns the mean time between tokens. */
+    long betweenTokensMicros() {
+        long tokens = Math.max(mDelivered - 1, 1);
+        return TimeUnit.NANOSECONDS.toMicros((mLastTokenNanos - mFirstTokenNanos) / tokens);
+    }
+
+    /** Returns whether the answer came whole and within both targets. */
+    boolean isGood(long firstTokenTargetNanos, long betweenTokensTargetNanos) {
+        return isComplete()
+                && firstTokenMicros() * 1_000 <= firstTokenTargetNanos
+                && betweenTokensMicros() * 1_000 <= betweenTokensTargetNanos;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiaford/standin/bench/SimulatedPrefillEngine.java
@@ -0,0 +1,133 @@
+package org.fuchsiaford.standin.bench;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.standin.engine.EngineMemory;
+import org.fuchsiaford.standin.engine.EngineProfile;
+
+/**
+ * A prefill engine in virtual time: one prompt after another, a prefix cache in pieces, results
+ * that expire. Not thread-safe.
+ */
+final class SimulatedPrefillEngine {
+    private final BackendServerId mId;
+    private final EngineProfile mProfile;
+    private final EventLoop mLoop;
+    private final Deque<Job> mQueue = new ArrayDeque<>();
+    private final Map<Attempt, Boolean> mResults = new HashMap<>();
+    private EngineMemory mMemory;
+    private Job mRunning;
+    private boolean mDown;
+    private long mEpoch;
+    private long mComputedTokens;
+
+    private record Job(Attempt attempt, Runnable done, Runnable failed) {}
+
+    SimulatedPrefillEngine(BackendServerId id, EngineProfile profile, EventLoop loop) {
+        mId = id;
+        mProfile = profile;
+        mLoop = loop;
+        mMemory = new EngineMemory(profile.pieces());
+    }
+
+    BackendServerId id() {
+        return mId;
+    }
+
+    long computedTokens() {
+        return mComputedTokens;
+    }
+
+    int load() {
+        return mQueue.size() + (mRunning == null ? 0 : 1);
+    }
+
+    int freePieces() {
+        return mMemory.freePieces();
+    }
+
+    List<EngineMemory.Change> takeChanges() {
+        return mMemory.takeChanges();
+    }
+
+    void prefill(Attempt attempt, Runnable done, Runnable failed) {
+        if (mDown) {
+            failed.run();
+            return;
+        }
+        mQueue.add(new Job(attempt, done, failed));
+        startNext();
+    }
+
+    private void startNext() {
+        if (mRunning != null || mQueue.isEmpty()) {
+            return;
+        }
+        Job job = mQueue.poll();
+        Attempt attempt = job.attempt();
+        int pieces = mProfile.pieces(attempt.promptTokens());
+        if (!mMemory.hold(attempt.key(), pieces)) {
+            job.failed().run();
+            startNext();
+            return;
+        }
+        mRunning = job;
+        int cached = mMemory.cachedPieces(attempt.prefixHashes()) * mProfile.pieceTokens();
+        int tokens = Math.max(attempt.promptTokens() - cached, 1);
+        mComputedTokens += tokens;
+        attempt.setComputedTokens(tokens);
+        long epoch = mEpoch;
+        mLoop.after(mProfile.prefillNanos(tokens), () -> finish(job, epoch));
+    }
+
+    private void finish(Job job, long epoch) {
+        if (epoch != mEpoch) {
+            return;
+        }
+        mRunning = null;
+        mMemory.store(job.attempt().prefixHashes());
+        mResults.put(job.attempt(), Boolean.TRUE);
+        mLoop.after(mProfile.resultLifeNanos(), () -> expire(job.attempt()));
+        job.done().run();
+        startNext();
+    }
+
+    private void expire(Attempt attempt) {
+        if (mResults.remove(attempt) != null) {
+            mMemory.release(attempt.key());
+        }
+    }
+
+    /** Takes a result for transfer; returns false if it is gone. */
+    boolean takeResult(Attempt attempt) {
+        return mResults.remove(attempt) != null;
+    }
+
+    /** Frees the memory of a result after its transfer. */
+    void release(Attempt attempt) {
+        mMemory.release(attempt.key());
+    }
+
+    /** Dies: everything under way fails and all memory is lost. */
+    void die() {
+        mDown = true;
+        mEpoch++;
+        List<Job> lost = new java.util.ArrayList<>(mQueue);
+        if (mRunning != null) {
+            lost.add(mRunning);
+        }
+        mQueue.clear();
+        mRunning = null;
+        mResults.clear();
+        mMemory = new EngineMemory(mProfile.pieces());
+        lost.forEach(job -> job.failed().run());
+    }
+
+    void comeBack() {
+        mDown = false;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiaford/standin/bench/policy/EngineChoice.java
@@ -0,0 +1,11 @@
+package org.fuchsiaford.standin.bench.policy;
+
+import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.bundle.BackendKind;
+import org.fuchsiaford.placement.PlacementRequest;
+
+/** Chooses an engine for a request. Implementations are not thread-safe. */
+interface EngineChoice {
+    BackendServerId choose(
+            PlacementRequest request, BackendKind kind, EngineLoads loads, long nowNanos);
+}
