--- a/core/src/main/java/org/fuchsiaford/placement/DecodeEngine.java
+++ b/core/src/main/java/org/fuchsiaford/placement/DecodeEngine.java
@@ -5,18 +5,22 @@
 import org.fuchsiaford.request.RequestId;
 
 /**
- * A keeper's view of an engine that decodes: the seats and pieces it holds for placed requests, and
- * what the engine reports beyond them.
+ * A keeper's view of an engine that decodes: the seats and pieces it holds for placed requests, the
+ * transfers to come, and what the engine reports beyond them.
  *
  * <p>Invariant: the seats and pieces held here never exceed what the engine has. Not thread-safe.
  */
 final class DecodeEngine {
     private final EngineSpec mSpec;
     private final EngineHealth mHealth = new EngineHealth();
-    private final Map<RequestId, Integer> mHeldPieces = new HashMap<>();
+    private final Map<RequestId, Hold> mHolds = new HashMap<>();
     private int mPiecesInUse;
+    private long mPendingTransferNanos;
     private int mForeignSeats;
 
+    /** What a request holds; its transfer is pending until its first token. */
+    private record Hold(int pieces, long transferNanos) {}
+
     DecodeEngine(EngineSpec spec) {
         mSpec = spec;
     }
@@ -31,26 +35,39 @@
 
     int freeSeats(long nowNanos) {
         int usable = (int) Math.floor(mSpec.seats() * mHealth.usablePart(nowNanos));
-        return usable - mHeldPieces.size() - mForeignSeats;
-    }
-
-    int heldSeats() {
-        return mHeldPieces.size() + mForeignSeats;
+        return usable - mHolds.size() - mForeignSeats;
     }
 
     boolean fits(int pieces, long nowNanos) {
         return freeSeats(nowNanos) > 0 && mPiecesInUse + pieces <= mSpec.pieces();
     }
 
-    void hold(RequestId request, int pieces) {
-        mHeldPieces.put(request, pieces);
+    /** Returns the time that the link needs for the transfers of requests without a first token. */
+    long pendingTransferNanos() {
+        return mPendingTransferNanos;
+    }
+
+    void hold(RequestId request, int pieces, long transferNanos) {
+        mHolds.put(request, new Hold(pieces, transferNanos));
         mPiecesInUse += pieces;
+        mPendingTransferNanos += transferNanos;
+    }
+
+    /** Notes that a request's transfer is over. */
+    void transferred(RequestId request) {
+        mHolds.computeIfPresent(
+                request,
+                (id, hold) -> {
+                    mPendingTransferNanos -= hold.transferNanos();
+                    return new Hold(hold.pieces(), 0);
+                });
     }
 
     void release(RequestId request) {
-        Integer pieces = mHeldPieces.remove(request);
-        if (pieces != null) {
-            mPiecesInUse -= pieces;
+        transferred(request);
+        Hold hold = mHolds.remove(request);
+        if (hold != null) {
+            mPiecesInUse -= hold.pieces();
         }
     }
 
@@ -60,6 +77,6 @@
      */
     void report(EngineLoad load) {
         int reported = load.running() + load.waiting();
-        mForeignSeats = Math.max(reported - mHeldPieces.size(), 0);
+        mForeignSeats = Math.max(reported - mHolds.size(), 0);
     }
 }
--- a/core/src/main/java/org/fuchsiaford/placement/FairQueue.java
+++ b/core/src/main/java/org/fuchsiaford/placement/FairQueue.java
@@ -12,7 +12,7 @@
 
 /**
  * Start-time fair queueing over workspaces, and earliest deadline first within one. Each workspace
- * has a virtual time that advances by cost over weight with each request served; the one with the
+ * has a virtual time that advances by tokens over weight with each request served; the one with the
  * lowest comes next. A workspace that was idle starts at the present virtual time, so it cannot
  * save up a share.
  *
@@ -28,6 +28,7 @@
         private double mVirtualTime;
         private long mWeight = 1;
         private long mCostNanos;
+        private long mTokens;
     }
 
     void add(QueuedRequest queued) {
@@ -39,6 +40,7 @@
         lane.mWeight = Math.max(request.weight(), 1);
         lane.mRequests.add(queued);
         lane.mCostNanos += queued.costNanos();
+        lane.mTokens += queued.tokens();
     }
 
     /** Returns the heads of all lanes, in the order in which they should be served. */
@@ -57,7 +59,7 @@
         Lane lane = mLanes.get(queued.request().workspace());
         removeFrom(lane, queued);
         mVirtualTime = Math.max(mVirtualTime, lane.mVirtualTime);
-        lane.mVirtualTime += (double) queued.costNanos() / lane.mWeight;
+        lane.mVirtualTime += (double) queued.tokens() / lane.mWeight;
     }
 
     /** Takes a request out without charge. */
@@ -68,6 +70,7 @@
     private static void removeFrom(Lane lane, QueuedRequest queued) {
         if (lane.mRequests.remove(queued)) {
             lane.mCostNanos -= queued.costNanos();
+            lane.mTokens -= queued.tokens();
         }
     }
 
@@ -81,6 +84,15 @@
         return all;
     }
 
+    boolean isEmpty() {
+        return mLanes.values().stream().allMatch(lane -> lane.mRequests.isEmpty());
+    }
+
+    /** Returns the cost of all that waits, in nanoseconds of the pool. */
+    long totalCostNanos() {
+        return mLanes.values().stream().mapToLong(lane -> lane.mCostNanos).sum();
+    }
+
     /**
      * Returns the cost of what would be served before a new request, in nanoseconds of the pool.
      */
@@ -91,7 +103,8 @@
                 own == null || own.mRequests.isEmpty()
                         ? Math.max(own == null ? 0 : own.mVirtualTime, mVirtualTime)
                         : own.mVirtualTime;
-        double finish = ownStart + (double) ownCostNanos / Math.max(request.weight(), 1);
+        long ownTokens = own == null ? 0 : own.mTokens;
+        double finish = ownStart + (double) ownTokens / Math.max(request.weight(), 1);
         double others =
                 mLanes.values().stream()
                         .filter(lane -> lane != own && !lane.mRequests.isEmpty())
@@ -100,8 +113,9 @@
         return ownCostNanos + (long) others;
     }
 
+    /** The cost of what a lane has served until a virtual time, taken in proportion to tokens. */
     private static double costBefore(Lane lane, double virtualTime) {
-        double room = Math.max(virtualTime - lane.mVirtualTime, 0) * lane.mWeight;
-        return Math.min(lane.mCostNanos, room);
+        double roomTokens = Math.max(virtualTime - lane.mVirtualTime, 0) * lane.mWeight;
+        return lane.mCostNanos * Math.min(roomTokens / Math.max(lane.mTokens, 1), 1);
     }
 }
--- a/standin/src/main/java/org/fuchsiaford/standin/bench/PlacementBench.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/bench/PlacementBench.java
@@ -57,6 +57,7 @@
                         .withRequiredArg()
                         .ofType(Integer.class)
                         .defaultsTo(1);
+        OptionSpec<Void> detail = parser.accepts("detail", "show each workspace");
         OptionSpec<String> out = parser.accepts("out", "folder for CSV and plot").withRequiredArg();
         try {
             OptionSet options = parser.parse(args);
@@ -67,7 +68,7 @@
                                     options.valueOf(full),
                                     options.valueOf(seconds),
                                     options.valueOf(scale)));
-            System.out.print(table(rows));
+            System.out.print(table(rows, options.has(detail)));
             if (options.has(out)) {
                 write(Path.of(options.valueOf(out)), rows);
             }
@@ -142,7 +143,7 @@
         return rows;
     }
 
-    private static String table(List<Row> rows) {
+    private static String table(List<Row> rows, boolean detail) {
         String header =
                 String.format(
                         "%-14s %-20s %8s %8s %7s %7s %12s %9s %6s %8s %5s%n",
@@ -157,7 +158,9 @@
                         "msgs",
                         "decide",
                         "open");
-        return rows.stream().map(PlacementBench::line).collect(Collectors.joining("", header, ""));
+        return rows.stream()
+                .map(row -> line(row) + (detail ? row.result().detail() : ""))
+                .collect(Collectors.joining("", header, ""));
     }
 
     private static String line(Row row) {
