--- a/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
@@ -23,11 +23,14 @@
     private static final long PIPELINE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
     /** How long a request that misses its target may wait for slack. */
-    private static final long PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final long PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+    /** How often all waiting requests are looked at for deadlines; events in between only place. */
+    private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
 
     private static final long SILENCE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(5);
     private static final long SHORTEST_RETRY_MILLIS = 50;
-    private static final double SLACK_SEATS_PART = 0.15;
+    private static final double SLACK_SEATS_PART = 0.05;
     private static final double RESERVED_SEATS_PART = 0.1;
     private static final double OUTPUT_SMOOTHING = 0.05;
 
@@ -38,10 +41,12 @@
     private final Map<RequestId, Placement> mPlacements = new HashMap<>();
     private final List<PlacementDecision> mDecisions = new ArrayList<>();
     private double mUsedOutputPart = 1;
+    private long mNextSweepNanos;
 
     /** Creates a policy for the engines of a pool. */
     public PoolScheduler(ModelSpec model, List<EngineSpec> engines) {
         mEngines = new PoolEngines(model, engines);
+        mNextSweepNanos = Long.MIN_VALUE / 2;
     }
 
     @Override
@@ -121,22 +126,29 @@
 
     @Override
     public List<PlacementDecision> decide(long nowNanos) {
-        forgetSilent(nowNanos);
-        postponeLate(nowNanos);
-        while (placeNext(mPrompt, nowNanos)) {
+        if (nowNanos - mNextSweepNanos >= 0) {
+            mNextSweepNanos = nowNanos + SWEEP_NANOS;
+            forgetSilent(nowNanos);
             postponeLate(nowNanos);
-        }
-        refuseImpatient(nowNanos);
-        while (mPrompt.isEmpty()
-                && mEngines.hasSlack(SLACK_SEATS_PART, nowNanos)
-                && placeNext(mLate, nowNanos)) {
             refuseImpatient(nowNanos);
         }
+        placeAll(nowNanos);
         List<PlacementDecision> decisions = List.copyOf(mDecisions);
         mDecisions.clear();
         return decisions;
     }
 
+    private void placeAll(long nowNanos) {
+        boolean placed = true;
+        while (placed) {
+            placed = placeNext(mPrompt, nowNanos);
+        }
+        placed = mPrompt.isEmpty();
+        while (placed) {
+            placed = mEngines.hasSlack(SLACK_SEATS_PART, nowNanos) && placeNext(mLate, nowNanos);
+        }
+    }
+
     /** Returns how many requests wait. */
     public int queued() {
         return mPrompt.all().size() + mLate.all().size();
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaford/host/PanelTableTest.java
@@ -0,0 +1,55 @@
+package org.fuchsiaford.host;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.fuchsiaford.bundle.EntrySlot;
+import org.fuchsiaford.bundle.FailureDomainId;
+
+/** Panels: who promises whom. */
+class PanelTableTest {
+    private static List<EntrySlot> slots(int count, int domains) {
+        return IntStream.range(0, count)
+                .mapToObj(
+                        i ->
+                                new EntrySlot(
+                                        new SlotId("s" + i),
+                                        new FailureDomainId("d" + i % domains)))
+                .toList();
+    }
+
+    @Property(seed = "3", tries = 200)
+    void loseNoMajorityWithOneFailureDomain(
+            @ForAll @IntRange(min = 6, max = 40) int count,
+            @ForAll @IntRange(min = 3, max = 6) int domains) {
+        List<EntrySlot> slots = slots(count, domains);
+        PanelTable table = new PanelTable(slots);
+        IntStream.range(0, domains)
+                .mapToObj(d -> new FailureDomainId("d" + d))
+                .forEach(
+                        lost -> {
+                            Set<SlotId> left =
+                                    slots.stream()
+                                            .filter(slot -> !slot.failureDomain().equals(lost))
+                                            .map(EntrySlot::id)
+                                            .collect(Collectors.toSet());
+                            assertThat(table.panels()).allMatch(p -> p.hasMajority(left));
+                        });
+    }
+
+    @Property(seed = "4", tries = 50)
+    void dependOnNothingButTheSlots(@ForAll @IntRange(min = 1, max = 40) int count) {
+        List<EntrySlot> slots = slots(count, 3);
+        List<EntrySlot> shuffled = new java.util.ArrayList<>(slots);
+        java.util.Collections.shuffle(shuffled, new java.util.Random(count));
+        PanelTable table = new PanelTable(slots);
+        assertThat(new PanelTable(shuffled).panels())
+                .containsExactlyInAnyOrderElementsOf(table.panels());
+    }
+}
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FleetScenarioTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FleetScenarioTest.java
@@ -16,6 +16,8 @@
 import org.fuchsiaford.host.PanelTable;
 import org.fuchsiaford.host.SlotId;
 import org.fuchsiaford.host.SlotRecord;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.workspace.GrantId;
 import org.fuchsiaford.workspace.KeyHash;
 
 /** Named faults against bundles, slots and leases, in virtual time. */
@@ -256,6 +258,10 @@
                 assertThat(fleet.servingHolders(slot)).hasSizeLessThanOrEqualTo(1);
             }
             assertThat(fleet.servingHolders(slot)).as("the spare holds it").hasSize(1);
+            PeerMessage ask = new PeerMessage.Acquire(FakeFleet.WORKSPACE, new GrantId("late"), 1);
+            assertThat(old.handle(ask).block())
+                    .as("a superseded home gives no tokens")
+                    .isEqualTo(new PeerMessage.Granted(0));
             assertThat(fleet.servingHolders(slot)).doesNotContain(old);
         }
     }
