Prove answers under real kills, freezes and silent connections

Found by the process tests: taking the first answer of a keeper cancelled the call, and the cancellation withdrew the request that had just been placed, so the keeper held nothing for it (three refusals of one engine in a row went to the same engine). Only an undecided request is withdrawn now. A server that just failed was chosen again, or all were shut out at once; now untried ones come first. An engine that refuses is avoided for a while.

--- a/cli/src/main/java/org/fuchsiaford/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiaford/cli/Main.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.cli;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -11,40 +12,42 @@
 
 /** The operators' program. Exit codes are those of {@link ExitCode}. */
 public final class Main {
-    private static final List<Command> COMMANDS =
-            List.of(
-                    new CheckCommand(),
-                    new SignCommand(),
-                    new RollCommand(),
-                    new RollbackCommand(),
-                    new StatusCommand(),
-                    new KeysCommand(),
-                    new LoadCommand());
-
     private Main() {}
 
     /** Runs the command that the first argument names. */
     public static void main(String[] args) throws IOException {
         System.setProperty("java.util.logging.manager", "org.jboss.logmanager.LogManager");
         java.util.logging.Logger.getLogger("").setLevel(java.util.logging.Level.SEVERE);
-        System.exit(run(args).code());
+        System.exit(run(args, System.out).code());
+    }
+
+    private static List<Command> commands() {
+        return List.of(
+                new CheckCommand(),
+                new SignCommand(),
+                new RollCommand(),
+                new RollbackCommand(),
+                new StatusCommand(),
+                new KeysCommand(),
+                new LoadCommand());
     }
 
     /** Runs a command and returns its exit code. */
-    static ExitCode run(String[] args) throws IOException {
+    static ExitCode run(String[] args, PrintStream out) throws IOException {
         Optional<Command> command =
-                COMMANDS.stream()
+                commands().stream()
                         .filter(c -> args.length > 0 && c.name().equals(args[0]))
                         .findFirst();
         if (command.isEmpty()) {
-            showHelp();
+            showHelp(out);
             boolean asked = args.length > 0 && args[0].equals("--help");
             return asked ? ExitCode.OK : ExitCode.USAGE;
         }
-        return run(command.get(), Arrays.copyOfRange(args, 1, args.length));
+        return run(command.get(), Arrays.copyOfRange(args, 1, args.length), out);
     }
 
-    private static ExitCode run(Command command, String[] args) throws IOException {
+    private static ExitCode run(Command command, String[] args, PrintStream out)
+            throws IOException {
         OptionParser parser = new OptionParser();
         OptionSpec<Void> help = parser.accepts("help", "show this help").forHelp();
         OptionSpec<Void> json = parser.accepts("json", "print JSON, one object a line");
@@ -52,12 +55,12 @@
         try {
             OptionSet options = parser.parse(args);
             if (options.has(help)) {
-                System.out.println(command.summary());
-                parser.printHelpOn(System.out);
-                showExitCodes();
+                out.println(command.summary());
+                parser.printHelpOn(out);
+                showExitCodes(out);
                 return ExitCode.OK;
             }
-            command.run(options, new Output(System.out, options.has(json)));
+            command.run(options, new Output(out, options.has(json)));
             return ExitCode.OK;
         } catch (OptionException e) {
             System.err.println(e.getMessage());
@@ -69,15 +72,15 @@
         }
     }
 
-    private static void showHelp() {
-        System.out.println("fuchsiaford COMMAND [OPTIONS]; COMMAND --help shows the options");
-        COMMANDS.forEach(c -> System.out.printf("  %-9s %s%n", c.name(), c.summary()));
-        showExitCodes();
+    private static void showHelp(PrintStream out) {
+        out.println("fuchsiaford COMMAND [OPTIONS]; COMMAND --help shows the options");
+        commands().forEach(c -> out.printf("  %-9s %s%n", c.name(), c.summary()));
+        showExitCodes(out);
     }
 
-    private static void showExitCodes() {
-        System.out.println("exit codes:");
+    private static void showExitCodes(PrintStream out) {
+        out.println("exit codes:");
         Arrays.stream(ExitCode.values())
-                .forEach(code -> System.out.printf("  %d  %s%n", code.code(), code.meaning()));
+                .forEach(code -> out.printf("  %d  %s%n", code.code(), code.meaning()));
     }
 }
--- /dev/null
+++ b/cli/src/test/java/org/fuchsiaford/cli/ProcessFaultsIT.java
@@ -0,0 +1,329 @@
+package org.fuchsiaford.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterContainer;
+import net.jqwik.api.lifecycle.AfterProperty;
+import net.jqwik.api.lifecycle.BeforeContainer;
+import org.fuchsiaford.standin.FaultMode;
+
+/** Real kills, freezes and silent connections against real processes. */
+class ProcessFaultsIT {
+    private static ProcessFleet sFleet;
+
+    @BeforeContainer
+    static void start() throws IOException {
+        sFleet = new ProcessFleet();
+    }
+
+    @AfterContainer
+    static void stop() {
+        sFleet.close();
+    }
+
+    @AfterProperty
+    void repair() {
+        sFleet.services.forEach(service -> service.setFault(FaultMode.NONE));
+        sFleet.services.forEach(service -> service.setDelay(java.time.Duration.ZERO));
+        Stream.concat(sFleet.prefill.stream(), sFleet.decode.stream())
+                .forEach(
+                        engine -> {
+                            engine.setFault(FaultMode.NONE);
+                            engine.breakAfterTokens(Integer.MAX_VALUE);
+                        });
+        IntStream.range(0, 3).filter(i -> !sFleet.host(i).isAlive()).forEach(sFleet::startHost);
+        ProcessFleet.await(() -> IntStream.range(0, 3).allMatch(sFleet::servesWithSlot));
+        ProcessFleet.await(() -> sFleet.heldPieces() == 0);
+    }
+
+    private static HttpResponse<String> order(int host, String idempotencyKey) {
+        return sFleet.call(
+                host,
+                "POST",
+                "/orders",
+                ProcessFleet.ORDER_KEY,
+                "{}",
+                "Idempotency-Key",
+                idempotencyKey);
+    }
+
+    private static void checkRunsOnce(FaultMode fault, String key) {
+        int before = sFleet.executions();
+        sFleet.services.forEach(service -> service.setFault(fault));
+        HttpResponse<String> first = order(0, key);
+        assertThat(first.statusCode()).isEqualTo(502);
+        assertThat(first.body()).contains("\"run\":\"unknown\"");
+        sFleet.services.forEach(service -> service.setFault(FaultMode.NONE));
+        HttpResponse<String> repeat = order(1, key);
+        assertThat(repeat.statusCode()).isEqualTo(409);
+        assertThat(repeat.body()).contains("\"run\":\"unknown\"");
+        assertThat(sFleet.executions() - before).isLessThanOrEqualTo(1);
+    }
+
+    @Example
+    void orderWithBrokenAnswerRunsOnce() {
+        checkRunsOnce(FaultMode.BREAK_ANSWERS, "broken-answer");
+    }
+
+    @Example
+    void orderWithLostAnswerRunsOnce() {
+        checkRunsOnce(FaultMode.LOSE_REPLIES, "lost-answer");
+    }
+
+    @Example
+    void orderOnSilentServiceRunsOnce() {
+        checkRunsOnce(FaultMode.SILENT, "silent");
+    }
+
+    @Example
+    void orderWithoutIdempotencyKeyIsNotRepeatedByTheRouter() {
+        int before = sFleet.executions();
+        sFleet.services.forEach(service -> service.setFault(FaultMode.BREAK_ANSWERS));
+        HttpResponse<String> answer =
+                sFleet.call(0, "POST", "/orders", ProcessFleet.ORDER_KEY, "{}");
+        assertThat(answer.body()).contains("\"run\":\"unknown\"");
+        assertThat(answer.headers().firstValue("Retry-After")).isEmpty();
+        assertThat(sFleet.executions() - before).isEqualTo(1);
+    }
+
+    @Example
+    void lookUpIsRepeatedUntilItSucceeds() {
+        sFleet.services.get(0).setFault(FaultMode.BREAK_ANSWERS);
+        List<Integer> statuses =
+                IntStream.range(0, 10)
+                        .map(
+                                i ->
+                                        sFleet.call(
+                                                        0,
+                                                        "GET",
+                                                        "/order-status/1",
+                                                        ProcessFleet.ORDER_KEY,
+                                                        "")
+                                                .statusCode())
+                        .boxed()
+                        .toList();
+        assertThat(statuses).containsOnly(200);
+    }
+
+    @Example
+    void orderInFlightWhenItsHostIsKilledRunsOnce() {
+        int before = sFleet.executions();
+        sFleet.services.forEach(s -> s.setDelay(java.time.Duration.ofSeconds(3)));
+        CompletableFuture<HttpResponse<String>> answer =
+                sFleet.callLater(
+                        2,
+                        "POST",
+                        "/orders",
+                        ProcessFleet.ORDER_KEY,
+                        "{}",
+                        "Idempotency-Key",
+                        "killed-host");
+        ProcessFleet.await(() -> sFleet.executions() == before + 1);
+        sFleet.host(2).destroyForcibly();
+        assertThat(answer.handle((response, e) -> e).join()).isNotNull();
+        HttpResponse<String> repeat = order(0, "killed-host");
+        assertThat(repeat.statusCode()).isEqualTo(409);
+        assertThat(repeat.body()).contains("\"run\":\"unknown\"");
+        assertThat(sFleet.executions() - before).isEqualTo(1);
+    }
+
+    @Example
+    void guardedOrderInStoreOutageIsRefusedAndNotRun() {
+        int before = sFleet.executions();
+        sFleet.store.setFault(FaultMode.DOWN);
+        HttpResponse<String> answer = order(0, "outage");
+        HttpResponse<String> lookUp =
+                sFleet.call(0, "GET", "/order-status/1", ProcessFleet.ORDER_KEY, "");
+        sFleet.store.setFault(FaultMode.NONE);
+        assertThat(answer.statusCode()).isEqualTo(503);
+        assertThat(answer.body()).contains("\"run\":\"not-run\"");
+        assertThat(lookUp.statusCode()).as("other work goes on").isEqualTo(200);
+        assertThat(sFleet.executions() - before).isEqualTo(1);
+        assertThat(order(1, "outage").statusCode()).isEqualTo(200);
+    }
+
+    @Example
+    void backEndsSeeNoKeyAndLogsShowNeitherKeyNorPrompt() throws IOException {
+        sFleet.call(
+                0,
+                "GET",
+                "/order-status/1",
+                ProcessFleet.ORDER_KEY,
+                "",
+                "X-Debug",
+                "key=" + ProcessFleet.ORDER_KEY);
+        sFleet.call(0, "POST", "/v1/completions", ProcessFleet.KEY, sFleet.completion(2, false));
+        String seen =
+                sFleet.services.toString()
+                        + sFleet.services.stream().flatMap(s -> s.seen().stream()).toList()
+                        + sFleet.prefill.stream().flatMap(e -> e.seen().stream()).toList()
+                        + sFleet.decode.stream().flatMap(e -> e.seen().stream()).toList();
+        assertThat(seen).contains("Secret subscriber history").doesNotContain("example-key");
+        assertThat(sFleet.logs())
+                .doesNotContain("example-key")
+                .doesNotContain("Secret subscriber history");
+    }
+
+    private static String text(HttpResponse<String> stream) {
+        return stream.body()
+                .lines()
+                .filter(line -> line.startsWith("data: {"))
+                .map(line -> line.replaceAll(".*\"text\":\"([^\"]*)\".*", "$1"))
+                .reduce("", String::concat);
+    }
+
+    @Example
+    void brokenStreamGoesOnWhereItBrokeOff() {
+        String body = sFleet.completion(8, true);
+        HttpResponse<String> whole =
+                sFleet.call(0, "POST", "/v1/completions", ProcessFleet.KEY, body);
+        sFleet.decode.forEach(engine -> engine.breakAfterTokens(3));
+        HttpResponse<String> resumed =
+                sFleet.call(0, "POST", "/v1/completions", ProcessFleet.KEY, body);
+        assertThat(text(resumed)).isEqualTo(text(whole)).hasSize(8 * 4);
+        assertThat(resumed.body()).endsWith("data: [DONE]\n\n");
+    }
+
+    @Example
+    void streamThatCannotGoOnEndsWithAnErrorAndWithoutEndMark() {
+        sFleet.decode.forEach(engine -> engine.breakAfterTokens(1));
+        HttpResponse<String> answer =
+                sFleet.call(
+                        0,
+                        "POST",
+                        "/v1/completions",
+                        ProcessFleet.KEY,
+                        sFleet.completion(40, true));
+        assertThat(answer.body()).contains("event: error").doesNotContain("[DONE]");
+    }
+
+    @Example
+    void cancelledCallerHoldsNoEngineMemory() {
+        CompletableFuture<HttpResponse<String>> answer =
+                sFleet.callLater(
+                        0,
+                        "POST",
+                        "/v1/completions",
+                        ProcessFleet.KEY,
+                        sFleet.completion(2_000, true));
+        ProcessFleet.await(() -> sFleet.heldPieces() > 0);
+        answer.cancel(true);
+        ProcessFleet.await(() -> sFleet.heldPieces() == 0);
+    }
+
+    @Example
+    void killedHostHoldsNoEngineMemory() {
+        sFleet.callLater(
+                1, "POST", "/v1/completions", ProcessFleet.KEY, sFleet.completion(2_000, true));
+        ProcessFleet.await(() -> sFleet.heldPieces() > 0);
+        sFleet.host(1).destroyForcibly();
+        ProcessFleet.await(() -> sFleet.heldPieces() == 0);
+    }
+
+    @Example
+    void silentPrefillEngineIsPassedOver() {
+        sFleet.prefill.get(0).setFault(FaultMode.DOWN);
+        List<Integer> statuses =
+                IntStream.range(0, 6)
+                        .map(
+                                i ->
+                                        sFleet.call(
+                                                        i % 3,
+                                                        "POST",
+                                                        "/v1/completions",
+                                                        ProcessFleet.KEY,
+                                                        sFleet.completion(2, false))
+                                                .statusCode())
+                        .boxed()
+                        .toList();
+        assertThat(statuses).containsOnly(200);
+    }
+
+    @Example
+    void gracefulShutdownCutsNoRequest() {
+        List<CompletableFuture<HttpResponse<String>>> answers =
+                IntStream.range(0, 12)
+                        .mapToObj(
+                                i ->
+                                        sFleet.callLater(
+                                                2,
+                                                "POST",
+                                                "/v1/completions",
+                                                ProcessFleet.KEY,
+                                                sFleet.completion(100, true)))
+                        .toList();
+        ProcessFleet.await(() -> sFleet.status(2).path("inFlight").asInt() == 12);
+        sFleet.host(2).destroy();
+        answers.forEach(answer -> assertThat(answer.join().body()).endsWith("data: [DONE]\n\n"));
+        assertThat(sFleet.host(2).onExit().join().exitValue()).isEqualTo(143);
+    }
+
+    @Example
+    void frozenHostThatResumesDoesNotAcceptAWithdrawnKey()
+            throws IOException, InterruptedException {
+        sFleet.signal(1, "STOP");
+        String bundle = sFleet.bundle(2).replaceAll(".*example-key-storefront-next.*\n", "");
+        String output = sFleet.roll(2, bundle);
+        sFleet.signal(1, "CONT");
+        HttpResponse<String> answer =
+                sFleet.call(1, "GET", "/order-status/1", ProcessFleet.WITHDRAWN_KEY, "");
+        assertThat(output).contains("accepted");
+        assertThat(answer.statusCode()).isIn(401, 503);
+        assertThat(answer.body()).contains("\"run\":\"not-run\"");
+    }
+
+    @Example
+    void leavingServerGetsNothingNew() {
+        sFleet.hostList.setState("127.0.0.1:" + sFleet.port("9201"), "leaving");
+        ProcessFleet.pause(3_000);
+        int before = sFleet.services.get(0).seen().size();
+        IntStream.range(0, 30)
+                .forEach(
+                        i ->
+                                sFleet.call(
+                                        i % 3,
+                                        "GET",
+                                        "/order-status/1",
+                                        ProcessFleet.ORDER_KEY,
+                                        ""));
+        sFleet.hostList.setState("127.0.0.1:" + sFleet.port("9201"), "live");
+        assertThat(sFleet.services.get(0).seen()).hasSize(before);
+    }
+
+    @Example
+    void badRequestsGetClearRefusals() {
+        assertThat(post("{", ProcessFleet.KEY).statusCode()).isEqualTo(400);
+        assertThat(post("{\"model\":\"none\",\"prompt\":\"x\"}", ProcessFleet.KEY).statusCode())
+                .isEqualTo(404);
+        assertThat(post(sFleet.completion(1, false), "").statusCode()).isEqualTo(401);
+        assertThat(post(" ".repeat(5_000_000), ProcessFleet.KEY).statusCode()).isEqualTo(413);
+        assertThat(sFleet.call(0, "GET", "/nowhere", ProcessFleet.KEY, "").statusCode())
+                .isEqualTo(404);
+        assertThat(sFleet.call(0, "DELETE", "/orders", ProcessFleet.ORDER_KEY, "").statusCode())
+                .isEqualTo(405);
+        assertThat(sFleet.call(0, "POST", "/orders", ProcessFleet.KEY, "").statusCode())
+                .isEqualTo(403);
+        assertThat(
+                        sFleet.call(
+                                        0,
+                                        "GET",
+                                        "/order-status/1",
+                                        ProcessFleet.ORDER_KEY,
+                                        "",
+                                        "X-Long",
+                                        "x".repeat(20_000))
+                                .statusCode())
+                .isIn(413, 431);
+    }
+
+    private static HttpResponse<String> post(String body, String key) {
+        return sFleet.call(0, "POST", "/v1/completions", key, body);
+    }
+}
--- a/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.placement;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,8 +23,13 @@
     /** How much work an engine may have ahead when it gets the next, to bridge message delays. */
     private static final long PIPELINE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
+    /**
+     * The longest that a request waits for its decision beyond the time it needs on idle engines.
+     */
+    public static final Duration LONGEST_WAIT = Duration.ofMillis(2_500);
+
     /** How long a request that misses its target may wait for slack. */
-    private static final long PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+    private static final long PATIENCE_NANOS = LONGEST_WAIT.toNanos();
 
     /** How often all waiting requests are looked at for deadlines; events in between only place. */
     private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
@@ -112,7 +118,8 @@
             }
             case FINISHED -> learnOutput(placement.request(), event.outputTokens());
             case ENGINE_FAILED -> mEngines.fail(event.engine(), nowNanos);
-            case RUNNING, CANCELLED, ENGINE_REFUSED -> {}
+            case ENGINE_REFUSED -> mEngines.avoid(event.engine(), nowNanos);
+            case RUNNING, CANCELLED -> {}
         }
         if (event.isFinal()) {
             release(event.request(), nowNanos);
--- a/core/src/test/java/org/fuchsiaford/placement/PoolSchedulerTest.java
+++ b/core/src/test/java/org/fuchsiaford/placement/PoolSchedulerTest.java
@@ -138,6 +138,18 @@
         scheduler.record(new PlacementEvent(id, Kind.FINISHED, decision.decode(), 10), now);
     }
 
+    @Example
+    void engineThatRefusesIsPassedOver() {
+        PoolScheduler scheduler = new PoolScheduler(MODEL, engines());
+        scheduler.submit(request("r1", 100), 0);
+        PlacementDecision first = scheduler.decide(0).get(0);
+        scheduler.record(
+                new PlacementEvent(first.request(), Kind.ENGINE_REFUSED, first.prefill(), 0),
+                10 * MILLI);
+        scheduler.submit(request("r1", 100), 11 * MILLI);
+        assertThat(scheduler.decide(11 * MILLI).get(0).prefill()).isNotEqualTo(first.prefill());
+    }
+
     @Example
     void evictionReportedByTheEngineEndsTheEstimate() {
         PrefixEstimate estimate = new PrefixEstimate(10);
--- a/entry/src/main/java/org/fuchsiaford/entry/keeper/PlacementClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/keeper/PlacementClient.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.fuchsiaford.backend.PoolId;
 import org.fuchsiaford.entry.member.HeldSlot;
 import org.fuchsiaford.entry.member.Membership;
@@ -15,6 +16,7 @@
 import org.fuchsiaford.placement.PlacementDecision;
 import org.fuchsiaford.placement.PlacementEvent;
 import org.fuchsiaford.placement.PlacementRequest;
+import org.fuchsiaford.placement.PoolScheduler;
 import org.fuchsiaford.request.RequestId;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -58,7 +60,7 @@
 
     /** Asks the keeper of a pool for engines; empty if no keeper answers. */
     public Mono<Placed> place(PoolId pool, PlacementRequest request) {
-        Duration timeout = Duration.ofMillis(request.firstTokenMillis()).plus(ANSWER_MARGIN);
+        Duration timeout = PoolScheduler.LONGEST_WAIT.plus(ANSWER_MARGIN);
         return Flux.fromIterable(keepers(pool))
                 .concatMap(keeper -> place(keeper, pool, request, timeout), 1)
                 .next();
@@ -83,13 +85,17 @@
 
     private Mono<Placed> place(
             Optional<PeerAddress> keeper, PoolId pool, PlacementRequest request, Duration timeout) {
+        // Whoever takes the first answer cancels right after it; only an undecided request is
+        // withdrawn then.
+        AtomicBoolean decided = new AtomicBoolean();
         return call(
                         keeper,
                         new PeerMessage.Place(pool, request),
                         PeerMessage.Decided.class,
                         timeout)
-                .map(decided -> new Placed(pool, keeper.orElse(null), decided.decision()))
-                .doOnCancel(() -> withdraw(keeper, pool, request.request()))
+                .doOnNext(answer -> decided.set(true))
+                .map(answer -> new Placed(pool, keeper.orElse(null), answer.decision()))
+                .doOnCancel(() -> withdrawUnless(decided, keeper, pool, request.request()))
                 .onErrorResume(
                         e -> {
                             withdraw(keeper, pool, request.request());
@@ -97,6 +103,13 @@
                         });
     }
 
+    private void withdrawUnless(
+            AtomicBoolean decided, Optional<PeerAddress> keeper, PoolId pool, RequestId request) {
+        if (!decided.get()) {
+            withdraw(keeper, pool, request);
+        }
+    }
+
     private void withdraw(Optional<PeerAddress> keeper, PoolId pool, RequestId request) {
         tell(keeper, new PeerMessage.Withdraw(pool, request));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/keeper/PoolKeeper.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/keeper/PoolKeeper.java
@@ -72,7 +72,17 @@
             mScheduler.submit(request, mLastUseNanos);
         }
         decide();
-        return sink.asMono().doOnCancel(() -> withdraw(request.request()));
+        return sink.asMono().doOnCancel(() -> withdrawWaiting(request.request()));
+    }
+
+    private void withdrawWaiting(RequestId request) {
+        boolean waiting;
+        synchronized (this) {
+            waiting = mWaiting.containsKey(request);
+        }
+        if (waiting) {
+            withdraw(request);
+        }
     }
 
     void withdraw(RequestId request) {
--- a/entry/src/main/java/org/fuchsiaford/entry/service/ServiceRouter.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/service/ServiceRouter.java
@@ -1,8 +1,12 @@
 package org.fuchsiaford.entry.service;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServerAvailability;
 import org.fuchsiaford.bundle.BackendServer;
 import org.fuchsiaford.bundle.BundleIndex;
@@ -49,16 +53,44 @@
 
     /** Returns the service's answer; fails with {@link RefusalException}. */
     public Mono<ServiceAnswer> route(ServiceCall call, RequestLife life, BundleIndex index) {
+        return route(call, life, index, Set.of());
+    }
+
+    private Mono<ServiceAnswer> route(
+            ServiceCall call, RequestLife life, BundleIndex index, Set<BackendServerId> tried) {
         List<BackendServer> servers =
                 index.servers(call.route().service()).stream()
-                        .filter(s -> mAvailability.isAvailable(s.id(), mTicker.nowNanos()))
+                        .filter(server -> !mAvailability.isLeaving(server.id()))
                         .toList();
         if (servers.isEmpty()) {
             return Mono.error(noServer(life));
         }
-        int chosen = ThreadLocalRandom.current().nextInt(servers.size());
-        return attempt(call, life, servers.get(chosen))
-                .onErrorResume(BackendException.class, e -> retry(call, life, index, e));
+        BackendServer server = choose(servers, tried);
+        return attempt(call, life, server)
+                .onErrorResume(
+                        BackendException.class,
+                        e -> retry(call, life, index, withServer(tried, server), e));
+    }
+
+    /** A server that is neither tried nor known to fail, else one that is not tried, else any. */
+    private BackendServer choose(List<BackendServer> servers, Set<BackendServerId> tried) {
+        List<BackendServer> fresh = servers.stream().filter(s -> !tried.contains(s.id())).toList();
+        List<BackendServer> good =
+                fresh.stream()
+                        .filter(s -> mAvailability.isAvailable(s.id(), mTicker.nowNanos()))
+                        .toList();
+        return Stream.of(good, fresh, servers)
+                .filter(list -> !list.isEmpty())
+                .findFirst()
+                .map(list -> list.get(ThreadLocalRandom.current().nextInt(list.size())))
+                .orElseThrow();
+    }
+
+    private static Set<BackendServerId> withServer(
+            Set<BackendServerId> tried, BackendServer server) {
+        Set<BackendServerId> all = new HashSet<>(tried);
+        all.add(server.id());
+        return all;
     }
 
     private Mono<ServiceAnswer> attempt(ServiceCall call, RequestLife life, BackendServer server) {
@@ -69,10 +101,14 @@
     }
 
     private Mono<ServiceAnswer> retry(
-            ServiceCall call, RequestLife life, BundleIndex index, BackendException error) {
+            ServiceCall call,
+            RequestLife life,
+            BundleIndex index,
+            Set<BackendServerId> tried,
+            BackendException error) {
         LOG.infof("request %s: %s", call.id(), error.getMessage());
         if (life.retry(mTicker.nowNanos())) {
-            return route(call, life, index);
+            return route(call, life, index, tried);
         }
         return Mono.error(
                 new RefusalException(
