Pass tokens on from the fullest home slot

Cause of refusals inside the rate: one home ran over while another was drained, and tokens under way count against the burst for a second. Change: answers carry the bucket's level and the fullest is asked first; grants are spent within 200 ms instead of 1 s.

--- a/cli/src/test/java/org/fuchsiaford/cli/ProcessFaultsIT.java
+++ b/cli/src/test/java/org/fuchsiaford/cli/ProcessFaultsIT.java
@@ -30,9 +30,9 @@
 
     @AfterProperty
     void repair() {
-        sFleet.services.forEach(service -> service.setFault(FaultMode.NONE));
-        sFleet.services.forEach(service -> service.setDelay(java.time.Duration.ZERO));
-        Stream.concat(sFleet.prefill.stream(), sFleet.decode.stream())
+        sFleet.services().forEach(service -> service.setFault(FaultMode.NONE));
+        sFleet.services().forEach(service -> service.setDelay(java.time.Duration.ZERO));
+        Stream.concat(sFleet.prefill().stream(), sFleet.decode().stream())
                 .forEach(
                         engine -> {
                             engine.setFault(FaultMode.NONE);
@@ -56,11 +56,11 @@
 
     private static void checkRunsOnce(FaultMode fault, String key) {
         int before = sFleet.executions();
-        sFleet.services.forEach(service -> service.setFault(fault));
+        sFleet.services().forEach(service -> service.setFault(fault));
         HttpResponse<String> first = order(0, key);
         assertThat(first.statusCode()).isEqualTo(502);
         assertThat(first.body()).contains("\"run\":\"unknown\"");
-        sFleet.services.forEach(service -> service.setFault(FaultMode.NONE));
+        sFleet.services().forEach(service -> service.setFault(FaultMode.NONE));
         HttpResponse<String> repeat = order(1, key);
         assertThat(repeat.statusCode()).isEqualTo(409);
         assertThat(repeat.body()).contains("\"run\":\"unknown\"");
@@ -85,7 +85,7 @@
     @Example
     void orderWithoutIdempotencyKeyIsNotRepeatedByTheRouter() {
         int before = sFleet.executions();
-        sFleet.services.forEach(service -> service.setFault(FaultMode.BREAK_ANSWERS));
+        sFleet.services().forEach(service -> service.setFault(FaultMode.BREAK_ANSWERS));
         HttpResponse<String> answer =
                 sFleet.call(0, "POST", "/orders", ProcessFleet.ORDER_KEY, "{}");
         assertThat(answer.body()).contains("\"run\":\"unknown\"");
@@ -95,7 +95,7 @@
 
     @Example
     void lookUpIsRepeatedUntilItSucceeds() {
-        sFleet.services.get(0).setFault(FaultMode.BREAK_ANSWERS);
+        sFleet.services().get(0).setFault(FaultMode.BREAK_ANSWERS);
         List<Integer> statuses =
                 IntStream.range(0, 10)
                         .map(
@@ -115,7 +115,7 @@
     @Example
     void orderInFlightWhenItsHostIsKilledRunsOnce() {
         int before = sFleet.executions();
-        sFleet.services.forEach(s -> s.setDelay(java.time.Duration.ofSeconds(3)));
+        sFleet.services().forEach(s -> s.setDelay(java.time.Duration.ofSeconds(3)));
         CompletableFuture<HttpResponse<String>> answer =
                 sFleet.callLater(
                         2,
@@ -137,11 +137,11 @@
     @Example
     void guardedOrderInStoreOutageIsRefusedAndNotRun() {
         int before = sFleet.executions();
-        sFleet.store.setFault(FaultMode.DOWN);
+        sFleet.store().setFault(FaultMode.DOWN);
         HttpResponse<String> answer = order(0, "outage");
         HttpResponse<String> lookUp =
                 sFleet.call(0, "GET", "/order-status/1", ProcessFleet.ORDER_KEY, "");
-        sFleet.store.setFault(FaultMode.NONE);
+        sFleet.store().setFault(FaultMode.NONE);
         assertThat(answer.statusCode()).isEqualTo(503);
         assertThat(answer.body()).contains("\"run\":\"not-run\"");
         assertThat(lookUp.statusCode()).as("other work goes on").isEqualTo(200);
@@ -161,10 +161,10 @@
                 "key=" + ProcessFleet.ORDER_KEY);
         sFleet.call(0, "POST", "/v1/completions", ProcessFleet.KEY, sFleet.completion(2, false));
         String seen =
-                sFleet.services.toString()
-                        + sFleet.services.stream().flatMap(s -> s.seen().stream()).toList()
-                        + sFleet.prefill.stream().flatMap(e -> e.seen().stream()).toList()
-                        + sFleet.decode.stream().flatMap(e -> e.seen().stream()).toList();
+                sFleet.services().toString()
+                        + sFleet.services().stream().flatMap(s -> s.seen().stream()).toList()
+                        + sFleet.prefill().stream().flatMap(e -> e.seen().stream()).toList()
+                        + sFleet.decode().stream().flatMap(e -> e.seen().stream()).toList();
         assertThat(seen).contains("Secret subscriber history").doesNotContain("example-key");
         assertThat(sFleet.logs())
                 .doesNotContain("example-key")
@@ -184,7 +184,7 @@
         String body = sFleet.completion(8, true);
         HttpResponse<String> whole =
                 sFleet.call(0, "POST", "/v1/completions", ProcessFleet.KEY, body);
-        sFleet.decode.forEach(engine -> engine.breakAfterTokens(3));
+        sFleet.decode().forEach(engine -> engine.breakAfterTokens(3));
         HttpResponse<String> resumed =
                 sFleet.call(0, "POST", "/v1/completions", ProcessFleet.KEY, body);
         assertThat(text(resumed)).isEqualTo(text(whole)).hasSize(8 * 4);
@@ -193,7 +193,7 @@
 
     @Example
     void streamThatCannotGoOnEndsWithAnErrorAndWithoutEndMark() {
-        sFleet.decode.forEach(engine -> engine.breakAfterTokens(1));
+        sFleet.decode().forEach(engine -> engine.breakAfterTokens(1));
         HttpResponse<String> answer =
                 sFleet.call(
                         0,
@@ -229,7 +229,7 @@
 
     @Example
     void silentPrefillEngineIsPassedOver() {
-        sFleet.prefill.get(0).setFault(FaultMode.DOWN);
+        sFleet.prefill().get(0).setFault(FaultMode.DOWN);
         List<Integer> statuses =
                 IntStream.range(0, 6)
                         .map(
@@ -281,9 +281,9 @@
 
     @Example
     void leavingServerGetsNothingNew() {
-        sFleet.hostList.setState("127.0.0.1:" + sFleet.port("9201"), "leaving");
+        sFleet.hostList().setState("127.0.0.1:" + sFleet.port("9201"), "leaving");
         ProcessFleet.pause(3_000);
-        int before = sFleet.services.get(0).seen().size();
+        int before = sFleet.services().get(0).seen().size();
         IntStream.range(0, 30)
                 .forEach(
                         i ->
@@ -293,8 +293,8 @@
                                         "/order-status/1",
                                         ProcessFleet.ORDER_KEY,
                                         ""));
-        sFleet.hostList.setState("127.0.0.1:" + sFleet.port("9201"), "live");
-        assertThat(sFleet.services.get(0).seen()).hasSize(before);
+        sFleet.hostList().setState("127.0.0.1:" + sFleet.port("9201"), "live");
+        assertThat(sFleet.services().get(0).seen()).hasSize(before);
     }
 
     @Example
--- a/cli/src/test/java/org/fuchsiaford/cli/ProcessFleet.java
+++ b/cli/src/test/java/org/fuchsiaford/cli/ProcessFleet.java
@@ -50,27 +50,27 @@
     private final HttpClient mClient =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
-    final StoreStandin store = new StoreStandin();
-    final HostListStandin hostList = new HostListStandin();
-    final List<EngineStandin> prefill = new ArrayList<>();
-    final List<EngineStandin> decode = new ArrayList<>();
-    final List<ServiceStandin> services = new ArrayList<>();
+    private final StoreStandin mStore = new StoreStandin();
+    private final HostListStandin mHostList = new HostListStandin();
+    private final List<EngineStandin> mPrefill = new ArrayList<>();
+    private final List<EngineStandin> mDecode = new ArrayList<>();
+    private final List<ServiceStandin> mServices = new ArrayList<>();
 
     ProcessFleet() throws IOException {
         mFolder = Files.createTempDirectory("fleet");
-        mPorts.put("store", listen(store.start(0)));
-        mPorts.put("hostList", listen(hostList.start(0)));
+        mPorts.put("store", listen(mStore.start(0)));
+        mPorts.put("hostList", listen(mHostList.start(0)));
         for (int i = 0; i < 2; i++) {
-            prefill.add(new EngineStandin("prefill-" + (i + 1), EngineProfile.STANDARD));
-            decode.add(new EngineStandin("decode-" + (i + 3), EngineProfile.STANDARD));
-            services.add(new ServiceStandin("app-" + (i + 1)));
+            mPrefill.add(new EngineStandin("prefill-" + (i + 1), EngineProfile.STANDARD));
+            mDecode.add(new EngineStandin("decode-" + (i + 3), EngineProfile.STANDARD));
+            mServices.add(new ServiceStandin("app-" + (i + 1)));
         }
-        mPorts.put("9101", listen(prefill.get(0).start(0)));
-        mPorts.put("9102", listen(prefill.get(1).start(0)));
-        mPorts.put("9103", listen(decode.get(0).start(0)));
-        mPorts.put("9104", listen(decode.get(1).start(0)));
-        mPorts.put("9201", listen(services.get(0).start(0)));
-        mPorts.put("9202", listen(services.get(1).start(0)));
+        mPorts.put("9101", listen(mPrefill.get(0).start(0)));
+        mPorts.put("9102", listen(mPrefill.get(1).start(0)));
+        mPorts.put("9103", listen(mDecode.get(0).start(0)));
+        mPorts.put("9104", listen(mDecode.get(1).start(0)));
+        mPorts.put("9201", listen(mServices.get(0).start(0)));
+        mPorts.put("9202", listen(mServices.get(1).start(0)));
         String publicKey = run("keys", "signing", "--out", file("key").toString()).trim();
         writeSettings(publicKey);
         roll(1, bundle(1));
@@ -79,6 +79,26 @@
         await(() -> call(0, "GET", "/order-status/1", ORDER_KEY, "").statusCode() == 200);
     }
 
+    StoreStandin store() {
+        return mStore;
+    }
+
+    HostListStandin hostList() {
+        return mHostList;
+    }
+
+    List<EngineStandin> prefill() {
+        return mPrefill;
+    }
+
+    List<EngineStandin> decode() {
+        return mDecode;
+    }
+
+    List<ServiceStandin> services() {
+        return mServices;
+    }
+
     private int listen(DisposableServer server) {
         mServers.add(server);
         return server.port();
@@ -237,12 +257,12 @@
     }
 
     int executions() {
-        return services.stream().mapToInt(service -> service.seen().size()).sum();
+        return mServices.stream().mapToInt(service -> service.seen().size()).sum();
     }
 
     int heldPieces() {
-        return prefill.stream().mapToInt(EngineStandin::heldPieces).sum()
-                + decode.stream().mapToInt(EngineStandin::heldPieces).sum();
+        return mPrefill.stream().mapToInt(EngineStandin::heldPieces).sum()
+                + mDecode.stream().mapToInt(EngineStandin::heldPieces).sum();
     }
 
     String roll(int version, String bundle) throws IOException {
--- a/core/src/main/java/org/fuchsiaford/workspace/HomeLedger.java
+++ b/core/src/main/java/org/fuchsiaford/workspace/HomeLedger.java
@@ -19,7 +19,7 @@
  */
 public final class HomeLedger {
     /** How long a host may spend a grant of another host, by its own clock, from when it asked. */
-    public static final long SPEND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    public static final long SPEND_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /** How long the giver counts a grant as unspent: longer than the spender has, by any clock. */
     public static final long HOLD_NANOS = SPEND_NANOS + SPEND_NANOS / 20;
--- a/entry/src/main/java/org/fuchsiaford/entry/limit/Admission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/limit/Admission.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -35,16 +38,20 @@
  * tokens go back. Thread-safe.
  */
 public final class Admission {
-    private static final Duration ACQUIRE_TIMEOUT = Duration.ofMillis(250);
+    private static final Duration ACQUIRE_TIMEOUT = Duration.ofMillis(80);
     private static final Duration SETTLE_TIMEOUT = Duration.ofMillis(1_000);
     private static final int SETTLE_RETRIES = 2;
     private static final long SHORTEST_RETRY_MILLIS = 50;
 
+    /** How much emptier than another bucket this host's own may be and still come first. */
+    private static final double OWN_FAVOUR = 1.25;
+
     private final Membership mMembership;
     private final SlotDirectory mDirectory;
     private final PeerCalls mPeers;
     private final Ticker mTicker;
     private final AtomicLong mLastGrant = new AtomicLong();
+    private final LevelHints mHints = new LevelHints();
 
     /** Creates admission for a host. */
     public Admission(
@@ -67,28 +74,70 @@
         if (costTokens > workspace.burstTokens()) {
             return Mono.error(tooLarge(workspace, costTokens));
         }
-        long startNanos = mTicker.nowNanos();
-        List<SlotId> homes = HomeSlots.of(workspace, view.index().bundle().entrySlots());
-        List<Charge.Part> parts = new ArrayList<>();
-        return Flux.fromIterable(ownFirst(workspace.id(), homes))
-                .concatMap(home -> acquire(workspace.id(), home, costTokens - sum(parts)), 1)
-                .doOnNext(parts::add)
-                .takeUntil(part -> sum(parts) >= costTokens)
-                .then(Mono.defer(() -> conclude(workspace, parts, costTokens, startNanos)));
+        Collection collection = new Collection(view, workspace, costTokens, mTicker.nowNanos());
+        return collect(collection).then(Mono.defer(() -> conclude(collection)));
     }
 
-    /** This host's own bucket costs no message; the others are asked in an order of its own. */
-    private List<SlotId> ownFirst(WorkspaceId workspace, List<SlotId> homes) {
-        Optional<SlotId> own = mMembership.held().map(HeldSlot::slot).filter(homes::contains);
-        List<SlotId> order =
-                new ArrayList<>(Rendezvous.order(mMembership.host() + "/" + workspace, homes));
-        own.ifPresent(order::remove);
-        own.ifPresent(slot -> order.add(0, slot));
-        return order;
+    /** The tokens gathered for one request. Used by one thread at a time. */
+    private static final class Collection {
+        private final ServingView mView;
+        private final Workspace mWorkspace;
+        private final long mCostTokens;
+        private final long mStartNanos;
+        private final List<Charge.Part> mParts = new ArrayList<>();
+
+        Collection(ServingView view, Workspace workspace, long costTokens, long startNanos) {
+            mView = view;
+            mWorkspace = workspace;
+            mCostTokens = costTokens;
+            mStartNanos = startNanos;
+        }
+
+        long missingTokens() {
+            return mCostTokens - mParts.stream().mapToLong(Charge.Part::tokens).sum();
+        }
+
+        boolean isComplete() {
+            return missingTokens() <= 0;
+        }
+
+        Charge charge() {
+            return new Charge(mWorkspace.id(), List.copyOf(mParts));
+        }
     }
 
-    private static long sum(List<Charge.Part> parts) {
-        return parts.stream().mapToLong(Charge.Part::tokens).sum();
+    private Mono<Void> collect(Collection collection) {
+        Workspace workspace = collection.mWorkspace;
+        List<SlotId> homes =
+                HomeSlots.of(workspace, collection.mView.index().bundle().entrySlots());
+        return Flux.fromIterable(fullestFirst(workspace, homes))
+                .concatMap(home -> acquire(workspace.id(), home, collection.missingTokens()), 1)
+                .doOnNext(collection.mParts::add)
+                .takeUntil(part -> collection.isComplete())
+                .then();
+    }
+
+    private static long accrualMillis(Workspace workspace, long tokens) {
+        return TimeUnit.SECONDS.toMillis(1) * tokens / workspace.ratePerSecond() + 1;
+    }
+
+    /** The fullest bucket comes first; this host's own is favoured, since it costs no message. */
+    private List<SlotId> fullestFirst(Workspace workspace, List<SlotId> homes) {
+        long nowNanos = mTicker.nowNanos();
+        Optional<HeldSlot> held = mMembership.held();
+        Map<SlotId, Double> levels = new HashMap<>();
+        for (SlotId home : homes) {
+            boolean own = held.filter(h -> h.slot().equals(home)).isPresent();
+            double level =
+                    own
+                            ? OWN_FAVOUR * held.get().ledger().levelTokens(workspace.id(), nowNanos)
+                            : mHints.levelTokens(workspace, home, homes.size(), nowNanos);
+            levels.put(home, level);
+        }
+        List<SlotId> order =
+                new ArrayList<>(Rendezvous.order(mMembership.host() + "/" + workspace.id(), homes));
+        order.sort(Comparator.comparingDouble(home -> -levels.get(home)));
+        return order;
     }
 
     private Mono<Charge.Part> acquire(WorkspaceId workspace, SlotId home, long tokens) {
@@ -106,30 +155,33 @@
                         peer ->
                                 mPeers.call(
                                         peer, request, PeerMessage.Granted.class, ACQUIRE_TIMEOUT))
+                .doOnNext(granted -> learn(workspace, home, granted))
                 .flatMap(granted -> part(home, grant, granted.tokens()))
                 .onErrorResume(e -> Mono.empty());
     }
 
+    private void learn(WorkspaceId workspace, SlotId home, PeerMessage.Granted granted) {
+        mHints.learn(workspace, home, granted.levelTokens(), mTicker.nowNanos());
+    }
+
     private static Mono<Charge.Part> part(SlotId home, GrantId grant, long tokens) {
         return tokens > 0 ? Mono.just(new Charge.Part(home, grant, tokens)) : Mono.empty();
     }
 
-    private Mono<Charge> conclude(
-            Workspace workspace, List<Charge.Part> parts, long costTokens, long startNanos) {
-        Charge charge = new Charge(workspace.id(), List.copyOf(parts));
-        boolean inTime = mTicker.nowNanos() - startNanos < HomeLedger.SPEND_NANOS;
-        if (charge.tokens() >= costTokens && inTime) {
+    private Mono<Charge> conclude(Collection collection) {
+        Charge charge = collection.charge();
+        boolean inTime = mTicker.nowNanos() - collection.mStartNanos < HomeLedger.SPEND_NANOS;
+        if (collection.isComplete() && inTime) {
             return Mono.just(charge);
         }
         settle(charge, 0);
-        return Mono.error(overLimit(workspace, costTokens - charge.tokens()));
+        return Mono.error(overLimit(collection.mWorkspace, collection.missingTokens()));
     }
 
     private static RefusalException overLimit(Workspace workspace, long missingTokens) {
-        long millis = TimeUnit.SECONDS.toMillis(1) * missingTokens / workspace.ratePerSecond() + 1;
         return RefusalException.notRunRetry(
                 RefusalReason.OVER_LIMIT,
-                Math.max(millis, SHORTEST_RETRY_MILLIS),
+                Math.max(accrualMillis(workspace, missingTokens), SHORTEST_RETRY_MILLIS),
                 Step.ADMIT,
                 "workspace " + workspace.id() + " is over its limit");
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/limit/LimitHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/limit/LimitHandler.java
@@ -4,6 +4,7 @@
 import org.fuchsiaford.entry.member.Membership;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.time.Ticker;
+import org.fuchsiaford.workspace.HomeLedger;
 
 /**
  * Answers the messages that concern limits. Tokens are given only while this host holds the slot by
@@ -22,7 +23,7 @@
     /** Returns the answer to a request, or nothing if it concerns something else. */
     public Optional<PeerMessage> handle(PeerMessage message) {
         if (message instanceof PeerMessage.Acquire acquire) {
-            return Optional.of(new PeerMessage.Granted(grant(acquire)));
+            return Optional.of(grant(acquire));
         }
         if (message instanceof PeerMessage.Settle settle) {
             mMembership
@@ -40,17 +41,19 @@
         return Optional.empty();
     }
 
-    private long grant(PeerMessage.Acquire acquire) {
+    private PeerMessage grant(PeerMessage.Acquire acquire) {
         return mMembership
                 .servingHeld()
-                .map(
-                        held ->
-                                held.ledger()
-                                        .grantToHost(
-                                                acquire.workspace(),
-                                                acquire.grant(),
-                                                acquire.tokens(),
-                                                mTicker.nowNanos()))
-                .orElse(0L);
+                .map(held -> grant(held.ledger(), acquire))
+                .orElse(new PeerMessage.Granted(0, 0));
+    }
+
+    private PeerMessage grant(HomeLedger ledger, PeerMessage.Acquire acquire) {
+        long nowNanos = mTicker.nowNanos();
+        long tokens =
+                ledger.grantToHost(
+                        acquire.workspace(), acquire.grant(), acquire.tokens(), nowNanos);
+        long levelTokens = ledger.levelTokens(acquire.workspace(), nowNanos);
+        return new PeerMessage.Granted(tokens, levelTokens);
     }
 }
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FleetScenarioTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FleetScenarioTest.java
@@ -110,7 +110,7 @@
             PeerMessage ask = new PeerMessage.Acquire(FakeFleet.WORKSPACE, new GrantId("late"), 1);
             assertThat(host.handle(ask).block())
                     .as("without a lease it gives no tokens")
-                    .isEqualTo(new PeerMessage.Granted(0));
+                    .isEqualTo(new PeerMessage.Granted(0, 0));
             fleet.network().healCuts();
             fleet.advance(SETTLE_MILLIS);
             assertThat(accepts(host, "new-key")).isTrue();
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -85,8 +85,8 @@
     /** Asks a home slot for tokens; answered by {@link Granted}. */
     record Acquire(WorkspaceId workspace, GrantId grant, long tokens) implements PeerMessage {}
 
-    /** Tokens given, at most those asked for. */
-    record Granted(long tokens) implements PeerMessage {}
+    /** Tokens given, at most those asked for, and what the bucket holds now. */
+    record Granted(long tokens, long levelTokens) implements PeerMessage {}
 
     /** Gives back unused tokens of a grant; answered by {@link Done}. */
     record Settle(WorkspaceId workspace, GrantId grant, long unusedTokens) implements PeerMessage {}
