Name the fault matrix, hold the architecture, measure slopes

Found by the process tests: with a test-scoped codec the shaded daemon had no peer protocol, yet served through the store alone and said over-limit where a home slot could not be reached; it now says limit-unreachable.

--- /dev/null
+++ b/cli/src/test/java/org/fuchsiaford/cli/OperatorRaceTest.java
@@ -0,0 +1,111 @@
+package org.fuchsiaford.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import net.jqwik.api.Example;
+import org.fuchsiaford.bundle.BundleHead;
+import org.fuchsiaford.bundle.Digest;
+import org.fuchsiaford.platform.StoreException;
+import org.fuchsiaford.platform.StoreLayout;
+import org.fuchsiaford.platform.StoreRecords;
+import org.fuchsiaford.standin.store.StoreStandin;
+import reactor.netty.DisposableServer;
+
+/** What the operators' program says of a roll is what the store shows. */
+class OperatorRaceTest {
+    private static final int ROUNDS = 10;
+
+    private static SignedBundle bundle(long version) {
+        return new SignedBundle(version, Digest.of(new byte[] {(byte) version}), "signature");
+    }
+
+    private static HeadRoll roll(StoreAccess store) {
+        return new HeadRoll(store, new Output(new PrintStream(new ByteArrayOutputStream()), false));
+    }
+
+    private static StoreAccess access(DisposableServer server) {
+        return new StoreAccess(List.of("http://127.0.0.1:" + server.port()));
+    }
+
+    private static void accept(StoreAccess store) throws StoreException {
+        StoreAccess.HeadRead read = store.readHead();
+        BundleHead head = read.head().orElseThrow().asAccepted();
+        assertThat(store.swap(StoreLayout.HEAD, read.revision(), head))
+                .isEqualTo(StoreRecords.Swap.DONE);
+    }
+
+    @Example
+    void lostReplyIsMadeCertain() throws CommandException, StoreException {
+        StoreStandin standin = new StoreStandin();
+        DisposableServer server = standin.start(0);
+        try {
+            StoreAccess store = access(server);
+            standin.loseNextWriteReply();
+            BundleHead head = roll(store).swap(bundle(1));
+            assertThat(store.readHead().head()).contains(head);
+        } finally {
+            server.disposeNow();
+        }
+    }
+
+    @Example
+    void nothingIsSwappedOverAHeadThatIsNotAccepted() throws CommandException, StoreException {
+        DisposableServer server = new StoreStandin().start(0);
+        try {
+            StoreAccess store = access(server);
+            roll(store).swap(bundle(1));
+            assertThat(attempt(store, 2, new CountDownLatch(0))).isEqualTo(ExitCode.NOT_ACCEPTED);
+            assertThat(store.readHead().head().orElseThrow().bundleVersion()).isEqualTo(1);
+        } finally {
+            server.disposeNow();
+        }
+    }
+
+    @Example
+    void oneOfTwoRollsWinsAndTheOtherIsTold() throws CommandException, StoreException {
+        DisposableServer server = new StoreStandin().start(0);
+        try {
+            StoreAccess store = access(server);
+            roll(store).swap(bundle(1));
+            for (long round = 1; round <= ROUNDS; round++) {
+                accept(store);
+                checkRound(server, store, 10 * round);
+            }
+        } finally {
+            server.disposeNow();
+        }
+    }
+
+    private static void checkRound(DisposableServer server, StoreAccess store, long version)
+            throws StoreException {
+        CountDownLatch start = new CountDownLatch(1);
+        CompletableFuture<ExitCode> first =
+                CompletableFuture.supplyAsync(() -> attempt(access(server), version, start));
+        CompletableFuture<ExitCode> second =
+                CompletableFuture.supplyAsync(() -> attempt(access(server), version + 1, start));
+        start.countDown();
+        List<ExitCode> codes = List.of(first.join(), second.join());
+        assertThat(codes).containsOnlyOnce(ExitCode.OK);
+        assertThat(codes).containsAnyOf(ExitCode.LOST_RACE, ExitCode.NOT_ACCEPTED);
+        long winner = codes.get(0) == ExitCode.OK ? version : version + 1;
+        assertThat(store.readHead().head().orElseThrow().bundleVersion()).isEqualTo(winner);
+    }
+
+    private static ExitCode attempt(StoreAccess store, long version, CountDownLatch start) {
+        try {
+            start.await();
+            roll(store).swap(bundle(version));
+            return ExitCode.OK;
+        } catch (CommandException e) {
+            return e.exitCode();
+        } catch (StoreException | InterruptedException e) {
+            throw new CompletionException(e);
+        }
+    }
+}
--- a/cli/src/test/java/org/fuchsiaford/cli/ProcessFaultsIT.java
+++ b/cli/src/test/java/org/fuchsiaford/cli/ProcessFaultsIT.java
@@ -37,6 +37,7 @@
                         engine -> {
                             engine.setFault(FaultMode.NONE);
                             engine.breakAfterTokens(Integer.MAX_VALUE);
+                            engine.stallTransfers(false);
                         });
         IntStream.range(0, 3).filter(i -> !sFleet.host(i).isAlive()).forEach(sFleet::startHost);
         ProcessFleet.await(() -> IntStream.range(0, 3).allMatch(sFleet::servesWithSlot));
@@ -228,7 +229,7 @@
     }
 
     @Example
-    void silentPrefillEngineIsPassedOver() {
+    void refusingPrefillEngineIsPassedOver() {
         sFleet.prefill().get(0).setFault(FaultMode.DOWN);
         List<Integer> statuses =
                 IntStream.range(0, 6)
@@ -246,6 +247,20 @@
         assertThat(statuses).containsOnly(200);
     }
 
+    @Example
+    void stalledTransferHoldsNoEngineMemory() {
+        sFleet.prefill().forEach(engine -> engine.stallTransfers(true));
+        HttpResponse<String> answer =
+                sFleet.call(
+                        0,
+                        "POST",
+                        "/v1/completions",
+                        ProcessFleet.KEY,
+                        sFleet.completion(2, false));
+        assertThat(answer.statusCode()).isEqualTo(502);
+        ProcessFleet.await(() -> sFleet.heldPieces() == 0);
+    }
+
     @Example
     void gracefulShutdownCutsNoRequest() {
         List<CompletableFuture<HttpResponse<String>>> answers =
--- a/core/src/main/java/org/fuchsiaford/bundle/BundleIndex.java
+++ b/core/src/main/java/org/fuchsiaford/bundle/BundleIndex.java
@@ -11,16 +11,19 @@
 import org.fuchsiaford.backend.ModelId;
 import org.fuchsiaford.backend.PoolId;
 import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.workspace.HomeSlots;
 import org.fuchsiaford.workspace.KeyHash;
 import org.fuchsiaford.workspace.WorkspaceId;
 
 /**
  * Look-ups by id and by key in one bundle, built once when the bundle is loaded.
  *
- * <p>Invariant: answers agree with the bundle given. Immutable, hence thread-safe.
+ * <p>Invariant: answers agree with the bundle given. Immutable, but for remembered home slots;
+ * thread-safe.
  */
 public final class BundleIndex {
     private final Bundle mBundle;
+    private final HomeSlots mHomes;
     private final Map<ModelId, Model> mModels;
     private final Map<WorkspaceId, Workspace> mWorkspaces;
     private final Map<KeyHash, Workspace> mWorkspacesByKey;
@@ -32,7 +35,12 @@
 
     /** Builds the look-ups of a bundle. */
     public BundleIndex(Bundle bundle) {
+        this(bundle, new HomeSlots(bundle.entrySlots()));
+    }
+
+    private BundleIndex(Bundle bundle, HomeSlots homes) {
         mBundle = bundle;
+        mHomes = homes;
         mModels = byId(bundle.models(), Model::id);
         mWorkspaces = byId(bundle.workspaces(), Workspace::id);
         mWorkspacesByKey =
@@ -63,6 +71,13 @@
                         .toList();
     }
 
+    /** Builds the look-ups of the next bundle, with what does not change taken over. */
+    public BundleIndex next(Bundle bundle) {
+        return mHomes.isFor(bundle.entrySlots())
+                ? new BundleIndex(bundle, mHomes)
+                : new BundleIndex(bundle);
+    }
+
     private static <K, V> Map<K, V> byId(List<V> values, Function<V, K> id) {
         return values.stream().collect(Collectors.toMap(id, Function.identity()));
     }
@@ -72,6 +87,11 @@
         return mBundle;
     }
 
+    /** Returns the home slots of workspaces. */
+    public HomeSlots homes() {
+        return mHomes;
+    }
+
     /** Returns the model with the given id. */
     public Optional<Model> model(ModelId id) {
         return Optional.ofNullable(mModels.get(id));
--- a/core/src/main/java/org/fuchsiaford/bundle/PieceCodec.java
+++ b/core/src/main/java/org/fuchsiaford/bundle/PieceCodec.java
@@ -28,7 +28,7 @@
  * <p>Invariant: equal bundles give equal pieces. Stateless, hence thread-safe.
  */
 public final class PieceCodec {
-    private static final int WORKSPACE_BUCKETS = 64;
+    private static final int WORKSPACE_BUCKETS = 128;
     private static final JsonMapper MAPPER =
             JsonMapper.builder()
                     .enable(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY)
--- a/core/src/main/java/org/fuchsiaford/host/LeaseTerm.java
+++ b/core/src/main/java/org/fuchsiaford/host/LeaseTerm.java
@@ -14,7 +14,10 @@
     public static final long FENCING_NANOS = TERM_NANOS + TERM_NANOS / 20;
 
     /** How often a holder asks for new promises. */
-    public static final long RENEWAL_NANOS = TimeUnit.MILLISECONDS.toNanos(650);
+    public static final long RENEWAL_NANOS = TimeUnit.MILLISECONDS.toNanos(950);
+
+    /** A lease that is still short of this after a renewal is confirmed by the store. */
+    public static final long SHORT_NANOS = TERM_NANOS * 3 / 5;
 
     private LeaseTerm() {}
 }
--- a/core/src/main/java/org/fuchsiaford/workspace/HomeLedger.java
+++ b/core/src/main/java/org/fuchsiaford/workspace/HomeLedger.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.bundle.BundleIndex;
-import org.fuchsiaford.bundle.EntrySlot;
 import org.fuchsiaford.bundle.Workspace;
 import org.fuchsiaford.host.SlotId;
 
@@ -34,9 +33,8 @@
 
     /** Takes over the limits of a bundle. */
     public synchronized void apply(BundleIndex index, boolean accepted, long nowNanos) {
-        List<EntrySlot> slots = index.bundle().entrySlots();
         Map<WorkspaceId, Share> shares = new HashMap<>();
-        index.bundle().workspaces().forEach(w -> addShare(shares, w, slots));
+        index.bundle().workspaces().forEach(w -> addShare(shares, w, index.homes()));
         mBuckets.keySet().stream()
                 .filter(id -> !shares.containsKey(id))
                 .toList()
@@ -44,8 +42,8 @@
         shares.forEach((id, share) -> applyShare(id, share, accepted, nowNanos));
     }
 
-    private void addShare(Map<WorkspaceId, Share> shares, Workspace w, List<EntrySlot> slots) {
-        List<SlotId> homes = HomeSlots.of(w, slots);
+    private void addShare(Map<WorkspaceId, Share> shares, Workspace w, HomeSlots homeSlots) {
+        List<SlotId> homes = homeSlots.of(w);
         if (homes.contains(mSlot)) {
             shares.put(w.id(), Share.of(w, homes.size()));
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/http/EntryHostsHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/EntryHostsHandler.java
@@ -13,7 +13,6 @@
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.host.SlotId;
 import org.fuchsiaford.host.SlotRecord;
-import org.fuchsiaford.workspace.HomeSlots;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -64,9 +63,7 @@
     private List<SlotId> order(Authenticator.Authenticated caller) {
         ServingView view = caller.view();
         List<SlotId> serving = mDirectory.serving().stream().map(SlotRecord::slot).toList();
-        List<SlotId> order =
-                new ArrayList<>(
-                        HomeSlots.of(caller.workspace(), view.index().bundle().entrySlots()));
+        List<SlotId> order = new ArrayList<>(view.index().homes().of(caller.workspace()));
         order.retainAll(serving);
         mDirectory.order("callers/" + caller.workspace().id()).stream()
                 .filter(slot -> !order.contains(slot))
--- a/entry/src/main/java/org/fuchsiaford/entry/limit/Admission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/limit/Admission.java
@@ -19,12 +19,12 @@
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.hash.Rendezvous;
 import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.peer.PeerAddress;
 import org.fuchsiaford.peer.PeerCalls;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.time.Ticker;
 import org.fuchsiaford.workspace.GrantId;
 import org.fuchsiaford.workspace.HomeLedger;
-import org.fuchsiaford.workspace.HomeSlots;
 import org.fuchsiaford.workspace.WorkspaceId;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -42,6 +42,7 @@
     private static final Duration SETTLE_TIMEOUT = Duration.ofMillis(1_000);
     private static final int SETTLE_RETRIES = 2;
     private static final long SHORTEST_RETRY_MILLIS = 50;
+    private static final long UNREACHABLE_RETRY_MILLIS = 1_000;
 
     /** How much emptier than another bucket this host's own may be and still come first. */
     private static final double OWN_FAVOUR = 1.25;
@@ -85,6 +86,7 @@
         private final long mCostTokens;
         private final long mStartNanos;
         private final List<Charge.Part> mParts = new ArrayList<>();
+        private boolean mHomeUnreached;
 
         Collection(ServingView view, Workspace workspace, long costTokens, long startNanos) {
             mView = view;
@@ -108,10 +110,9 @@
 
     private Mono<Void> collect(Collection collection) {
         Workspace workspace = collection.mWorkspace;
-        List<SlotId> homes =
-                HomeSlots.of(workspace, collection.mView.index().bundle().entrySlots());
+        List<SlotId> homes = collection.mView.index().homes().of(workspace);
         return Flux.fromIterable(fullestFirst(workspace, homes))
-                .concatMap(home -> acquire(workspace.id(), home, collection.missingTokens()), 1)
+                .concatMap(home -> acquire(collection, home), 1)
                 .doOnNext(collection.mParts::add)
                 .takeUntil(part -> collection.isComplete())
                 .then();
@@ -140,7 +141,9 @@
         return order;
     }
 
-    private Mono<Charge.Part> acquire(WorkspaceId workspace, SlotId home, long tokens) {
+    private Mono<Charge.Part> acquire(Collection collection, SlotId home) {
+        WorkspaceId workspace = collection.mWorkspace.id();
+        long tokens = collection.missingTokens();
         GrantId grant =
                 new GrantId(mMembership.host().value() + "/" + mLastGrant.incrementAndGet());
         Optional<HeldSlot> held = mMembership.held();
@@ -151,12 +154,14 @@
         }
         PeerMessage request = new PeerMessage.Acquire(workspace, grant, tokens);
         return Mono.justOrEmpty(mDirectory.address(home))
-                .flatMap(
-                        peer ->
-                                mPeers.call(
-                                        peer, request, PeerMessage.Granted.class, ACQUIRE_TIMEOUT))
+                .flatMap(peer -> call(peer, request))
+                .switchIfEmpty(Mono.fromRunnable(() -> collection.mHomeUnreached = true))
                 .doOnNext(granted -> learn(workspace, home, granted))
-                .flatMap(granted -> part(home, grant, granted.tokens()))
+                .flatMap(granted -> part(home, grant, granted.tokens()));
+    }
+
+    private Mono<PeerMessage.Granted> call(PeerAddress peer, PeerMessage request) {
+        return mPeers.call(peer, request, PeerMessage.Granted.class, ACQUIRE_TIMEOUT)
                 .onErrorResume(e -> Mono.empty());
     }
 
@@ -175,7 +180,18 @@
             return Mono.just(charge);
         }
         settle(charge, 0);
-        return Mono.error(overLimit(collection.mWorkspace, collection.missingTokens()));
+        return Mono.error(
+                collection.mHomeUnreached
+                        ? unreachable(collection.mWorkspace)
+                        : overLimit(collection.mWorkspace, collection.missingTokens()));
+    }
+
+    private static RefusalException unreachable(Workspace workspace) {
+        return RefusalException.notRunRetry(
+                RefusalReason.LIMIT_UNREACHABLE,
+                UNREACHABLE_RETRY_MILLIS,
+                Step.ADMIT,
+                "a host that accrues tokens of workspace " + workspace.id() + " does not answer");
     }
 
     private static RefusalException overLimit(Workspace workspace, long missingTokens) {
--- a/entry/src/main/java/org/fuchsiaford/entry/member/LeaseRenewer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/LeaseRenewer.java
@@ -57,7 +57,7 @@
         mTicker = ticker;
     }
 
-    /** Renews once: asks every panel, then the store for each lease still short of half a term. */
+    /** Renews once: asks every panel, then the store for each lease that is still short. */
     public Mono<Void> renew() {
         return Flux.fromIterable(mMembership.views())
                 .flatMap(view -> askPanel(view.lease()))
@@ -121,7 +121,7 @@
     }
 
     private boolean isShort(ServingLease lease) {
-        return lease.remainingNanos(mTicker.nowNanos()) < LeaseTerm.TERM_NANOS / 2;
+        return lease.remainingNanos(mTicker.nowNanos()) < LeaseTerm.SHORT_NANOS;
     }
 
     /** Asks the store whether a subject is current, and confirms the lease if so. */
--- a/entry/src/main/java/org/fuchsiaford/entry/member/LiveKey.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/LiveKey.java
@@ -18,8 +18,8 @@
  * <p>Thread-safe.
  */
 public final class LiveKey {
-    private static final long TIME_TO_LIVE_SECONDS = 6;
-    private static final long KEEP_ALIVE_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long TIME_TO_LIVE_SECONDS = 9;
+    private static final long KEEP_ALIVE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final Membership mMembership;
     private final Store mStore;
--- a/entry/src/main/java/org/fuchsiaford/entry/member/MemberLoop.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/MemberLoop.java
@@ -29,9 +29,10 @@
     private static final Logger LOG = Logger.getLogger(MemberLoop.class);
     private static final Duration RENEWAL =
             Duration.ofMillis(TimeUnit.NANOSECONDS.toMillis(LeaseTerm.RENEWAL_NANOS));
-    private static final Duration ACCEPTANCE_POLL = Duration.ofMillis(100);
-    private static final Duration CLAIM_POLL = Duration.ofMillis(250);
+    private static final Duration ACCEPTANCE_POLL = Duration.ofMillis(250);
+    private static final Duration CLAIM_POLL = Duration.ofMillis(500);
     private static final Duration WATCH_PAUSE = Duration.ofMillis(200);
+    private static final Duration HEAD_POLL = Duration.ofSeconds(10);
     private static final Duration VACATE_POLL = Duration.ofSeconds(5);
 
     private final Membership mMembership;
@@ -103,11 +104,31 @@
                 .then(mStore.read(List.of(StoreLayout.HEAD)))
                 .doOnNext(head -> head.entry(StoreLayout.HEAD).ifPresent(e -> follow(e.value())))
                 .flatMapMany(head -> watchFrom(head.revision() + 1))
+                .takeUntilOther(missedHead())
                 .doOnNext(this::apply)
                 .then()
                 .onErrorResume(e -> mFollower.askPeers());
     }
 
+    /**
+     * Emits when the store has a head that no watch has told of. A watch whose connection has gone
+     * silent is found so, and all records are read anew.
+     */
+    private Mono<BundleHead> missedHead() {
+        return Flux.interval(HEAD_POLL)
+                .onBackpressureDrop()
+                .concatMap(tick -> mStore.read(List.of(StoreLayout.HEAD)))
+                .concatMap(
+                        read ->
+                                Mono.fromCallable(
+                                        () ->
+                                                StoreRecords.find(
+                                                        read, StoreLayout.HEAD, BundleHead.class)))
+                .flatMap(Mono::justOrEmpty)
+                .filter(head -> mMembership.newestGeneration().isBefore(head.generation()))
+                .next();
+    }
+
     /** One watch for each range that matters, so that pieces and other records stay out. */
     private Flux<StoreChange> watchFrom(long revision) {
         return Flux.merge(
--- a/entry/src/main/java/org/fuchsiaford/entry/member/Membership.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/Membership.java
@@ -115,7 +115,8 @@
             return;
         }
         PanelTable panels = new PanelTable(bundle.entrySlots());
-        BundleIndex index = new BundleIndex(bundle);
+        BundleIndex index =
+                newest() == null ? new BundleIndex(bundle) : newest().index().next(bundle);
         ServingLease lease = newLease(head, panels);
         mPending = new ServingView(head, index, panels, lease);
         if (mActive == null) {
--- /dev/null
+++ b/entry/src/test/java/org/fuchsiaford/entry/capacity/CapacityMeasurementTest.java
@@ -0,0 +1,218 @@
+package org.fuchsiaford.entry.capacity;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ModelId;
+import org.fuchsiaford.backend.PoolId;
+import org.fuchsiaford.bundle.BackendKind;
+import org.fuchsiaford.bundle.BackendServer;
+import org.fuchsiaford.bundle.Bundle;
+import org.fuchsiaford.bundle.BundleException;
+import org.fuchsiaford.bundle.BundleIndex;
+import org.fuchsiaford.bundle.Digest;
+import org.fuchsiaford.bundle.EntrySlot;
+import org.fuchsiaford.bundle.FailureDomain;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.bundle.Generation;
+import org.fuchsiaford.bundle.Model;
+import org.fuchsiaford.bundle.Piece;
+import org.fuchsiaford.bundle.PieceCodec;
+import org.fuchsiaford.bundle.RegionId;
+import org.fuchsiaford.bundle.Workspace;
+import org.fuchsiaford.entry.fleet.StoreCallSlope;
+import org.fuchsiaford.host.Incarnation;
+import org.fuchsiaford.host.LeaseSubject;
+import org.fuchsiaford.host.PanelTable;
+import org.fuchsiaford.host.PromiseReply;
+import org.fuchsiaford.host.PromiseRequest;
+import org.fuchsiaford.host.SlotId;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.workspace.GrantId;
+import org.fuchsiaford.workspace.HomeLedger;
+import org.fuchsiaford.workspace.KeyHash;
+import org.fuchsiaford.workspace.WorkspaceId;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/** Prints the slopes that docs/CAPACITY.md is worked out from. Asserts nothing about time. */
+class CapacityMeasurementTest {
+    private static final int HOSTS = 390;
+    private static final int WORKSPACES = 11_000;
+    private static final int WORKERS = 1_200;
+
+    private static Bundle bundle(int workspaces, int hosts, int workers) {
+        List<FailureDomain> domains =
+                IntStream.range(0, 6)
+                        .mapToObj(i -> new FailureDomain(domain(i), new RegionId("r" + i / 2)))
+                        .toList();
+        List<EntrySlot> slots =
+                IntStream.range(0, hosts)
+                        .mapToObj(i -> new EntrySlot(new SlotId("slot-" + i), domain(i)))
+                        .toList();
+        Model model = new Model(new ModelId("m"), 340, 27, 2_000, 64_000, 100_000, 4);
+        List<BackendServer> servers = IntStream.range(0, workers).mapToObj(i -> server(i)).toList();
+        List<Workspace> all =
+                IntStream.range(0, workspaces).mapToObj(i -> workspace(i, 1_000)).toList();
+        return new Bundle(1, domains, slots, List.of(model), servers, List.of(), all);
+    }
+
+    private static FailureDomainId domain(int index) {
+        return new FailureDomainId("domain-" + index % 6);
+    }
+
+    private static BackendServer server(int index) {
+        return new BackendServer(
+                new BackendServerId("engine-" + index),
+                index % 2 == 0 ? BackendKind.PREFILL : BackendKind.DECODE,
+                domain(index),
+                "http://10.0." + index / 250 + "." + index % 250 + ":8000",
+                new ModelId("m"),
+                new PoolId("pool-" + index / 16),
+                null,
+                20,
+                64,
+                40_000,
+                10_000_000_000L,
+                true);
+    }
+
+    private static Workspace workspace(int index, long rate) {
+        return new Workspace(
+                new WorkspaceId("workspace-" + index),
+                rate,
+                10 * rate,
+                3,
+                List.of(new ModelId("m")),
+                List.of(),
+                List.of(KeyHash.of("a" + index), KeyHash.of("b" + index)));
+    }
+
+    private static long usedBytes() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    @Example
+    void bundleChange() throws BundleException {
+        PieceCodec codec = new PieceCodec();
+        Bundle bundle = bundle(WORKSPACES, HOSTS, WORKERS);
+        List<Workspace> changed = new ArrayList<>(bundle.workspaces());
+        changed.set(5, workspace(5, 2_000));
+        PieceCodec.Split before = codec.split(bundle);
+        PieceCodec.Split after =
+                codec.split(
+                        new Bundle(
+                                2,
+                                bundle.failureDomains(),
+                                bundle.entrySlots(),
+                                bundle.models(),
+                                bundle.backendServers(),
+                                bundle.routes(),
+                                changed));
+        Map<Digest, byte[]> pieces =
+                before.pieces().stream().collect(Collectors.toMap(Piece::digest, Piece::bytes));
+        int moved =
+                after.pieces().stream()
+                        .filter(piece -> !pieces.containsKey(piece.digest()))
+                        .mapToInt(piece -> piece.bytes().length)
+                        .sum();
+        int whole = before.pieces().stream().mapToInt(piece -> piece.bytes().length).sum();
+        int largest = before.pieces().stream().mapToInt(p -> p.bytes().length).max().orElse(0);
+        long startNanos = System.nanoTime();
+        Bundle joined = codec.join(codec.readManifest(pieces.get(before.manifest())), pieces::get);
+        BundleIndex index = new BundleIndex(joined);
+        long joinNanos = System.nanoTime() - startNanos;
+        System.out.printf(
+                "CAPACITY bundle: %d bytes in all, largest piece %d, one workspace changed %d"
+                        + " bytes, join and index %d ms%n",
+                whole, largest, moved, joinNanos / 1_000_000);
+        assertThat(largest).as("the store holds values up to a megabyte").isLessThan(1_000_000);
+        assertThat(index.bundle().workspaces()).hasSize(WORKSPACES);
+    }
+
+    @Example
+    void heap() throws BundleException {
+        for (int workspaces : List.of(1_000, 11_000)) {
+            long before = usedBytes();
+            PieceCodec codec = new PieceCodec();
+            PieceCodec.Split split = codec.split(bundle(workspaces, HOSTS, WORKERS));
+            Map<Digest, byte[]> pieces =
+                    split.pieces().stream().collect(Collectors.toMap(Piece::digest, Piece::bytes));
+            BundleIndex index =
+                    new BundleIndex(
+                            codec.join(
+                                    codec.readManifest(pieces.get(split.manifest())), pieces::get));
+            PanelTable panels = new PanelTable(index.bundle().entrySlots());
+            HomeLedger ledger = new HomeLedger(new SlotId("slot-0"));
+            long startNanos = System.nanoTime();
+            ledger.apply(index, true, 0);
+            long applyNanos = System.nanoTime() - startNanos;
+            long againNanos = System.nanoTime();
+            ledger.apply(index.next(index.bundle()), true, 1);
+            long repeatNanos = System.nanoTime() - againNanos;
+            long after = usedBytes();
+            System.out.printf(
+                    "CAPACITY heap: %d workspaces, %d hosts, %d workers: %.1f MB; limits applied in"
+                            + " %d ms, again with the same slots in %d ms%n",
+                    workspaces,
+                    HOSTS,
+                    WORKERS,
+                    (after - before) / 1e6,
+                    applyNanos / 1_000_000,
+                    repeatNanos / 1_000_000);
+            assertThat(panels.panels()).hasSize(HOSTS);
+            assertThat(pieces).isNotEmpty();
+            assertThat(ledger.levelTokens(new WorkspaceId("none"), 0)).isZero();
+        }
+    }
+
+    @Example
+    void messageSizes() throws IOException {
+        ObjectMapper mapper = new MessagePackMapper();
+        LeaseSubject subject =
+                new LeaseSubject(
+                        new Generation(123_456), new SlotId("slot-389"), new Incarnation(321));
+        print(mapper, "promise", new PeerMessage.Promise(new PromiseRequest(subject)));
+        print(
+                mapper,
+                "promised",
+                new PeerMessage.Promised(
+                        new SlotId("slot-12"),
+                        new PromiseReply(PromiseReply.Outcome.GRANTED, new Generation(123_456))));
+        print(
+                mapper,
+                "acquire",
+                new PeerMessage.Acquire(
+                        new WorkspaceId("workspace-10999"),
+                        new GrantId("01234567-89ab-cdef-0123-456789abcdef/123456"),
+                        5_000));
+        print(mapper, "granted", new PeerMessage.Granted(5_000, 100_000));
+    }
+
+    private static void print(ObjectMapper mapper, String name, PeerMessage message)
+            throws IOException {
+        byte[] bytes = mapper.writerFor(PeerMessage.class).writeValueAsBytes(message);
+        System.out.printf("CAPACITY message: %s %d bytes%n", name, bytes.length);
+    }
+
+    @Example
+    void storeCalls() {
+        for (int hosts : List.of(6, 12, 24)) {
+            double calls = StoreCallSlope.callsPerSecond(hosts);
+            System.out.printf(
+                    "CAPACITY store: %d hosts %.2f calls a second, %.3f a host%n",
+                    hosts, calls, calls / hosts);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/fuchsiaford/entry/docs/FaultMatrixTest.java
@@ -0,0 +1,43 @@
+package org.fuchsiaford.entry.docs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import net.jqwik.api.Example;
+
+/** Each test that docs/FAULTS.md names exists. */
+class FaultMatrixTest {
+    private static final Path ROOT = Path.of("..");
+    private static final Pattern TEST_NAME = Pattern.compile("`(\\w+(?:Test|IT))\\.(\\w+)`");
+
+    @Example
+    void everyNamedTestExists() throws IOException {
+        String matrix = Files.readString(ROOT.resolve("docs/FAULTS.md"));
+        List<MatchResult> names = TEST_NAME.matcher(matrix).results().toList();
+        assertThat(names).hasSizeGreaterThan(20);
+        assertThat(names)
+                .allSatisfy(
+                        name ->
+                                assertThat(source(name.group(1)))
+                                        .contains("void " + name.group(2) + "("));
+    }
+
+    private static String source(String testClass) {
+        try (Stream<Path> files = Files.walk(ROOT)) {
+            Path file =
+                    files.filter(path -> path.endsWith(testClass + ".java"))
+                            .findFirst()
+                            .orElseThrow(() -> new AssertionError("no class " + testClass));
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/StoreCallSlope.java
@@ -0,0 +1,22 @@
+package org.fuchsiaford.entry.fleet;
+
+import java.util.List;
+
+/** Measures how many calls a calm fleet makes to the store. Stateless. */
+public final class StoreCallSlope {
+    private static final int CALM_SECONDS = 60;
+
+    private StoreCallSlope() {}
+
+    /** Returns the calls a second of a calm fleet of some hosts; open watches are not counted. */
+    public static double callsPerSecond(int hosts) {
+        try (FakeFleet fleet = new FakeFleet(1, hosts, 2)) {
+            fleet.roll(fleet.bundle(1, List.of("key")));
+            fleet.startAll();
+            fleet.advance(20_000);
+            long before = fleet.storeCalls();
+            fleet.advance(CALM_SECONDS * 1_000);
+            return (double) (fleet.storeCalls() - before) / CALM_SECONDS;
+        }
+    }
+}
--- a/standin/src/main/java/org/fuchsiaford/standin/engine/EngineStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/engine/EngineStandin.java
@@ -38,6 +38,7 @@
             HttpClient.create(ConnectionProvider.newConnection()).disableRetry(true);
     private volatile FaultMode mFault = FaultMode.NONE;
     private volatile int mBreakAfterTokens = Integer.MAX_VALUE;
+    private volatile boolean mStallTransfers;
     private volatile int mPort;
 
     /** Creates an engine. */
@@ -57,6 +58,11 @@
         mBreakAfterTokens = tokens;
     }
 
+    /** Makes transfers of prefill results begin and never end. */
+    public void stallTransfers(boolean stall) {
+        mStallTransfers = stall;
+    }
+
     /** Returns the pieces of memory held by requests. */
     public int heldPieces() {
         return mCore.heldPieces();
@@ -182,8 +188,11 @@
         if (tokens < 0) {
             return Json.send(response, 404, Json.object());
         }
-        return Mono.delay(Duration.ofNanos(mProfile.transferNanos(tokens)))
-                .flatMap(tick -> Mono.from(Json.send(response, 200, Json.object())))
+        Mono<Long> moved =
+                mStallTransfers
+                        ? Mono.never()
+                        : Mono.delay(Duration.ofNanos(mProfile.transferNanos(tokens)));
+        return moved.flatMap(tick -> Mono.from(Json.send(response, 200, Json.object())))
                 .doFinally(signal -> mCore.release(id));
     }
 
--- a/standin/src/main/java/org/fuchsiaford/standin/store/StoreStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/store/StoreStandin.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import org.fuchsiaford.standin.FaultMode;
@@ -29,6 +30,7 @@
     private static final Duration EXPIRY_POLL = Duration.ofMillis(100);
 
     private final KeyValueState mState = new KeyValueState();
+    private final AtomicBoolean mLoseNextWriteReply = new AtomicBoolean();
     private volatile FaultMode mFault = FaultMode.NONE;
 
     /** Sets what goes wrong from now on. */
@@ -36,6 +38,11 @@
         mFault = fault;
     }
 
+    /** Carries the next write out and loses its reply. */
+    public void loseNextWriteReply() {
+        mLoseNextWriteReply.set(true);
+    }
+
     /** Returns how many calls the store has carried out. */
     public long calls() {
         return mState.calls();
@@ -85,6 +92,11 @@
             BiFunction<JsonNode, Long, ObjectNode> operation,
             JsonNode body,
             HttpServerResponse response) {
+        boolean write = body.path("success").path(0).has("requestPut");
+        if (write && mLoseNextWriteReply.compareAndSet(true, false)) {
+            operation.apply(body, System.nanoTime());
+            return Mono.never();
+        }
         return switch (mFault) {
             case DOWN -> Mono.from(Json.send(response, 503, Json.object()));
             case SILENT -> Mono.never();
