Tell the truth after a failed attempt, and ask few peers

Read as a newcomer and mended: a refusal after an earlier attempt had reached an engine could say not-run (busy, key withdrawn); a body that came too slowly ended as an internal error when the server's own time-out came first; a silent prefill engine held a request for 30 s; a host that heard of a newer head, or lost the store, asked all hosts at once, 390 of them; the claimer did the fencing as well and is now two classes; a closed peer connection could be replaced twice.

--- a/cli/src/test/java/org/fuchsiaford/cli/ProcessFaultsIT.java
+++ b/cli/src/test/java/org/fuchsiaford/cli/ProcessFaultsIT.java
@@ -2,8 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.IntStream;
@@ -247,6 +251,23 @@
         assertThat(statuses).containsOnly(200);
     }
 
+    @Example
+    void silentPrefillEngineIsPassedOver() {
+        sFleet.prefill().get(0).setFault(FaultMode.SILENT);
+        for (int i = 0; i < 2; i++) {
+            assertThat(post(sFleet.completion(2, false), ProcessFleet.KEY).statusCode())
+                    .isEqualTo(200);
+        }
+    }
+
+    @Example
+    void refusalAfterAPrefillDoesNotSayNotRun() {
+        sFleet.decode().forEach(engine -> engine.setFault(FaultMode.DOWN));
+        HttpResponse<String> answer = post(sFleet.completion(2, false), ProcessFleet.KEY);
+        assertThat(answer.statusCode()).isIn(502, 503);
+        assertThat(answer.body()).contains("\"run\":\"unknown\"");
+    }
+
     @Example
     void stalledTransferHoldsNoEngineMemory() {
         sFleet.prefill().forEach(engine -> engine.stallTransfers(true));
@@ -338,6 +359,23 @@
                 .isIn(413, 431);
     }
 
+    @Example
+    void slowSenderIsRefused() throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", sFleet.port("9301"))) {
+            String head =
+                    "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n"
+                            + "Authorization: Bearer "
+                            + ProcessFleet.KEY
+                            + "\r\n\r\n{";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+            BufferedReader reader =
+                    new BufferedReader(
+                            new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+            assertThat(reader.readLine()).contains("408");
+        }
+        ProcessFleet.await(() -> sFleet.status(0).path("inFlight").asInt() == 0);
+    }
+
     private static HttpResponse<String> post(String body, String key) {
         return sFleet.call(0, "POST", "/v1/completions", key, body);
     }
--- a/core/src/main/java/org/fuchsiaford/failure/RefusalException.java
+++ b/core/src/main/java/org/fuchsiaford/failure/RefusalException.java
@@ -12,6 +12,7 @@
     private final RefusalReason mReason;
     private final RunState mRunState;
     private final long mRetryAfterMillis;
+    private final String mExplanation;
 
     /**
      * Creates a refusal.
@@ -34,6 +35,7 @@
         mReason = reason;
         mRunState = runState;
         mRetryAfterMillis = retryAfterMillis;
+        mExplanation = message;
     }
 
     /** Returns a refusal of a request that has not run and need not be repeated unchanged. */
@@ -48,6 +50,16 @@
                 reason, RunState.NOT_RUN, retryAfterMillis, step, RemoteName.SELF, message);
     }
 
+    /**
+     * Returns the same refusal for a request of which an earlier attempt may have run.
+     *
+     * @param runState what is known of all attempts together
+     */
+    public RefusalException withRunState(RunState runState) {
+        return new RefusalException(
+                mReason, runState, mRetryAfterMillis, step(), remote(), mExplanation);
+    }
+
     /** Returns why the request is refused. */
     public RefusalReason reason() {
         return mReason;
--- a/entry/src/main/java/org/fuchsiaford/entry/EntryHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/EntryHost.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
@@ -185,17 +184,18 @@
     }
 
     private void takeHostList(List<ListedHost> hosts) {
-        Set<String> leaving =
+        Set<String> leavingUrls =
                 hosts.stream()
                         .filter(host -> host.state() == ListedHost.State.LEAVING)
-                        .map(ListedHost::address)
+                        .map(host -> "http://" + host.address())
                         .collect(Collectors.toSet());
-        Map<BackendServerId, BackendServer> servers =
+        Set<BackendServerId> leaving =
                 mMembership.newestView().stream()
                         .flatMap(view -> view.index().bundle().backendServers().stream())
-                        .filter(server -> leaving.contains(server.url().substring(7)))
-                        .collect(Collectors.toMap(BackendServer::id, server -> server));
-        mAvailability.replaceLeaving(servers.keySet());
+                        .filter(server -> leavingUrls.contains(server.url()))
+                        .map(BackendServer::id)
+                        .collect(Collectors.toSet());
+        mAvailability.replaceLeaving(leaving);
     }
 
     /** Stops gracefully: nothing new, everything that runs is finished, then the slot is freed. */
--- a/entry/src/main/java/org/fuchsiaford/entry/backend/CompletionsEngineClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/backend/CompletionsEngineClient.java
@@ -31,7 +31,9 @@
 public final class CompletionsEngineClient implements EngineClient {
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration LOAD_TIMEOUT = Duration.ofMillis(500);
-    private static final Duration PREFILL_TIMEOUT = Duration.ofSeconds(30);
+
+    /** Added to the time that the engine's declared speed gives; beyond that it is silent. */
+    private static final Duration PREFILL_MARGIN = Duration.ofSeconds(4);
 
     /** Transfer and first step together; a transfer that takes longer has stalled. */
     private static final Duration FIRST_TOKEN_TIMEOUT = Duration.ofSeconds(2);
@@ -89,11 +91,17 @@
                 .responseSingle(
                         (response, content) ->
                                 check(Step.PREFILL, engine, response).then(content.asByteArray()))
-                .timeout(PREFILL_TIMEOUT)
+                .timeout(prefillTimeout(engine, call))
                 .flatMap(bytes -> Mono.fromCallable(() -> toResult(bytes)))
                 .onErrorMap(e -> failed(Step.PREFILL, engine, sent.get(), e));
     }
 
+    /** A prompt has no more tokens than characters. */
+    private static Duration prefillTimeout(BackendServer engine, ModelCall call) {
+        long millis = 1_000L * call.prompt().length() / engine.prefillTokensPerSecond();
+        return PREFILL_MARGIN.plusMillis(millis);
+    }
+
     private PrefillResult toResult(byte[] bytes) throws IOException {
         JsonNode reply = mMapper.readTree(bytes);
         JsonNode usage = reply.path("usage");
--- a/entry/src/main/java/org/fuchsiaford/entry/http/CallerServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/CallerServer.java
@@ -21,7 +21,10 @@
 public final class CallerServer {
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
-    private static final Duration HEADER_TIMEOUT = Duration.ofSeconds(10);
+
+    /** For headers and body together; longer than the limit for the body, which has an answer. */
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(20);
+
     private static final String COMPLETIONS = "/v1/completions";
     private static final String ENTRY_HOSTS = "/v1/entry-hosts";
 
@@ -51,7 +54,7 @@
                 .host(mAddress.host())
                 .port(mAddress.port())
                 .idleTimeout(IDLE_TIMEOUT)
-                .requestTimeout(HEADER_TIMEOUT)
+                .requestTimeout(REQUEST_TIMEOUT)
                 .httpRequestDecoder(spec -> spec.maxHeaderSize(MAX_HEADER_BYTES))
                 .handle(this::handle)
                 .bind();
--- a/entry/src/main/java/org/fuchsiaford/entry/http/RequestBody.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/RequestBody.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.entry.http;
 
+import io.netty.handler.timeout.ReadTimeoutException;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
@@ -26,6 +27,7 @@
                 .map(ByteArrayOutputStream::toByteArray)
                 .timeout(READ_TIMEOUT)
                 .onErrorMap(TimeoutException.class, e -> tooSlow())
+                .onErrorMap(ReadTimeoutException.class, e -> tooSlow())
                 .onErrorMap(BodyTooLargeException.class, e -> tooLarge());
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/member/HeadFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/HeadFollower.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 import org.fuchsiaford.bundle.BundleHead;
@@ -24,12 +26,14 @@
 public final class HeadFollower {
     private static final Logger LOG = Logger.getLogger(HeadFollower.class);
     private static final Duration PEER_TIMEOUT = Duration.ofMillis(500);
+    private static final int PEERS_ASKED = 3;
 
     private final Membership mMembership;
     private final BundleLoader mLoader;
     private final SlotDirectory mDirectory;
     private final PeerCalls mPeers;
     private final List<PeerAddress> mSeeds;
+    private final AtomicInteger mRounds = new AtomicInteger();
     private final AtomicReference<Generation> mLoading = new AtomicReference<>(Generation.NONE);
 
     /** Creates a follower. */
@@ -76,26 +80,37 @@
                 head.bundleVersion(), head.generation().number());
     }
 
-    /** Asks other hosts for the head and for the slot records, for use while the store is out. */
+    /**
+     * Asks a few other hosts, each time others, for the head and, if this host knows none, for the
+     * slot records. For use while the store is out or has not told yet.
+     */
     public Mono<Void> askPeers() {
-        return Flux.fromIterable(peers()).flatMap(this::askPeer).then();
+        return Flux.fromIterable(nextPeers()).flatMap(this::askPeer).then();
+    }
+
+    private List<PeerAddress> nextPeers() {
+        List<PeerAddress> peers = peers();
+        Collections.rotate(peers, mRounds.getAndIncrement() * PEERS_ASKED);
+        return peers.subList(0, Math.min(PEERS_ASKED, peers.size()));
     }
 
     private Mono<Void> askPeer(PeerAddress peer) {
-        Mono<Void> head =
-                mPeers.call(peer, new PeerMessage.FetchHead(), PeerMessage.Head.class, PEER_TIMEOUT)
-                        .mapNotNull(PeerMessage.Head::head)
-                        .doOnNext(this::follow)
-                        .then();
-        Mono<Void> slots =
-                mPeers.call(
-                                peer,
-                                new PeerMessage.FetchSlots(),
-                                PeerMessage.Slots.class,
-                                PEER_TIMEOUT)
-                        .doOnNext(answer -> mDirectory.merge(answer.records(), answer.live()))
-                        .then();
-        return slots.then(head).onErrorResume(e -> Mono.empty());
+        Mono<Void> slots = mDirectory.records().isEmpty() ? askSlots(peer) : Mono.empty();
+        return slots.then(askHead(peer)).onErrorResume(e -> Mono.empty());
+    }
+
+    private Mono<Void> askHead(PeerAddress peer) {
+        return mPeers.call(peer, new PeerMessage.FetchHead(), PeerMessage.Head.class, PEER_TIMEOUT)
+                .mapNotNull(PeerMessage.Head::head)
+                .doOnNext(this::follow)
+                .then();
+    }
+
+    private Mono<Void> askSlots(PeerAddress peer) {
+        return mPeers.call(
+                        peer, new PeerMessage.FetchSlots(), PeerMessage.Slots.class, PEER_TIMEOUT)
+                .doOnNext(answer -> mDirectory.merge(answer.records(), answer.live()))
+                .then();
     }
 
     private List<PeerAddress> peers() {
--- a/entry/src/main/java/org/fuchsiaford/entry/member/MemberModule.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/MemberModule.java
@@ -38,7 +38,13 @@
         PanelInformer informer =
                 new PanelInformer(membership, directory, deathProof, peers, ticker);
         SlotClaimer claimer =
-                new SlotClaimer(membership, loader, informer, deathProof, store, addresses, ticker);
+                new SlotClaimer(
+                        membership,
+                        new SlotFencing(loader, informer, deathProof, store),
+                        deathProof,
+                        store,
+                        addresses,
+                        ticker);
         MemberLoop loop =
                 new MemberLoop(
                         membership,
--- a/entry/src/main/java/org/fuchsiaford/entry/member/SlotClaimer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/SlotClaimer.java
@@ -1,24 +1,18 @@
 package org.fuchsiaford.entry.member;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.stream.Stream;
-import org.fuchsiaford.bundle.Bundle;
 import org.fuchsiaford.bundle.BundleHead;
 import org.fuchsiaford.bundle.EntrySlot;
 import org.fuchsiaford.hash.Rendezvous;
 import org.fuchsiaford.host.HostProcess;
 import org.fuchsiaford.host.Incarnation;
-import org.fuchsiaford.host.Panel;
-import org.fuchsiaford.host.PanelTable;
 import org.fuchsiaford.host.PromiseBook;
 import org.fuchsiaford.host.SlotId;
 import org.fuchsiaford.host.SlotRecord;
 import org.fuchsiaford.host.SlotRecord.State;
-import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.platform.Store;
 import org.fuchsiaford.platform.StoreException;
 import org.fuchsiaford.platform.StoreKey;
@@ -34,19 +28,16 @@
 
 /**
  * Claims slots: for this host while it has none, and on behalf of nobody to vacate a slot whose
- * holder is gone. The claim is a compare-and-swap; then a majority of the slot's panel is informed
- * and one term waited out, after which the former holder cannot act.
+ * holder is gone. The claim is a compare-and-swap, followed by the fencing of the former holder.
  *
  * <p>Invariant: a slot is held only after every former holder is fenced; whether a holder looks
  * dead decides when to claim, never whether it is safe. Thread-safe.
  */
 public final class SlotClaimer {
     private static final Logger LOG = Logger.getLogger(SlotClaimer.class);
-    private static final Duration PROBE_PAUSE = Duration.ofMillis(500);
 
     private final Membership mMembership;
-    private final BundleLoader mLoader;
-    private final PanelInformer mInformer;
+    private final SlotFencing mFencing;
     private final DeathProof mDeathProof;
     private final Store mStore;
     private final StoreRecords mRecords;
@@ -57,15 +48,13 @@
     /** Creates a claimer. */
     public SlotClaimer(
             Membership membership,
-            BundleLoader loader,
-            PanelInformer informer,
+            SlotFencing fencing,
             DeathProof deathProof,
             Store store,
             HostAddresses addresses,
             Ticker ticker) {
         mMembership = membership;
-        mLoader = loader;
-        mInformer = informer;
+        mFencing = fencing;
         mDeathProof = deathProof;
         mStore = store;
         mRecords = new StoreRecords(store);
@@ -133,7 +122,11 @@
                 .filter(gone -> gone)
                 .flatMap(gone -> swap(claim, revision))
                 .filter(swap -> swap == StoreRecords.Swap.DONE)
-                .flatMap(swap -> former.isEmpty() ? Mono.just(true) : fence(claim, former.get()))
+                .flatMap(
+                        swap ->
+                                former.isEmpty()
+                                        ? Mono.just(true)
+                                        : mFencing.fence(claim, former.get()))
                 .flatMap(done -> finish(claim, goal))
                 .defaultIfEmpty(false);
     }
@@ -169,63 +162,6 @@
         return mMembership.held().filter(held -> held.slot().equals(slot)).isPresent();
     }
 
-    /** Ends when the former holder is fenced, or is proved dead before that. */
-    private Mono<Boolean> fence(SlotRecord claim, HostProcess former) {
-        Mono<Boolean> proved =
-                mDeathProof
-                        .probe(former)
-                        .filter(finding -> finding == DeathProof.Finding.DEAD)
-                        .map(finding -> true)
-                        .repeatWhenEmpty(tries -> tries.delayElements(PROBE_PAUSE));
-        // A failed fencing must end the claim; the next one takes the former holder over.
-        return Mono.firstWithValue(proved, fenceByPanel(claim).onErrorReturn(false))
-                .filter(fenced -> fenced);
-    }
-
-    /** Fences the former holder under the panels of every bundle that it may act on. */
-    private Mono<Boolean> fenceByPanel(SlotRecord claim) {
-        return mStore.read(List.of(StoreLayout.HEAD))
-                .flatMap(
-                        snapshot ->
-                                Mono.fromCallable(() -> head(snapshot))
-                                        .flatMap(head -> fenceUnder(claim, head)));
-    }
-
-    private static BundleHead head(StoreSnapshot snapshot) throws StoreException {
-        return StoreRecords.find(snapshot, StoreLayout.HEAD, BundleHead.class).orElseThrow();
-    }
-
-    private Mono<Boolean> fenceUnder(SlotRecord claim, BundleHead head) {
-        PeerMessage notice = new PeerMessage.InformSlot(claim.slot(), claim.incarnation());
-        return panels(claim.slot(), head)
-                .zipWith(mStore.readPrefix(StoreLayout.SLOTS))
-                .flatMap(
-                        reads ->
-                                Mono.fromCallable(() -> SlotTable.of(reads.getT2()))
-                                        .flatMap(
-                                                table ->
-                                                        mInformer.informAndWait(
-                                                                reads.getT1(), table, notice)))
-                .then(mStore.read(List.of(StoreLayout.HEAD)))
-                .flatMap(snapshot -> Mono.fromCallable(() -> head(snapshot)))
-                .flatMap(
-                        now ->
-                                now.generation().equals(head.generation())
-                                        ? Mono.just(true)
-                                        : fenceUnder(claim, now));
-    }
-
-    private Mono<List<Panel>> panels(SlotId slot, BundleHead head) {
-        return Flux.fromStream(
-                        Stream.of(head.manifest(), head.previousManifest())
-                                .filter(manifest -> manifest != null))
-                .take(head.accepted() ? 1 : 2)
-                .concatMap(manifest -> mLoader.loadManifest(manifest, List.of()))
-                .map(Bundle::entrySlots)
-                .map(slots -> new PanelTable(slots).panel(slot))
-                .collectList();
-    }
-
     private Mono<Boolean> finish(SlotRecord claim, State goal) {
         return mStore.read(List.of(StoreLayout.slot(claim.slot())))
                 .flatMap(
@@ -260,7 +196,7 @@
                                         () ->
                                                 hold(
                                                         claim,
-                                                        head(reads.getT1()),
+                                                        SlotFencing.head(reads.getT1()),
                                                         SlotTable.of(reads.getT2()),
                                                         askedNanos)));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/model/ModelRouter.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/model/ModelRouter.java
@@ -22,7 +22,6 @@
 import org.fuchsiaford.entry.metrics.EntryMetrics.Timing;
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.failure.RefusalReason;
-import org.fuchsiaford.failure.RunState;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.hash.Rendezvous;
 import org.fuchsiaford.placement.PlacementEvent;
@@ -70,7 +69,8 @@
     /** Produces the answer; fails with {@link RefusalException} if there is none or it breaks. */
     public Flux<AnswerChunk> run(ModelRun run) {
         return Flux.defer(() -> attempt(run))
-                .onErrorResume(BackendException.class, e -> retryOrFail(run, e));
+                .onErrorResume(BackendException.class, e -> retryOrFail(run, e))
+                .onErrorMap(RefusalException.class, e -> e.withRunState(run.life().runState()));
     }
 
     private Flux<AnswerChunk> retryOrFail(ModelRun run, BackendException error) {
@@ -83,10 +83,9 @@
     }
 
     private static RefusalException broken(ModelRun run, BackendException error) {
-        RunState state = run.delivered() > 0 ? RunState.UNKNOWN : run.life().runState();
         return new RefusalException(
                 RefusalReason.BACKEND_FAILED,
-                state,
+                run.life().runState(),
                 BROKEN_RETRY_MILLIS,
                 error.step(),
                 error.remote(),
@@ -171,9 +170,17 @@
         ModelCall call = run.call();
         long startNanos = mTicker.nowNanos();
         run.life().send();
-        return mEngines.prefill(prefill.get(), call)
-                .doOnNext(result -> prefilled(run, placed, result, startNanos))
-                .flatMapMany(result -> decode(run, placed, decode.get(), call, result));
+        Flux<AnswerChunk> answer =
+                mEngines.prefill(prefill.get(), call)
+                        .doOnNext(result -> prefilled(run, placed, result, startNanos))
+                        .flatMapMany(result -> decode(run, placed, decode.get(), call, result));
+        return Flux.using(
+                () -> reportWhileRunning(run, placed), reports -> answer, Disposable::dispose);
+    }
+
+    private Disposable reportWhileRunning(ModelRun run, Placed placed) {
+        return Flux.interval(RUNNING_REPORT)
+                .subscribe(tick -> report(run, placed, Kind.RUNNING, null));
     }
 
     private void prefilled(ModelRun run, Placed placed, PrefillResult result, long startNanos) {
@@ -192,15 +199,11 @@
             PrefillResult result) {
         StreamPosition position = new StreamPosition(run.delivered());
         TokenClock clock = new TokenClock(mTicker.nowNanos());
-        Disposable running =
-                Flux.interval(RUNNING_REPORT)
-                        .subscribe(tick -> report(run, placed, Kind.RUNNING, null));
         return mEngines.decode(engine, call, result)
                 .doOnNext(chunk -> time(run, placed, clock))
                 .concatMap(chunk -> run.accept(chunk, position, engine.id()))
                 .concatWith(Mono.defer(() -> run.checkComplete(engine.id())))
-                .doOnComplete(() -> report(run, placed, Kind.FINISHED, engine.id()))
-                .doFinally(signal -> running.dispose());
+                .doOnComplete(() -> report(run, placed, Kind.FINISHED, engine.id()));
     }
 
     private void time(ModelRun run, Placed placed, TokenClock clock) {
--- a/peer/src/main/java/org/fuchsiaford/peer/PeerClient.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/PeerClient.java
@@ -44,16 +44,15 @@
     }
 
     private Mono<PeerConnection> connection(PeerAddress peer) {
-        return mConnections
-                .computeIfAbsent(peer, this::connect)
-                .flatMap(
-                        connection -> {
-                            if (connection.isOpen()) {
-                                return Mono.just(connection);
-                            }
-                            mConnections.remove(peer);
-                            return mConnections.computeIfAbsent(peer, this::connect);
-                        });
+        Mono<PeerConnection> present = mConnections.computeIfAbsent(peer, this::connect);
+        return present.flatMap(
+                connection -> connection.isOpen() ? Mono.just(connection) : renew(peer, present));
+    }
+
+    /** Replaces a closed connection, unless another caller has done so. */
+    private Mono<PeerConnection> renew(PeerAddress peer, Mono<PeerConnection> closed) {
+        mConnections.remove(peer, closed);
+        return mConnections.computeIfAbsent(peer, this::connect);
     }
 
     private Mono<PeerConnection> connect(PeerAddress peer) {
@@ -62,9 +61,8 @@
                 .port(peer.port())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
                 .connect()
-                .map(PeerConnection::new)
+                .<PeerConnection>map(PeerConnection::new)
                 .doOnError(e -> mConnections.remove(peer))
-                .cast(PeerConnection.class)
                 .cache();
     }
 }
