--- a/entry/src/main/java/org/fuchsiaford/entry/keeper/PoolKeeper.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/keeper/PoolKeeper.java
@@ -30,6 +30,7 @@
  */
 final class PoolKeeper {
     private static final Duration DECISION_POLL = Duration.ofMillis(5);
+    private static final Duration IDLE_POLL = Duration.ofMillis(50);
     private static final Duration LOAD_POLL = Duration.ofMillis(250);
     private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -48,7 +49,11 @@
         mTicker = ticker;
         mScheduler = new PoolScheduler(model, engines.stream().map(EngineSpec::of).toList());
         mLastUseNanos = ticker.nowNanos();
-        mDecisionTask = Flux.interval(DECISION_POLL).onBackpressureDrop().subscribe(tick -> poll());
+        mDecisionTask =
+                Mono.defer(() -> Mono.delay(isIdle() ? IDLE_POLL : DECISION_POLL))
+                        .doOnNext(tick -> poll())
+                        .repeat()
+                        .subscribe();
         mLoadTask = Mono.defer(this::readLoads).then(Mono.delay(LOAD_POLL)).repeat().subscribe();
     }
 
