Show workspaces in a table and hosts as they take a roll over

status printed raw metric lines and roll named hosts only at its end. Hosts now summarise each workspace in /status; roll prints a host once it serves the new head.

--- a/cli/src/main/java/org/fuchsiaford/cli/HeadRoll.java
+++ b/cli/src/main/java/org/fuchsiaford/cli/HeadRoll.java
@@ -1,8 +1,11 @@
 package org.fuchsiaford.cli;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.fuchsiaford.bundle.BundleHead;
 import org.fuchsiaford.bundle.Generation;
+import org.fuchsiaford.host.SlotId;
 import org.fuchsiaford.host.SlotRecord;
 import org.fuchsiaford.platform.StoreException;
 import org.fuchsiaford.platform.StoreLayout;
@@ -69,27 +72,33 @@
     /** Waits until hosts have the head accepted, and shows who has it. */
     void follow(BundleHead head) throws CommandException, StoreException {
         report("swapped", head);
+        Set<SlotId> shown = new HashSet<>();
         for (int i = 0; i < FOLLOW_POLLS; i++) {
             BundleHead present = mStore.readHead().head().orElseThrow();
             boolean passed = head.generation().isBefore(present.generation());
             if (passed || (present.generation().equals(head.generation()) && present.accepted())) {
-                showHosts();
+                showHosts(head, shown, true);
                 report("accepted", head);
                 return;
             }
+            showHosts(head, shown, false);
             sleep();
         }
-        showHosts();
+        showHosts(head, shown, true);
         throw new CommandException(
                 ExitCode.NOT_ACCEPTED,
                 "generation " + head.generation().number() + " is swapped but not yet accepted");
     }
 
-    private void showHosts() throws StoreException {
+    /** Shows each host once it serves the head; at the end also those that do not. */
+    private void showHosts(BundleHead head, Set<SlotId> shown, boolean end) throws StoreException {
         for (SlotRecord slot : mStore.slots()) {
-            if (slot.isOccupied()) {
+            if (slot.isOccupied() && !shown.contains(slot.slot())) {
                 HostStatus status = HostStatus.read(slot);
-                mOutput.print(status.line(), status.object());
+                if (end || status.serves(head.generation())) {
+                    shown.add(slot.slot());
+                    mOutput.print(status.line(), status.object());
+                }
             }
         }
     }
--- a/cli/src/main/java/org/fuchsiaford/cli/HostStatus.java
+++ b/cli/src/main/java/org/fuchsiaford/cli/HostStatus.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.time.Duration;
+import org.fuchsiaford.bundle.Generation;
 import org.fuchsiaford.host.SlotRecord;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -14,15 +15,29 @@
  *
  * @param slot the slot record that names the host
  * @param answer the host's answer, a missing node if it gave none
- * @param metrics the host's metrics in text form, empty if it gave none
  */
-record HostStatus(SlotRecord slot, JsonNode answer, String metrics) {
+record HostStatus(SlotRecord slot, JsonNode answer) {
     private static final Duration TIMEOUT = Duration.ofMillis(1_000);
+    private static final String TABLE_ROW =
+            "    %-20s %8d %8d %9d %8d %8d %9.1f %9.1f %9.1f %9.1f%n";
+    private static final String TABLE_HEAD =
+            String.format(
+                    "    %-20s %8s %8s %9s %8s %8s %9s %9s %9s %9s%n",
+                    "workspace",
+                    "requests",
+                    "refused",
+                    "prompt",
+                    "cached",
+                    "output",
+                    "first ms",
+                    "next ms",
+                    "queue ms",
+                    "move ms");
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
     static HostStatus read(SlotRecord slot) {
         String base = "http://" + slot.adminAddress();
-        return new HostStatus(slot, parse(fetch(base + "/status")), fetch(base + "/metrics"));
+        return new HostStatus(slot, parse(fetch(base + "/status")));
     }
 
     private static String fetch(String url) {
@@ -52,6 +67,39 @@
         return answer.isObject();
     }
 
+    /** Returns whether the host serves a generation or a later one. */
+    boolean serves(Generation generation) {
+        return answer.path("serving").asBoolean()
+                && answer.path("generation").asLong() >= generation.number();
+    }
+
+    /** Returns a table of the host's workspaces, empty if it has served none. */
+    String table() {
+        StringBuilder table = new StringBuilder();
+        for (JsonNode row : answer.path("workspaces")) {
+            if (table.isEmpty()) {
+                table.append(TABLE_HEAD);
+            }
+            table.append(row(row));
+        }
+        return table.toString();
+    }
+
+    private static String row(JsonNode row) {
+        return String.format(
+                TABLE_ROW,
+                row.path("workspace").asText(),
+                row.path("requests").asLong(),
+                row.path("refusals").asLong(),
+                row.path("promptTokens").asLong(),
+                row.path("cachedTokens").asLong(),
+                row.path("outputTokens").asLong(),
+                row.path("firstTokenMicros").asLong() / 1e3,
+                row.path("betweenTokensMicros").asLong() / 1e3,
+                row.path("queueWaitMicros").asLong() / 1e3,
+                row.path("transferMicros").asLong() / 1e3);
+    }
+
     String line() {
         if (!answers()) {
             return String.format("%-12s %-22s no answer", slot.slot(), slot.callerAddress());
--- a/cli/src/main/java/org/fuchsiaford/cli/StatusCommand.java
+++ b/cli/src/main/java/org/fuchsiaford/cli/StatusCommand.java
@@ -61,9 +61,6 @@
     }
 
     private static void showHost(HostStatus status, Output output) {
-        output.print(status.line(), status.object());
-        status.metrics()
-                .lines()
-                .forEach(line -> output.print("    " + line, Output.object().put("metric", line)));
+        output.print((status.line() + "\n" + status.table()).stripTrailing(), status.object());
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/http/AdminServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/AdminServer.java
@@ -74,6 +74,7 @@
                                 status.put("slot", held.slot().value())
                                         .put("incarnation", held.incarnation().number()));
         mMembership.views().stream().findFirst().ifPresent(view -> describe(status, view));
+        status.set("workspaces", MAPPER.valueToTree(mMetrics.summaries()));
         return status;
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/EntryMetrics.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/EntryMetrics.java
@@ -3,7 +3,12 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.workspace.WorkspaceId;
@@ -16,6 +21,7 @@
  */
 public final class EntryMetrics {
     private final MetricRegistry mRegistry = new MetricRegistry();
+    private final Set<WorkspaceId> mWorkspaces = ConcurrentHashMap.newKeySet();
 
     /** What is measured in time. */
     public enum Timing {
@@ -51,13 +57,50 @@
 
     /** Adds to a count. */
     public void count(Count count, WorkspaceId workspace, long amount) {
+        mWorkspaces.add(workspace);
         counter(name(count, workspace)).inc(amount);
     }
 
     /** Counts a refusal. */
     public void refuse(RefusalReason reason, WorkspaceId workspace) {
-        String labels = "{workspace=\"" + workspace + "\",reason=\"" + reason.wireName() + "\"}";
-        counter(base(Count.REFUSALS) + labels).inc();
+        mWorkspaces.add(workspace);
+        counter(name(reason, workspace)).inc();
+    }
+
+    /** Returns a summary for each workspace that has sent anything, in order of name. */
+    public List<WorkspaceSummary> summaries() {
+        return mWorkspaces.stream().sorted().map(this::summary).toList();
+    }
+
+    private WorkspaceSummary summary(WorkspaceId workspace) {
+        return new WorkspaceSummary(
+                workspace,
+                counted(Count.REQUESTS, workspace),
+                refusals(workspace),
+                counted(Count.PROMPT_TOKENS, workspace),
+                counted(Count.CACHED_TOKENS, workspace),
+                counted(Count.OUTPUT_TOKENS, workspace),
+                percentile(Timing.FIRST_TOKEN, workspace),
+                percentile(Timing.BETWEEN_TOKENS, workspace),
+                percentile(Timing.QUEUE_WAIT, workspace),
+                percentile(Timing.TRANSFER, workspace));
+    }
+
+    private long counted(Count count, WorkspaceId workspace) {
+        return counter(name(count, workspace)).getCount();
+    }
+
+    private long refusals(WorkspaceId workspace) {
+        return Arrays.stream(RefusalReason.values())
+                .map(reason -> mRegistry.getCounters().get(name(reason, workspace)))
+                .filter(Objects::nonNull)
+                .mapToLong(Counter::getCount)
+                .sum();
+    }
+
+    private long percentile(Timing timing, WorkspaceId workspace) {
+        Histogram histogram = mRegistry.getHistograms().get(name(timing, workspace));
+        return histogram == null ? 0 : (long) histogram.getSnapshot().get95thPercentile();
     }
 
     private Histogram histogram(String name) {
@@ -72,6 +115,11 @@
         return base(metric) + "{workspace=\"" + workspace + "\"}";
     }
 
+    private static String name(RefusalReason reason, WorkspaceId workspace) {
+        String labels = "{workspace=\"" + workspace + "\",reason=\"" + reason.wireName() + "\"}";
+        return base(Count.REFUSALS) + labels;
+    }
+
     private static String base(Enum<?> metric) {
         return "fuchsiaford_" + metric.name().toLowerCase(Locale.ROOT);
     }
