Raise limits only when the very bundle they come from is accepted

Cause, found by reading: accept() of an earlier generation applied the newest bundle's limits as accepted, since the flag was passed in by each caller. Late news of generation 1 with generation 2 under way raised limits while other hosts could still act on 1. The flag is now derived from the newest head.

--- a/entry/src/main/java/org/fuchsiaford/entry/member/Membership.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/Membership.java
@@ -123,11 +123,19 @@
             mActive = mPending;
             mPending = null;
         }
-        applyLimits(head.accepted());
+        applyLimits();
     }
 
     /** Takes note that the newest head is accepted. */
     public synchronized void accept(Generation generation) {
+        boolean known =
+                newestHead()
+                        .filter(head -> head.generation().equals(generation))
+                        .filter(BundleHead::accepted)
+                        .isPresent();
+        if (known) {
+            return;
+        }
         if (mPending != null && mPending.head().generation().equals(generation)) {
             mPending = mPending.asAccepted();
         } else if (mActive != null && mActive.head().generation().equals(generation)) {
@@ -135,12 +143,14 @@
         } else {
             return;
         }
-        applyLimits(true);
+        applyLimits();
     }
 
-    private void applyLimits(boolean accepted) {
-        if (mHeld != null && newest() != null) {
-            mHeld.ledger().apply(newest().index(), accepted, mTicker.nowNanos());
+    /** The newest bundle's limits count in full only once that very bundle is accepted. */
+    private void applyLimits() {
+        ServingView newest = newest();
+        if (mHeld != null && newest != null) {
+            mHeld.ledger().apply(newest.index(), newest.head().accepted(), mTicker.nowNanos());
         }
     }
 
@@ -156,7 +166,7 @@
         views().stream()
                 .filter(view -> view.head().generation().equals(shown))
                 .forEach(view -> view.lease().confirmByStore(askedNanos));
-        applyLimits(newest() != null && newest().head().accepted());
+        applyLimits();
     }
 
     /** Gives the slot up, being superseded or stopping. */
