Use one FNV-1a, and break the cycle between http and model

FNV-1a stood in Rendezvous, PrefixHashes and the engine stand-in; all use hash.Fnv1a with the same values. Authenticator answers by the membership's view and was used by two packages that import each other; it now lies beside Membership. The attempt window lies in the run that uses it. No behaviour changes.

--- a/core/src/main/java/org/fuchsiaford/hash/Rendezvous.java
+++ b/core/src/main/java/org/fuchsiaford/hash/Rendezvous.java
@@ -12,9 +12,6 @@
  * <p>Stateless, hence thread-safe.
  */
 public final class Rendezvous {
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-    private static final long FNV_PRIME = 0x100000001b3L;
-
     /** A node with its weight for a key. */
     private record Weighted<T>(T node, long weight, String text) {}
 
@@ -22,7 +19,7 @@
 
     /** Returns the nodes, best first, for a key. Ties are broken by the node's text. */
     public static <T> List<T> order(String key, Collection<T> nodes) {
-        long seed = hash(FNV_OFFSET, key);
+        long seed = hash(Fnv1a.EMPTY, key);
         return nodes.stream()
                 .map(node -> new Weighted<>(node, weight(seed, node.toString()), node.toString()))
                 .sorted(
@@ -35,7 +32,7 @@
 
     /** Returns a well-mixed hash of a text. */
     public static long hash(String text) {
-        return mix(hash(FNV_OFFSET, text));
+        return mix(hash(Fnv1a.EMPTY, text));
     }
 
     private static long weight(long seed, String node) {
@@ -43,11 +40,7 @@
     }
 
     private static long hash(long seed, String text) {
-        long hash = seed;
-        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ (b & 0xff)) * FNV_PRIME;
-        }
-        return hash;
+        return Fnv1a.add(seed, text.getBytes(StandardCharsets.UTF_8));
     }
 
     /** Finalizer of the 64-bit murmur hash; without it similar names get similar weights. */
--- a/core/src/main/java/org/fuchsiaford/json/CheckedObject.java
+++ b/core/src/main/java/org/fuchsiaford/json/CheckedObject.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -121,7 +122,7 @@
         String value = text(field);
         E[] constants = type.getEnumConstants();
         List<String> names =
-                StreamSupport.stream(List.of(constants).spliterator(), false)
+                Arrays.stream(constants)
                         .map(constant -> constant.name().toLowerCase(Locale.ROOT).replace('_', '-'))
                         .collect(Collectors.toList());
         int index = names.indexOf(value);
--- a/core/src/main/java/org/fuchsiaford/placement/PrefixHashes.java
+++ b/core/src/main/java/org/fuchsiaford/placement/PrefixHashes.java
@@ -1,5 +1,7 @@
 package org.fuchsiaford.placement;
 
+import org.fuchsiaford.hash.Fnv1a;
+
 /**
  * Hashes the prefixes of a prompt, one for each whole piece, with FNV-1a over the bytes from the
  * start of the prompt. Equal prefixes give equal hashes.
@@ -7,9 +9,6 @@
  * <p>Stateless, hence thread-safe.
  */
 public final class PrefixHashes {
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-    private static final long FNV_PRIME = 0x100000001b3L;
-
     private PrefixHashes() {}
 
     /**
@@ -20,9 +19,9 @@
      */
     public static long[] of(byte[] prompt, int bytesPerPiece) {
         long[] hashes = new long[prompt.length / bytesPerPiece];
-        long hash = FNV_OFFSET;
+        long hash = Fnv1a.EMPTY;
         for (int i = 0; i < hashes.length * bytesPerPiece; i++) {
-            hash = (hash ^ (prompt[i] & 0xff)) * FNV_PRIME;
+            hash = Fnv1a.add(hash, prompt[i]);
             if ((i + 1) % bytesPerPiece == 0) {
                 hashes[i / bytesPerPiece] = hash;
             }
--- a/entry/src/main/java/org/fuchsiaford/entry/http/CompletionsHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/CompletionsHandler.java
@@ -6,6 +6,7 @@
 import org.fuchsiaford.entry.backend.AnswerChunk;
 import org.fuchsiaford.entry.limit.Admission;
 import org.fuchsiaford.entry.limit.Charge;
+import org.fuchsiaford.entry.member.Authenticator;
 import org.fuchsiaford.entry.metrics.EntryMetrics;
 import org.fuchsiaford.entry.metrics.EntryMetrics.Count;
 import org.fuchsiaford.entry.model.ModelRequest;
--- a/entry/src/main/java/org/fuchsiaford/entry/http/EntryHostsHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/EntryHostsHandler.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.fuchsiaford.entry.member.Authenticator;
 import org.fuchsiaford.entry.member.ServingView;
 import org.fuchsiaford.entry.member.SlotDirectory;
 import org.fuchsiaford.failure.RefusalException;
--- a/entry/src/main/java/org/fuchsiaford/entry/http/RouteHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/RouteHandler.java
@@ -10,6 +10,7 @@
 import org.fuchsiaford.bundle.Route;
 import org.fuchsiaford.entry.limit.Admission;
 import org.fuchsiaford.entry.limit.Charge;
+import org.fuchsiaford.entry.member.Authenticator;
 import org.fuchsiaford.entry.member.Membership;
 import org.fuchsiaford.entry.member.ServingView;
 import org.fuchsiaford.entry.metrics.EntryMetrics;
--- a/entry/src/main/java/org/fuchsiaford/entry/http/Authenticator.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/member/Authenticator.java
@@ -1,10 +1,8 @@
-package org.fuchsiaford.entry.http;
+package org.fuchsiaford.entry.member;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import org.fuchsiaford.bundle.Workspace;
-import org.fuchsiaford.entry.member.Membership;
-import org.fuchsiaford.entry.member.ServingView;
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.Step;
--- a/entry/src/main/java/org/fuchsiaford/entry/model/ModelRouter.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/model/ModelRouter.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.PoolId;
 import org.fuchsiaford.bundle.BackendServer;
@@ -14,9 +13,9 @@
 import org.fuchsiaford.entry.backend.EngineClient;
 import org.fuchsiaford.entry.backend.ModelCall;
 import org.fuchsiaford.entry.backend.PrefillResult;
-import org.fuchsiaford.entry.http.Authenticator;
 import org.fuchsiaford.entry.keeper.PlacementClient;
 import org.fuchsiaford.entry.keeper.PlacementClient.Placed;
+import org.fuchsiaford.entry.member.Authenticator;
 import org.fuchsiaford.entry.metrics.EntryMetrics;
 import org.fuchsiaford.entry.metrics.EntryMetrics.Count;
 import org.fuchsiaford.entry.metrics.EntryMetrics.Timing;
@@ -243,9 +242,4 @@
     private void record(ModelRun run, Timing timing, long sinceNanos) {
         mMetrics.record(timing, run.workspace(), mTicker.nowNanos() - sinceNanos);
     }
-
-    /** Returns the time after which no further attempt starts, in nanoseconds from receipt. */
-    static long attemptWindowNanos() {
-        return TimeUnit.SECONDS.toNanos(60);
-    }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/model/ModelRun.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/model/ModelRun.java
@@ -20,6 +20,10 @@
  */
 public final class ModelRun {
     private static final int MAX_ATTEMPTS = 4;
+
+    /** How long after receipt a further attempt may start. */
+    private static final long ATTEMPT_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(60);
+
     private static final long LEAST_FIRST_TOKEN_MILLIS = 1;
 
     private final ModelRequest mRequest;
@@ -38,9 +42,7 @@
         mWorkspace = workspace;
         mKey = key;
         mReceivedNanos = receivedNanos;
-        mLife =
-                new RequestLife(
-                        true, receivedNanos + ModelRouter.attemptWindowNanos(), MAX_ATTEMPTS);
+        mLife = new RequestLife(true, receivedNanos + ATTEMPT_WINDOW_NANOS, MAX_ATTEMPTS);
         mLife.admit();
     }
 
--- a/standin/src/main/java/org/fuchsiaford/standin/engine/AnswerText.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/engine/AnswerText.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.standin.engine;
 
 import java.nio.charset.StandardCharsets;
+import org.fuchsiaford.hash.Fnv1a;
 
 /**
  * Makes the answer of a model engine: each token depends on the whole text before it and on nothing
@@ -10,10 +11,7 @@
     /** The bytes of text that stand for one token, in prompts and answers. */
     public static final int BYTES_PER_TOKEN = 4;
 
-    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-    private static final long FNV_PRIME = 0x100000001b3L;
-
-    private long mHash = FNV_OFFSET;
+    private long mHash = Fnv1a.EMPTY;
 
     /** Starts an answer to a prompt. */
     public AnswerText(String prompt) {
@@ -34,8 +32,6 @@
     }
 
     private void append(String text) {
-        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
-            mHash = (mHash ^ (b & 0xff)) * FNV_PRIME;
-        }
+        mHash = Fnv1a.add(mHash, text.getBytes(StandardCharsets.UTF_8));
     }
 }
