Wait for room at engines, and order spare prefill engines to decode

Cause: streams hold a decode engine's memory for seconds, so three of six engines that only read prompts left half the memory unused; in bursts 58 requests were refused though they could have waited. Change: a queue at each host (on-time requests first, hopeless ones refused at once), and one order holder under a store lease that turns spare prefill engines into decode engines before traffic.

--- a/core/src/main/java/org/fuchsiaford/fleet/HostPulse.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostPulse.java
@@ -11,10 +11,12 @@
  * @param stateRevision the store's revision up to which it knows all changes
  * @param admitted what it has admitted of each workspace
  * @param loads what it has under way at backend servers
+ * @param waitingTokens the size of all its requests that wait for an engine
  */
 public record HostPulse(
         HostRecord host,
         boolean accepting,
         long stateRevision,
         List<WorkspaceTotal> admitted,
-        List<ServerLoad> loads) {}
+        List<ServerLoad> loads,
+        long waitingTokens) {}
--- a/core/src/main/java/org/fuchsiaford/routing/RoutingTable.java
+++ b/core/src/main/java/org/fuchsiaford/routing/RoutingTable.java
@@ -76,6 +76,11 @@
                 .findFirst();
     }
 
+    /** Returns all services. */
+    public List<ServiceDeclaration> services() {
+        return List.copyOf(mServices.values());
+    }
+
     /** Returns a service by its id. */
     public Optional<ServiceDeclaration> service(ServiceId id) {
         return Optional.ofNullable(mServices.get(id));
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
@@ -0,0 +1,113 @@
+package org.fuchsiaford.selection;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.routing.TokenCounts;
+
+/**
+ * Model requests that wait for room at a decode engine.
+ *
+ * <p>Load pattern: bursts of a few seconds at twice what the engines hold. Those that can still be
+ * on time go first, by rank and age, so that a burst does not make everybody late; the others are
+ * served when no such request waits. Nobody is overtaken by a smaller request, so the largest are
+ * served no less often. Invariant: each request leaves the queue once. Thread-safe.
+ */
+public final class EngineQueue {
+    /** Weight of the newest stream in the mean duration. */
+    private static final double NEWEST_WEIGHT = 0.1;
+
+    /** A stream's duration until one has been seen; a few hundred steps of an engine. */
+    private static final long FIRST_DURATION_NANOS = 3_000_000_000L;
+
+    /** Part of the time that a request may wait which its estimated wait may use up. */
+    private static final double HOPEFUL_SHARE = 0.7;
+
+    /** Means of a stream's duration that are kept for the run itself. */
+    private static final double RUN_MARGIN = 1.3;
+
+    private final Map<RequestId, Waiting> mWaiting = new LinkedHashMap<>();
+    private double mMeanDurationNanos = FIRST_DURATION_NANOS;
+
+    /**
+     * A request that waits.
+     *
+     * @param request the request
+     * @param tokens its size
+     * @param priority its rank, zero first
+     * @param arrivedNanos when it came
+     * @param onTimeUntilNanos until when it must start to be on time
+     * @param deadlineNanos when it must be finished
+     */
+    public record Waiting(
+            RequestId request,
+            TokenCounts tokens,
+            int priority,
+            long arrivedNanos,
+            long onTimeUntilNanos,
+            long deadlineNanos) {}
+
+    /** Learns how long streams take. */
+    public synchronized void observeDuration(long tookNanos) {
+        mMeanDurationNanos += (tookNanos - mMeanDurationNanos) * NEWEST_WEIGHT;
+    }
+
+    /** Adds a request. */
+    public synchronized void add(Waiting waiting) {
+        mWaiting.put(waiting.request(), waiting);
+    }
+
+    /** Removes a request. Returns whether it still waited. */
+    public synchronized boolean remove(RequestId request) {
+        return mWaiting.remove(request) != null;
+    }
+
+    /** Returns whether nobody waits. */
+    public synchronized boolean isEmpty() {
+        return mWaiting.isEmpty();
+    }
+
+    /** Returns the tokens of all that wait. */
+    public synchronized long waitingTokens() {
+        return mWaiting.values().stream().mapToLong(w -> w.tokens().total()).sum();
+    }
+
+    /** Returns the request that is served next. */
+    public synchronized Optional<Waiting> next(long nowNanos) {
+        Comparator<Waiting> late = Comparator.comparing(w -> w.onTimeUntilNanos() - nowNanos < 0);
+        return mWaiting.values().stream()
+                .min(
+                        late.thenComparingInt(Waiting::priority)
+                                .thenComparingLong(Waiting::arrivedNanos));
+    }
+
+    /** Returns those that could not be finished any more if they started now. */
+    public synchronized List<Waiting> hopeless(long nowNanos) {
+        return mWaiting.values().stream()
+                .filter(waiting -> patienceNanos(waiting.deadlineNanos(), nowNanos) <= 0)
+                .toList();
+    }
+
+    /**
+     * Estimates the wait behind work of the given size.
+     *
+     * @param aheadTokens tokens of all that waits at all hosts
+     * @param capacityTokens the memory of all decode engines
+     * @return nanoseconds
+     */
+    public synchronized long estimateWaitNanos(long aheadTokens, long capacityTokens) {
+        return (long) (mMeanDurationNanos * aheadTokens / Math.max(1, capacityTokens));
+    }
+
+    /** Returns whether a request that has this wait before it can probably be served. */
+    public synchronized boolean isHopeful(long waitNanos, long deadlineNanos, long nowNanos) {
+        return waitNanos < patienceNanos(deadlineNanos, nowNanos) * HOPEFUL_SHARE;
+    }
+
+    private long patienceNanos(long deadlineNanos, long nowNanos) {
+        return deadlineNanos - nowNanos - (long) (mMeanDurationNanos * RUN_MARGIN);
+    }
+}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -9,6 +9,7 @@
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.entry.gateway.fleet.PulseExchange;
 import org.fuchsiaford.entry.gateway.forward.Attempts;
+import org.fuchsiaford.entry.gateway.forward.EngineGate;
 import org.fuchsiaford.entry.gateway.forward.GatewayServer;
 import org.fuchsiaford.entry.gateway.forward.PlainCourse;
 import org.fuchsiaford.entry.gateway.forward.PrefillCall;
@@ -18,6 +19,8 @@
 import org.fuchsiaford.entry.gateway.forward.StreamCourse;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
+import org.fuchsiaford.entry.gateway.order.Orders;
+import org.fuchsiaford.entry.gateway.order.StageKeeper;
 import org.fuchsiaford.entry.gateway.protocol.Adapter;
 import org.fuchsiaford.entry.gateway.protocol.HostStatus;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
@@ -33,9 +36,11 @@
 import org.fuchsiaford.quota.FleetQuota;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.selection.EnginePlanner;
+import org.fuchsiaford.selection.EngineQueue;
 import org.fuchsiaford.selection.LoadBoard;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.selection.ServerSelector;
+import org.fuchsiaford.store.Store;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -69,6 +74,7 @@
     private final GatewayState mState;
     private final StateFollower mFollower;
     private final PulseExchange mPulses;
+    private final StageKeeper mStages;
     private final PeerServer mPeerServer;
     private final GatewayServer mServer;
     private final List<DisposableServer> mServers = new ArrayList<>();
@@ -82,6 +88,7 @@
         mFleet = new FleetView(self(settings));
         ServerHealth health = new ServerHealth();
         LoadBoard loads = new LoadBoard();
+        EngineQueue queue = new EngineQueue();
         FleetQuota quota = new FleetQuota();
         mState =
                 new GatewayState(
@@ -91,9 +98,19 @@
                         mLog,
                         mTicker,
                         health::forget);
+        Store store = adapter.store(settings);
+        mStages =
+                Orders.keeper(
+                        mState,
+                        store,
+                        adapter.orders(),
+                        mFleet.self().id(),
+                        settings.orderLeaseSeconds(),
+                        mLog,
+                        mTicker);
         mFollower =
                 new StateFollower(
-                        adapter.store(settings),
+                        store,
                         mState,
                         mFleet.self(),
                         settings.registrationSeconds(),
@@ -104,6 +121,7 @@
                         mFleet,
                         quota,
                         loads,
+                        queue,
                         mState,
                         new PeerClient(),
                         settings.seedPeers(),
@@ -111,7 +129,7 @@
                         mTicker,
                         this::isReady);
         mPeerServer = new PeerServer(settings.peerAddress(), this::answer);
-        mServer = server(health, loads, new RouteGate(mState, quota, mTicker));
+        mServer = server(health, loads, queue, new RouteGate(mState, quota, mTicker));
     }
 
     private static HostRecord self(GatewaySettings settings) {
@@ -122,7 +140,8 @@
                 settings.peerAddress().toString());
     }
 
-    private GatewayServer server(ServerHealth health, LoadBoard loads, RouteGate gate) {
+    private GatewayServer server(
+            ServerHealth health, LoadBoard loads, EngineQueue queue, RouteGate gate) {
         FailureDomainId domain = mSettings.failureDomain();
         ServerClient client = new ServerClient(mAdapter.servers());
         RetryBudgets budgets =
@@ -135,6 +154,7 @@
         Attempts attempts = new Attempts(health, budgets, mLog, mTicker);
         EnginePlanner planner = new EnginePlanner(domain, loads, health, GatewayHost::draw);
         ServerSelector selector = new ServerSelector(domain, loads, health, GatewayHost::draw);
+        EngineGate engines = new EngineGate(mState, mFleet, loads, planner, queue, mLog, mTicker);
         PrefillCall prefill =
                 new PrefillCall(client, mAdapter.servers(), loads, planner, attempts, mTicker);
         return new GatewayServer(
@@ -143,7 +163,7 @@
                 gate,
                 new PlainCourse(mState, gate, selector, loads, client, attempts, mLog, mTicker),
                 new StreamCourse(
-                        mState, gate, planner, loads, client, prefill, attempts, mLog, mTicker),
+                        mState, gate, engines, loads, client, prefill, attempts, mLog, mTicker),
                 mMetrics,
                 mLog,
                 mTicker);
@@ -192,6 +212,7 @@
 
     private void startPulses() {
         mPulses.start();
+        mStages.start();
         mLog.write(new Decision.Lifecycle("started", mSettings.callerAddress().toString()));
     }
 
@@ -249,8 +270,9 @@
     private Mono<Void> close() {
         mPulses.stop();
         mLog.write(new Decision.Lifecycle("stopped", mServer.inFlight() + " in flight"));
-        return mFollower
-                .stop()
+        return mStages.stop()
+                .onErrorResume(e -> Mono.empty())
+                .then(Mono.defer(mFollower::stop))
                 .timeout(STORE_PATIENCE)
                 .onErrorResume(e -> Mono.empty())
                 .thenMany(Flux.fromIterable(mServers).doOnNext(DisposableServer::dispose))
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -23,6 +23,7 @@
  * @param retryWindowMillis the window of the retry budget, in milliseconds
  * @param retryRatio repeats for each request in the window, over all hosts
  * @param retrySlack repeats beyond that in the window, over all hosts
+ * @param orderLeaseSeconds the life of the right to order engines without renewal, in seconds
  */
 public record GatewaySettings(
         String adapter,
@@ -40,4 +41,5 @@
         long graceMillis,
         long retryWindowMillis,
         double retryRatio,
-        long retrySlack) {}
+        long retrySlack,
+        long orderLeaseSeconds) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -76,7 +76,8 @@
                 root.number("graceMillis", 1, MAX_MILLIS),
                 root.number("retryWindowMillis", 1, MAX_MILLIS),
                 root.fraction("retryRatio"),
-                root.number("retrySlack", 0, Integer.MAX_VALUE));
+                root.number("retrySlack", 0, Integer.MAX_VALUE),
+                root.number("orderLeaseSeconds", 1, MAX_SECONDS));
     }
 
     private static PeerAddress address(CheckedObject root, String field) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/PulseExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/PulseExchange.java
@@ -16,6 +16,7 @@
 import org.fuchsiaford.peer.PeerCalls;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.quota.FleetQuota;
+import org.fuchsiaford.selection.EngineQueue;
 import org.fuchsiaford.selection.LoadBoard;
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
@@ -45,6 +46,7 @@
     private final FleetView mFleet;
     private final FleetQuota mQuota;
     private final LoadBoard mLoads;
+    private final EngineQueue mQueue;
     private final GatewayState mState;
     private final PeerCalls mPeers;
     private final List<PeerAddress> mSeeds;
@@ -62,6 +64,7 @@
             FleetView fleet,
             FleetQuota quota,
             LoadBoard loads,
+            EngineQueue queue,
             GatewayState state,
             PeerCalls peers,
             List<PeerAddress> seeds,
@@ -71,6 +74,7 @@
         mFleet = fleet;
         mQuota = quota;
         mLoads = loads;
+        mQueue = queue;
         mState = state;
         mPeers = peers;
         mSeeds = List.copyOf(seeds);
@@ -163,7 +167,8 @@
                 mAccepting.getAsBoolean(),
                 mState.revision(),
                 mQuota.totals(),
-                mLoads.own());
+                mLoads.own(),
+                mQueue.waitingTokens());
     }
 
     /** Takes a pulse in and answers it with this host's own. */
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineSeat.java
@@ -0,0 +1,11 @@
+package org.fuchsiaford.entry.gateway.forward;
+
+import org.fuchsiaford.selection.EnginePlan;
+
+/**
+ * Engines for one attempt, with room reserved at the decode engine. Whoever gets it releases it.
+ *
+ * @param plan the engines
+ * @param room the reservation
+ */
+record EngineSeat(EnginePlan plan, Reservation room) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -174,6 +174,7 @@
                         passage.route(),
                         passage.route().pickService(ThreadLocalRandom.current().nextDouble()),
                         passage.workspace(),
+                        trace.startNanos(),
                         deadline(caller, passage, trace));
         trace.admitted(context);
         Mono<Void> answer =
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PlainCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PlainCourse.java
@@ -184,6 +184,8 @@
                         before + 1,
                         load.requests(),
                         load.tokens(),
+                        0,
+                        0,
                         leftMillis,
                         mState.revision()));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillCall.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillCall.java
@@ -46,8 +46,8 @@
     }
 
     /** Returns where the KV cache is, or nothing if the engine failed within the limit. */
-    Mono<Optional<KvSource>> call(
-            RequestContext context, LiveServer engine, TokenCounts tokens, long limitMillis) {
+    Mono<Optional<KvSource>> call(RequestContext context, LiveServer engine, long limitMillis) {
+        TokenCounts tokens = context.tokens();
         long startNanos = mTicker.nowNanos();
         boolean idle = mLoads.total(engine.id()).requests() <= 0;
         Reservation time = Reservation.prefill(mLoads, engine, tokens);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -10,6 +10,7 @@
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.GatewayRoute;
+import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.WorkspaceDeclaration;
 import org.fuchsiaford.workspace.WorkspaceId;
 
@@ -18,11 +19,15 @@
  * counters change, by the signals of one request, one after another.
  */
 final class RequestContext {
+    /** The size that a model request without token counts is planned for. */
+    private static final TokenCounts UNKNOWN_SIZE = new TokenCounts(1_000, 100);
+
     private final CallerRequest mCaller;
     private final byte[] mBody;
     private final GatewayRoute mRoute;
     private final ServiceId mService;
     private final Optional<WorkspaceDeclaration> mWorkspace;
+    private final long mArrivedNanos;
     private final long mDeadlineNanos;
     private final RequestAttempts mAttempts;
     private int mSends;
@@ -33,12 +38,14 @@
             GatewayRoute route,
             ServiceId service,
             Optional<WorkspaceDeclaration> workspace,
+            long arrivedNanos,
             long deadlineNanos) {
         mCaller = caller;
         mBody = body;
         mRoute = route;
         mService = service;
         mWorkspace = workspace;
+        mArrivedNanos = arrivedNanos;
         mDeadlineNanos = deadlineNanos;
         mAttempts = new RequestAttempts(route.kind(), route.maxServers());
     }
@@ -63,6 +70,28 @@
         return mWorkspace.map(WorkspaceDeclaration::id);
     }
 
+    /** Returns the size that the request is planned for. */
+    TokenCounts tokens() {
+        return mCaller.tokens().orElse(UNKNOWN_SIZE);
+    }
+
+    /** Returns the rank, zero first; that of the workspace goes before that of the route. */
+    int priority() {
+        return mWorkspace
+                .map(WorkspaceDeclaration::priority)
+                .filter(OptionalInt::isPresent)
+                .map(OptionalInt::getAsInt)
+                .orElse(mRoute.priority());
+    }
+
+    long arrivedNanos() {
+        return mArrivedNanos;
+    }
+
+    long deadlineNanos() {
+        return mDeadlineNanos;
+    }
+
     RequestAttempts attempts() {
         return mAttempts;
     }
@@ -87,12 +116,14 @@
             long leftMillis,
             Optional<KvSource> source,
             Optional<String> lastEventId) {
-        OptionalInt priority =
-                mWorkspace
-                        .map(WorkspaceDeclaration::priority)
-                        .filter(OptionalInt::isPresent)
-                        .orElse(OptionalInt.of(mRoute.priority()));
         return new ServerRequest(
-                mCaller, server, purpose, leftMillis, workspaceId(), priority, source, lastEventId);
+                mCaller,
+                server,
+                purpose,
+                leftMillis,
+                workspaceId(),
+                priority(),
+                source,
+                lastEventId);
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -1,7 +1,6 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import org.fuchsiaford.attempt.AttemptOutcome;
@@ -13,17 +12,11 @@
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.failure.RefusalException;
-import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.RemoteName;
-import org.fuchsiaford.failure.RunState;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.LiveServer;
-import org.fuchsiaford.routing.EngineCapacity;
-import org.fuchsiaford.routing.ServiceDeclaration;
-import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.selection.EnginePlan;
-import org.fuchsiaford.selection.EnginePlanner;
 import org.fuchsiaford.selection.LoadBoard;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
@@ -37,12 +30,6 @@
  * repetition; a stream that cannot be finished ends with an error. Thread-safe.
  */
 public final class StreamCourse {
-    /** When to come back if every engine is full: about the time of one answer. */
-    private static final long FULL_RETRY_MILLIS = 400;
-
-    /** When to come back if no engine is known. */
-    private static final long NO_SERVER_RETRY_MILLIS = 500;
-
     /** A prefill call may take this part of the target; then the decode engine reads the prompt. */
     private static final double PREFILL_TARGET_SHARE = 0.6;
 
@@ -52,12 +39,9 @@
     /** Callers give a silent stream up after two seconds; a new engine needs the rest of them. */
     private static final Duration LONGEST_SILENCE = Duration.ofMillis(1_000);
 
-    /** The size that a model request without token counts is planned for. */
-    private static final TokenCounts UNKNOWN_SIZE = new TokenCounts(1_000, 100);
-
     private final GatewayState mState;
-    private final RouteGate mGate;
-    private final EnginePlanner mPlanner;
+    private final RouteGate mRoutes;
+    private final EngineGate mGate;
     private final LoadBoard mLoads;
     private final ServerClient mClient;
     private final PrefillCall mPrefill;
@@ -68,8 +52,8 @@
     /** Creates a course. */
     public StreamCourse(
             GatewayState state,
-            RouteGate gate,
-            EnginePlanner planner,
+            RouteGate routes,
+            EngineGate gate,
             LoadBoard loads,
             ServerClient client,
             PrefillCall prefill,
@@ -77,8 +61,8 @@
             DecisionLog log,
             Ticker ticker) {
         mState = state;
+        mRoutes = routes;
         mGate = gate;
-        mPlanner = planner;
         mLoads = loads;
         mClient = client;
         mPrefill = prefill;
@@ -94,56 +78,24 @@
     }
 
     private Flux<AnswerPart> attempt(RequestContext context, StreamProgress progress) {
-        return Mono.fromCallable(() -> plan(context))
-                .flatMapMany(plan -> attempt(context, progress, plan));
-    }
-
-    private EnginePlan plan(RequestContext context) throws RefusalException {
-        mGate.recheck(context);
-        long nowNanos = mTicker.nowNanos();
-        List<LiveServer> servers = mState.servers().usable(context.service(), nowNanos);
-        return mPlanner.plan(
-                        servers,
-                        context.attempts().failed(),
-                        capacity(context),
-                        tokens(context),
-                        context.route().targetMillis(),
-                        nowNanos)
-                .orElseThrow(() -> refusal(context, servers.isEmpty()));
-    }
-
-    private EngineCapacity capacity(RequestContext context) {
-        return mState.table()
-                .flatMap(table -> table.service(context.service()))
-                .flatMap(ServiceDeclaration::engine)
-                .orElse(new EngineCapacity(Integer.MAX_VALUE, Long.MAX_VALUE));
+        return mGate.acquire(context).flatMapMany(seat -> attempt(context, progress, seat));
     }
 
-    private static TokenCounts tokens(RequestContext context) {
-        return context.caller().tokens().orElse(UNKNOWN_SIZE);
-    }
-
-    private static RefusalException refusal(RequestContext context, boolean none) {
-        boolean mayHaveRun = context.attempts().mayHaveRun();
-        return new RefusalException(
-                mayHaveRun ? RefusalReason.BACKEND_FAILED : RefusalReason.BUSY,
-                mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN,
-                mayHaveRun ? 0 : none ? NO_SERVER_RETRY_MILLIS : FULL_RETRY_MILLIS,
-                Step.PLACE,
-                RemoteName.SELF,
-                none ? "no engine is known" : "no engine has room");
+    private Flux<AnswerPart> attempt(
+            RequestContext context, StreamProgress progress, EngineSeat seat) {
+        long startNanos = mTicker.nowNanos();
+        return Mono.fromCallable(() -> begin(context, seat.plan()))
+                .flatMap(plan -> source(context, plan))
+                .flatMapMany(source -> decode(context, progress, seat, source))
+                .doFinally(signal -> mGate.leave(seat, mTicker.nowNanos() - startNanos));
     }
 
-    private Flux<AnswerPart> attempt(
-            RequestContext context, StreamProgress progress, EnginePlan plan) {
+    /** Checks, after any wait, that the request may still run and its engine still takes work. */
+    private EnginePlan begin(RequestContext context, EnginePlan plan) throws RefusalException {
+        mRoutes.recheck(context);
         int before = mAttempts.begin(context);
         logPlaced(context, plan, before);
-        Reservation room =
-                Reservation.decode(
-                        mLoads, plan.decode(), tokens(context), plan.prefill().isEmpty());
-        return source(context, plan)
-                .flatMapMany(source -> decode(context, progress, plan, source, room))
-                .doFinally(signal -> room.release());
+        return plan;
     }
 
     private Mono<Optional<KvSource>> source(RequestContext context, EnginePlan plan) {
@@ -151,18 +103,17 @@
             return Mono.just(Optional.empty());
         }
         long limit = (long) (context.route().targetMillis() * PREFILL_TARGET_SHARE);
-        return mPrefill.call(context, plan.prefill().get(), tokens(context), limit);
+        return mPrefill.call(context, plan.prefill().get(), limit);
     }
 
     private Flux<AnswerPart> decode(
             RequestContext context,
             StreamProgress progress,
-            EnginePlan plan,
-            Optional<KvSource> source,
-            Reservation room) {
+            EngineSeat seat,
+            Optional<KvSource> source) {
         long startNanos = mTicker.nowNanos();
         long leftMillis = context.leftMillis(startNanos);
-        LiveServer server = plan.decode();
+        LiveServer server = seat.plan().decode();
         Flux<AnswerPart> parts =
                 mClient.exchange(
                         context.to(
@@ -175,7 +126,7 @@
                         Step.DECODE,
                         Duration.ofMillis(Math.max(1, leftMillis)));
         return watched(context, server, parts)
-                .doOnNext(part -> room.markRead())
+                .doOnNext(part -> seat.room().markRead())
                 .switchOnFirst(
                         (first, all) ->
                                 first.get() instanceof AnswerPart.Head head
@@ -285,6 +236,8 @@
                         before + 1,
                         load.requests(),
                         load.tokens(),
+                        context.tokens().prompt(),
+                        context.tokens().maxAnswer(),
                         context.leftMillis(mTicker.nowNanos()),
                         mState.revision()));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -17,10 +17,22 @@
             int attempt,
             int serverRequests,
             long serverTokens,
+            long promptTokens,
+            long answerTokens,
             long leftMillis,
             long registryRevision)
             implements Decision {}
 
+    /** A request waits for room at an engine; tokens are those of all that wait here. */
+    record Queued(String request, long waitingTokens, long estimatedWaitMillis)
+            implements Decision {}
+
+    /** An order was sent to an engine. */
+    record Ordered(String server, String stage, long fence, String outcome) implements Decision {}
+
+    /** This host got or lost the right to give orders. */
+    record OrderHolder(String state, long fence, String reason) implements Decision {}
+
     /** An attempt did not bring the answer, and what follows. */
     record AttemptFailed(String request, String server, String outcome, String reason, String next)
             implements Decision {}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/OrderClient.java
@@ -0,0 +1,69 @@
+package org.fuchsiaford.entry.gateway.order;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.time.Duration;
+import org.fuchsiaford.entry.gateway.protocol.EngineReport;
+import org.fuchsiaford.entry.gateway.protocol.OrderProtocol;
+import org.fuchsiaford.entry.gateway.protocol.UnreadableException;
+import org.fuchsiaford.failure.RemoteName;
+import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.order.StageOrder;
+import org.fuchsiaford.registry.LiveServer;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/** Reads engines' reports and sends them orders. Thread-safe. */
+final class OrderClient {
+    private static final Duration TIMEOUT = Duration.ofMillis(500);
+    private static final int OK = 200;
+
+    private final OrderProtocol mProtocol;
+    private final HostId mSelf;
+    private final HttpClient mClient;
+
+    OrderClient(OrderProtocol protocol, HostId self) {
+        mProtocol = protocol;
+        mSelf = self;
+        mClient =
+                HttpClient.create(ConnectionProvider.newConnection())
+                        .disableRetry(true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TIMEOUT.toMillis());
+    }
+
+    /** Returns an engine's report; fails if there is none in time. */
+    Mono<EngineReport> report(LiveServer engine) {
+        return mClient.get()
+                .uri("http://" + engine.address() + mProtocol.reportPath())
+                .responseSingle(
+                        (response, body) ->
+                                response.status().code() == OK
+                                        ? body.asByteArray()
+                                        : Mono.error(unreadable(engine, response.status().code())))
+                .flatMap(bytes -> Mono.fromCallable(() -> mProtocol.readReport(bytes)))
+                .timeout(TIMEOUT);
+    }
+
+    private static UnreadableException unreadable(LiveServer engine, int status) {
+        return new UnreadableException(
+                Step.ORDER_ENGINE, new RemoteName(engine.id().value()), "status " + status);
+    }
+
+    /** Sends an order and returns the status; one without an answer may still be carried out. */
+    Mono<Integer> order(StageOrder order, long fence, long acceptedOrders) {
+        byte[] body = mProtocol.writeOrder(order, mSelf, fence, acceptedOrders);
+        return mClient.headers(
+                        headers ->
+                                headers.set(mProtocol.orderHeaders(order))
+                                        .set(HttpHeaderNames.CONTENT_LENGTH, body.length))
+                .post()
+                .uri("http://" + order.engine().address() + mProtocol.orderPath())
+                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+                .response()
+                .map(response -> response.status().code())
+                .timeout(TIMEOUT);
+    }
+}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/Adapter.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/Adapter.java
@@ -23,6 +23,9 @@
     /** Returns how backend servers speak. */
     ServerProtocol servers();
 
+    /** Returns how engines report and take orders. */
+    OrderProtocol orders();
+
     /** Returns how the store's entries are read. */
     StateDecoder state();
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/ServerRequest.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/ServerRequest.java
@@ -1,7 +1,6 @@
 package org.fuchsiaford.entry.gateway.protocol;
 
 import java.util.Optional;
-import java.util.OptionalInt;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.workspace.WorkspaceId;
 
@@ -23,7 +22,7 @@
         Purpose purpose,
         long leftMillis,
         Optional<WorkspaceId> workspace,
-        OptionalInt priority,
+        int priority,
         Optional<KvSource> source,
         Optional<String> lastEventId) {
 
--- a/store/src/main/java/org/fuchsiaford/store/StoreLayout.java
+++ b/store/src/main/java/org/fuchsiaford/store/StoreLayout.java
@@ -19,6 +19,9 @@
     /** The registrations of entry hosts that follow a live registry. */
     public static final StoreKey HOSTS = new StoreKey("/fuchsiaford/hosts/");
 
+    /** Who may give orders to model engines. */
+    public static final StoreKey ORDER_HOLDER = new StoreKey("/fuchsiaford/order-holder");
+
     private static final StoreKey PIECES = new StoreKey("/fuchsiaford/pieces/");
     private static final StoreKey BUNDLES = new StoreKey("/fuchsiaford/bundles/");
     private static final StoreKey IDEMPOTENCY = new StoreKey("/fuchsiaford/idempotency/");
