--- a/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
+++ b/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
@@ -30,6 +30,7 @@
 
     private final Map<WorkspaceId, Bucket> mBuckets = new HashMap<>();
     private final Map<HostId, Reported> mReported = new HashMap<>();
+    private final long mStartNanos;
     private double mShare = 1;
 
     private static final class Bucket {
@@ -41,6 +42,16 @@
     private static final class Reported {
         private final Map<WorkspaceId, Long> mTotals = new HashMap<>();
         private long mHeardNanos;
+        private boolean mHeard;
+    }
+
+    /**
+     * Creates limits of a host that has admitted nothing.
+     *
+     * @param startNanos when the host started; what accrued since then may be used
+     */
+    public FleetQuota(long startNanos) {
+        mStartNanos = startNanos;
     }
 
     /**
@@ -59,7 +70,7 @@
      */
     public synchronized long admit(
             WorkspaceId workspace, TokenQuota quota, long tokens, long nowNanos) {
-        Bucket bucket = bucket(workspace, quota, nowNanos);
+        Bucket bucket = bucket(workspace, quota);
         accrue(bucket, quota, nowNanos);
         double cap = Math.max(1, quota.burstTokens() * mShare);
         double needed = Math.min(tokens, cap);
@@ -91,8 +102,9 @@
     /** Subtracts what another host has admitted since its last report. */
     public synchronized void merge(HostId host, List<WorkspaceTotal> totals, long nowNanos) {
         Reported reported = mReported.computeIfAbsent(host, h -> new Reported());
-        boolean inTouch = nowNanos - reported.mHeardNanos <= STALE_NANOS;
+        boolean inTouch = reported.mHeard && nowNanos - reported.mHeardNanos <= STALE_NANOS;
         totals.forEach(total -> merge(reported, total, inTouch));
+        reported.mHeard = true;
         reported.mHeardNanos = nowNanos;
     }
 
@@ -109,13 +121,13 @@
         mReported.remove(host);
     }
 
-    private Bucket bucket(WorkspaceId workspace, TokenQuota quota, long nowNanos) {
+    private Bucket bucket(WorkspaceId workspace, TokenQuota quota) {
         return mBuckets.computeIfAbsent(
                 workspace,
                 id -> {
                     Bucket fresh = new Bucket();
                     fresh.mLevel = quota.burstTokens() * mShare * FIRST_LEVEL_SHARE;
-                    fresh.mUpdatedNanos = nowNanos;
+                    fresh.mUpdatedNanos = mStartNanos;
                     return fresh;
                 });
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -89,7 +89,7 @@
         ServerHealth health = new ServerHealth();
         LoadBoard loads = new LoadBoard();
         EngineQueue queue = new EngineQueue();
-        FleetQuota quota = new FleetQuota();
+        FleetQuota quota = new FleetQuota(mTicker.nowNanos());
         mState =
                 new GatewayState(
                         adapter.state(),
