--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -267,7 +267,8 @@
                 .then();
     }
 
-    private Mono<Void> close() {
+    /** Ends at once, whatever runs; completes when all ports are closed. */
+    public Mono<Void> close() {
         mPulses.stop();
         mLog.write(new Decision.Lifecycle("stopped", mServer.inFlight() + " in flight"));
         return mStages.stop()
--- /dev/null
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
@@ -0,0 +1,270 @@
+package org.fuchsiaford.standin.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.fuchsiaford.standin.FaultMode;
+import org.fuchsiaford.standin.Json;
+import org.fuchsiaford.standin.Standin;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Stands in for the users' platform's store: items with revisions, watches that wait, transactions
+ * and leases, in memory, with faults on demand. Thread-safe.
+ */
+public final class PlatformStoreStandin implements Standin {
+    private static final Duration WATCH_POLL = Duration.ofMillis(5);
+    private static final Duration EXPIRY_POLL = Duration.ofMillis(50);
+    private static final String JSON_KEY = "key";
+
+    private final TreeMap<String, Item> mItems = new TreeMap<>();
+    private final List<Event> mEvents = new ArrayList<>();
+    private final Map<Long, Lease> mLeases = new HashMap<>();
+    private long mRevision = 1;
+    private long mLastLease;
+    private long mCalls;
+    private volatile FaultMode mFault = FaultMode.NONE;
+
+    private record Item(String value, long revision, long created, long lease) {}
+
+    private record Event(String key, Item item, long revision) {}
+
+    private record Lease(long ttlMillis, long deadlineNanos) {}
+
+    /** Sets what goes wrong from now on. */
+    public void setFault(FaultMode fault) {
+        mFault = fault;
+    }
+
+    /** Writes as an operator or a backend server does. */
+    public synchronized void put(String key, String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        put(key, Base64.getEncoder().encodeToString(bytes), 0);
+    }
+
+    /** Removes as an operator or a backend server does. */
+    public synchronized void remove(String key) {
+        mItems.remove(key);
+        mEvents.add(new Event(key, null, ++mRevision));
+    }
+
+    /** Returns the keys with a prefix. */
+    public synchronized List<String> keys(String prefix) {
+        return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+    }
+
+    /** Returns how many calls were made. */
+    public synchronized long calls() {
+        return mCalls;
+    }
+
+    private void put(String key, String value, long lease) {
+        mRevision++;
+        Item last = mItems.get(key);
+        Item item = new Item(value, mRevision, last == null ? mRevision : last.created(), lease);
+        mItems.put(key, item);
+        mEvents.add(new Event(key, item, mRevision));
+    }
+
+    @Override
+    public DisposableServer start(int port) {
+        DisposableServer server =
+                HttpServer.create()
+                        .host("127.0.0.1")
+                        .port(port)
+                        .route(
+                                routes ->
+                                        routes.get("/api/kv-key", call(this::key))
+                                                .get("/api/kv-range", call(this::range))
+                                                .get("/api/kv-watch", this::watch)
+                                                .post("/api/kv-txn", call(this::transact))
+                                                .post("/api/kv-lease", call(this::grant))
+                                                .post("/api/kv-keep/{id}", call(this::keep))
+                                                .delete("/api/kv-lease-end/{id}", call(this::end)))
+                        .bindNow();
+        Flux.interval(EXPIRY_POLL)
+                .takeWhile(tick -> !server.isDisposed())
+                .subscribe(tick -> expire(System.nanoTime()));
+        return server;
+    }
+
+    private record Reply(int status, ObjectNode body) {}
+
+    private interface Operation {
+        Reply carryOut(HttpServerRequest request, JsonNode body);
+    }
+
+    private java.util.function.BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>>
+            call(Operation operation) {
+        return (request, response) ->
+                Json.body(request)
+                        .flatMap(
+                                body -> {
+                                    if (mFault == FaultMode.SILENT) {
+                                        return Mono.never();
+                                    }
+                                    Reply reply =
+                                            mFault == FaultMode.DOWN
+                                                    ? new Reply(503, Json.object())
+                                                    : counted(operation, request, body);
+                                    return mFault == FaultMode.LOSE_REPLIES
+                                            ? Mono.never()
+                                            : Mono.from(
+                                                    Json.send(
+                                                            response,
+                                                            reply.status(),
+                                                            reply.body()));
+                                });
+    }
+
+    private synchronized Reply counted(
+            Operation operation, HttpServerRequest request, JsonNode body) {
+        mCalls++;
+        return operation.carryOut(request, body);
+    }
+
+    private static String parameter(HttpServerRequest request, String name) {
+        List<String> values = new QueryStringDecoder(request.uri()).parameters().get(name);
+        return values == null ? "" : values.get(0);
+    }
+
+    private Reply key(HttpServerRequest request, JsonNode body) {
+        String key = parameter(request, JSON_KEY);
+        Item item = mItems.get(key);
+        ObjectNode reply = item == null ? Json.object() : describe(key, item);
+        reply.put("currentRev", mRevision);
+        return new Reply(item == null ? 404 : 200, reply);
+    }
+
+    private Reply range(HttpServerRequest request, JsonNode body) {
+        String prefix = parameter(request, "pathPrefix");
+        ObjectNode reply = Json.object().put("hasMore", false).put("currentRev", mRevision);
+        ArrayNode items = reply.putArray("items");
+        mItems.forEach(
+                (key, item) -> {
+                    if (key.startsWith(prefix)) {
+                        items.add(describe(key, item));
+                    }
+                });
+        return new Reply(200, reply);
+    }
+
+    private static ObjectNode describe(String key, Item item) {
+        return Json.object()
+                .put(JSON_KEY, key)
+                .put("value", item.value())
+                .put("revision", item.revision())
+                .put("created", item.created())
+                .put("lease", item.lease());
+    }
+
+    private Publisher<Void> watch(HttpServerRequest request, HttpServerResponse response) {
+        String prefix = parameter(request, "pathPrefix");
+        long after = Long.parseLong(parameter(request, "after"));
+        Duration wait = Duration.ofMillis(Long.parseLong(parameter(request, "waitMs")));
+        return Flux.interval(Duration.ZERO, WATCH_POLL)
+                .onBackpressureDrop()
+                .filter(tick -> mFault == FaultMode.NONE)
+                .map(tick -> events(prefix, after))
+                .filter(reply -> !reply.path("events").isEmpty())
+                .next()
+                .timeout(wait, Mono.fromSupplier(() -> events(prefix, after)))
+                .flatMap(reply -> Mono.from(Json.send(response, 200, reply)));
+    }
+
+    private synchronized ObjectNode events(String prefix, long after) {
+        ObjectNode reply = Json.object();
+        ArrayNode events = reply.putArray("events");
+        mEvents.stream()
+                .filter(event -> event.revision() > after && event.key().startsWith(prefix))
+                .forEach(
+                        event ->
+                                events.add(
+                                        event.item() == null
+                                                ? Json.object()
+                                                        .put(JSON_KEY, event.key())
+                                                        .put("revision", event.revision())
+                                                        .put("deleted", true)
+                                                : describe(event.key(), event.item())));
+        return reply.put("currentRev", Math.max(after, mRevision));
+    }
+
+    private Reply transact(HttpServerRequest request, JsonNode body) {
+        for (JsonNode condition : body.path("precondition")) {
+            Item item = mItems.get(condition.path(JSON_KEY).asText());
+            long revision = item == null ? 0 : item.revision();
+            if (revision != condition.path("revision").asLong()) {
+                return new Reply(412, Json.object());
+            }
+        }
+        for (JsonNode put : body.path("puts")) {
+            long lease = put.path("lease").asLong(0);
+            if (lease != 0 && !mLeases.containsKey(lease)) {
+                return new Reply(404, Json.object());
+            }
+            put(put.path(JSON_KEY).asText(), put.path("value").asText(), lease);
+        }
+        body.path("remove").forEach(key -> remove(key.asText()));
+        return new Reply(200, Json.object().put("revision", mRevision));
+    }
+
+    private Reply grant(HttpServerRequest request, JsonNode body) {
+        long ttlMillis = body.path("ttlMs").asLong();
+        mLeases.put(++mLastLease, lease(ttlMillis));
+        return new Reply(200, Json.object().put("lease", mLastLease).put("ttlMs", ttlMillis));
+    }
+
+    private static Lease lease(long ttlMillis) {
+        return new Lease(ttlMillis, System.nanoTime() + Duration.ofMillis(ttlMillis).toNanos());
+    }
+
+    private Reply keep(HttpServerRequest request, JsonNode body) {
+        long id = Long.parseLong(request.param("id"));
+        Lease lease = mLeases.get(id);
+        if (lease == null) {
+            return new Reply(404, Json.object());
+        }
+        mLeases.put(id, lease(lease.ttlMillis()));
+        return new Reply(200, Json.object().put("ttlMs", lease.ttlMillis()));
+    }
+
+    private Reply end(HttpServerRequest request, JsonNode body) {
+        long id = Long.parseLong(request.param("id"));
+        boolean known = mLeases.remove(id) != null;
+        removeKeysOf(List.of(id));
+        return new Reply(known ? 200 : 404, Json.object());
+    }
+
+    private synchronized void expire(long nowNanos) {
+        List<Long> ended =
+                mLeases.entrySet().stream()
+                        .filter(e -> nowNanos - e.getValue().deadlineNanos() >= 0)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        ended.forEach(mLeases::remove);
+        removeKeysOf(ended);
+    }
+
+    private void removeKeysOf(List<Long> leases) {
+        mItems.entrySet().stream()
+                .filter(e -> leases.contains(e.getValue().lease()))
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::remove);
+    }
+}
