Test the new decisions by properties; hold the retry budget in every window

RetryBudgetTest failed first: first sends left a window before the repeats that they had allowed. Only those of the last half window count now.

--- a/core/src/main/java/org/fuchsiaford/attempt/RetryBudget.java
+++ b/core/src/main/java/org/fuchsiaford/attempt/RetryBudget.java
@@ -8,8 +8,10 @@
  *
  * <p>All hosts together may send again a ratio of the first sends and a fixed slack in each window.
  * A host keeps to the ratio of its own first sends and to its part of the slack, so the sum holds
- * without any message between hosts. Invariant: within any window at most that many repeats are
- * allowed. Thread-safe.
+ * without any message between hosts. Only the first sends of the last half window count, so that
+ * the sum also holds for each window that ends later, when some of them have left it. Invariant:
+ * repeats in any window are at most the ratio of the first sends in it or in the window half a
+ * window before it, plus the slack. Thread-safe.
  */
 public final class RetryBudget {
     private final long mWindowNanos;
@@ -30,7 +32,7 @@
 
     /** Notes the first send of a request. */
     public synchronized void first(long nowNanos) {
-        expire(mFirstSends, nowNanos);
+        expire(mFirstSends, mWindowNanos / 2, nowNanos);
         mFirstSends.addLast(nowNanos);
     }
 
@@ -41,8 +43,8 @@
      * @return whether the repeat may be sent
      */
     public synchronized boolean tryRepeat(double slack, long nowNanos) {
-        expire(mFirstSends, nowNanos);
-        expire(mRepeats, nowNanos);
+        expire(mFirstSends, mWindowNanos / 2, nowNanos);
+        expire(mRepeats, mWindowNanos, nowNanos);
         if (mRepeats.size() + 1 > mFirstSends.size() * mRatio + slack) {
             return false;
         }
@@ -50,8 +52,8 @@
         return true;
     }
 
-    private void expire(Deque<Long> sends, long nowNanos) {
-        while (!sends.isEmpty() && nowNanos - sends.peekFirst() > mWindowNanos) {
+    private static void expire(Deque<Long> sends, long lifeNanos, long nowNanos) {
+        while (!sends.isEmpty() && nowNanos - sends.peekFirst() > lifeNanos) {
             sends.removeFirst();
         }
     }
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaford/TestServers.java
@@ -0,0 +1,44 @@
+package org.fuchsiaford;
+
+import java.util.Optional;
+import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.registry.EngineStage;
+import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.ServerAddress;
+
+/** Live servers for tests. */
+public final class TestServers {
+    public static final ServiceId SERVICE = new ServiceId("service");
+
+    private TestServers() {}
+
+    /** Returns a plain server with six seats. */
+    public static LiveServer plain(String id, String domain) {
+        return server(id, domain, Optional.empty(), false, 1);
+    }
+
+    /** Returns an engine. */
+    public static LiveServer engine(String id, EngineStage stage) {
+        return server(id, "here", Optional.of(stage), false, 1);
+    }
+
+    /** Returns any server. */
+    public static LiveServer server(
+            String id,
+            String domain,
+            Optional<EngineStage> stage,
+            boolean draining,
+            long bornMillis) {
+        return new LiveServer(
+                new BackendServerId(id),
+                SERVICE,
+                new ServerAddress("10.0.0.1", 80),
+                new FailureDomainId(domain),
+                6,
+                stage,
+                draining,
+                bornMillis);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
@@ -0,0 +1,73 @@
+package org.fuchsiaford.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.host.HostId;
+
+/** Which hosts count, are reached, and are named to callers. */
+class FleetViewTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final FailureDomainId HERE = new FailureDomainId("here");
+    private static final FailureDomainId THERE = new FailureDomainId("there");
+
+    private final FleetView mFleet = new FleetView(host("self", HERE, 1));
+
+    private static HostRecord host(String id, FailureDomainId domain, int number) {
+        return new HostRecord(
+                new HostId(id), domain, "10.0.0." + number + ":80", "10.0.0." + number + ":90");
+    }
+
+    private static HostPulse pulse(HostRecord host, boolean accepting) {
+        return new HostPulse(host, accepting, 0, List.of(), List.of(), 0);
+    }
+
+    @Example
+    void callersAreSentToTheirOwnDomainIfItHasEnoughHosts() {
+        mFleet.hear(pulse(host("b", THERE, 2), true), 0);
+        assertThat(mFleet.callerAddresses(HERE, true, 0))
+                .containsExactly("10.0.0.1:80", "10.0.0.2:80");
+        mFleet.hear(pulse(host("c", HERE, 3), true), 0);
+        assertThat(mFleet.callerAddresses(HERE, true, 0))
+                .containsExactly("10.0.0.1:80", "10.0.0.3:80");
+    }
+
+    @Example
+    void noCallerIsSentToAHostThatLeavesIsSilentOrHasEnded() {
+        mFleet.hear(pulse(host("b", THERE, 2), false), 0);
+        mFleet.hear(pulse(host("c", THERE, 3), true), 0);
+        mFleet.hear(pulse(host("d", THERE, 4), true), SECOND);
+        mFleet.end(new HostId("d"));
+        assertThat(mFleet.callerAddresses(HERE, true, 2 * SECOND)).containsExactly("10.0.0.1:80");
+        assertThat(mFleet.callerAddresses(HERE, false, 2 * SECOND)).isEmpty();
+    }
+
+    @Example
+    void aRegisteredHostThatIsNotHeardCountsButIsNotReached() {
+        mFleet.register(host("b", THERE, 2));
+        assertThat(mFleet.presentCount(0)).isEqualTo(2);
+        assertThat(mFleet.reachableCount(0)).isEqualTo(1);
+        mFleet.hear(pulse(host("b", THERE, 2), true), 0);
+        assertThat(mFleet.reachableCount(0)).isEqualTo(2);
+        assertThat(mFleet.reachableCount(2 * SECOND)).isEqualTo(1);
+    }
+
+    @Example
+    void aNewProcessAtAnAddressReplacesTheOldOne() {
+        mFleet.register(host("b", THERE, 2));
+        mFleet.hear(pulse(host("b2", THERE, 2), true), 0);
+        assertThat(mFleet.presentCount(0)).isEqualTo(2);
+        assertThat(mFleet.others()).extracting(HostRecord::id).containsExactly(new HostId("b2"));
+    }
+
+    @Example
+    void aHostThatIsNeitherRegisteredNorHeardIsForgotten() {
+        mFleet.hear(pulse(host("b", THERE, 2), true), 0);
+        assertThat(mFleet.expire(SECOND)).isEmpty();
+        assertThat(mFleet.expire(2 * SECOND)).containsExactly(new HostId("b"));
+        assertThat(mFleet.others()).isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaford/order/StagePolicyTest.java
@@ -0,0 +1,64 @@
+package org.fuchsiaford.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.fuchsiaford.TestServers;
+import org.fuchsiaford.registry.EngineStage;
+import org.fuchsiaford.registry.LiveServer;
+
+/** Where orders lead for any number of engines. */
+class StagePolicyTest {
+    private static List<LiveServer> engines(int prefill, int decode) {
+        List<LiveServer> engines = new ArrayList<>();
+        IntStream.range(0, prefill)
+                .mapToObj(i -> TestServers.engine("p" + i, EngineStage.PREFILL))
+                .forEach(engines::add);
+        IntStream.range(0, decode)
+                .mapToObj(i -> TestServers.engine("d" + i, EngineStage.DECODE))
+                .forEach(engines::add);
+        return engines;
+    }
+
+    @Property(seed = "51")
+    void ordersEndWithOnePrefillEngineForSixAndNeverFlap(
+            @ForAll @IntRange(max = 20) int prefill, @ForAll @IntRange(max = 20) int decode) {
+        List<LiveServer> engines = engines(prefill, decode);
+        Optional<StageOrder> order = StagePolicy.next(engines, Set.of());
+        while (order.isPresent()) {
+            assertThat(order.get().stage()).isEqualTo(EngineStage.DECODE);
+            LiveServer changed = order.get().engine();
+            engines.remove(changed);
+            engines.add(TestServers.engine(changed.id().value(), EngineStage.DECODE));
+            order = StagePolicy.next(engines, Set.of());
+        }
+        long left = engines.stream().filter(e -> e.isStage(EngineStage.PREFILL)).count();
+        long wanted = Math.max(1, engines.size() / 6);
+        boolean few = engines.size() < 4;
+        assertThat(left).isEqualTo(few ? prefill : Math.min(prefill, wanted));
+    }
+
+    @Example
+    void anEngineWithAPendingOrderGetsNoOther() {
+        List<LiveServer> engines = engines(3, 3);
+        StageOrder first = StagePolicy.next(engines, Set.of()).orElseThrow();
+        StageOrder second = StagePolicy.next(engines, Set.of(first.engine().id())).orElseThrow();
+        assertThat(second.engine()).isNotEqualTo(first.engine());
+        assertThat(
+                        StagePolicy.next(
+                                engines,
+                                Set.of(first.engine(), second.engine()).stream()
+                                        .map(LiveServer::id)
+                                        .collect(Collectors.toSet())))
+                .isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaford/quota/FleetQuotaTest.java
@@ -0,0 +1,136 @@
+package org.fuchsiaford.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.routing.TokenQuota;
+import org.fuchsiaford.workspace.WorkspaceId;
+
+/** Hosts that exchange pulses in virtual time, whole, in islands, and cut off from each other. */
+class FleetQuotaTest {
+    private static final WorkspaceId WORKSPACE = new WorkspaceId("w");
+    private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    private static final int STEPS_PER_PULSE = 25;
+    private static final int STEPS = 2_500;
+    private static final int WINDOW_STEPS = 800;
+    private static final int CUT_FROM = 800;
+    private static final int CUT_TO = 1_700;
+    private static final int REQUEST_TOKENS = 5_000;
+    private static final TokenQuota QUOTA = new TokenQuota(47_000, 47_000, 200);
+    private static final double OVERAGE = 1.1;
+    private static final long SLACK_TOKENS = 190_000;
+
+    private final List<FleetQuota> mHosts = new ArrayList<>();
+
+    private void start(int hosts) {
+        IntStream.range(0, hosts).forEach(i -> mHosts.add(new FleetQuota(0)));
+    }
+
+    private void pulse(int from, int to, long nowNanos) {
+        mHosts.get(to).merge(new HostId("h" + from), mHosts.get(from).totals(), nowNanos);
+    }
+
+    /** Hosts before the split hear each other, and so do those behind it. */
+    private void pulses(int split, long nowNanos) {
+        int hosts = mHosts.size();
+        for (int from = 0; from < hosts; from++) {
+            for (int to = 0; to < hosts; to++) {
+                if (from != to && (from < split) == (to < split)) {
+                    pulse(from, to, nowNanos);
+                }
+            }
+        }
+        for (int host = 0; host < hosts; host++) {
+            int island = split == 0 ? hosts : host < split ? split : hosts - split;
+            mHosts.get(host).setShare((double) island / hosts);
+        }
+    }
+
+    @Property(tries = 40, seed = "11")
+    void noWindowExceedsTheLimitWhileHostsAreCutOff(
+            @ForAll @IntRange(min = 2, max = 9) int hosts,
+            @ForAll @IntRange(min = 1, max = 8) int split,
+            @ForAll @IntRange(min = 1, max = 10) int load,
+            @ForAll Random random) {
+        mHosts.clear();
+        start(hosts);
+        int island = Math.min(split, hosts - 1);
+        long[] admitted = new long[STEPS];
+        for (int step = 0; step < STEPS; step++) {
+            long nowNanos = step * STEP_NANOS;
+            boolean cut = step >= CUT_FROM && step < CUT_TO;
+            if (step % STEPS_PER_PULSE == 0) {
+                pulses(cut ? island : 0, nowNanos);
+            }
+            // Up to about ten times the rate, on hosts drawn at random.
+            for (int i = 0; i < load; i++) {
+                FleetQuota host = mHosts.get(random.nextInt(hosts));
+                if (random.nextInt(10) == 0
+                        && host.admit(WORKSPACE, QUOTA, REQUEST_TOKENS, nowNanos) == 0) {
+                    admitted[step] += REQUEST_TOKENS;
+                }
+            }
+        }
+        long window = 0;
+        long most = 0;
+        for (int step = 0; step < STEPS; step++) {
+            window += admitted[step] - (step >= WINDOW_STEPS ? admitted[step - WINDOW_STEPS] : 0);
+            most = Math.max(most, window);
+        }
+        double seconds = WINDOW_STEPS * STEP_NANOS / 1e9;
+        double allowed =
+                (QUOTA.tokensPerSecond() * seconds + QUOTA.burstTokens()) * OVERAGE + SLACK_TOKENS;
+        assertThat((double) most).isLessThanOrEqualTo(allowed);
+    }
+
+    @Property(tries = 20, seed = "12")
+    void nothingInsideTheRateIsRefusedWhileHostsHearEachOther(
+            @ForAll @IntRange(min = 1, max = 9) int hosts, @ForAll Random random) {
+        mHosts.clear();
+        start(hosts);
+        long stepsPerRequest = REQUEST_TOKENS * 100L / (QUOTA.tokensPerSecond() * 8 / 10) + 1;
+        for (int step = 200; step < STEPS; step++) {
+            long nowNanos = step * STEP_NANOS;
+            if (step % STEPS_PER_PULSE == 0) {
+                pulses(0, nowNanos);
+            }
+            if (step % stepsPerRequest == 0) {
+                FleetQuota host = mHosts.get(random.nextInt(hosts));
+                assertThat(host.admit(WORKSPACE, QUOTA, REQUEST_TOKENS, nowNanos)).isZero();
+            }
+        }
+    }
+
+    @Example
+    void aRefusalSaysWhenThereAreTokens() {
+        FleetQuota host = new FleetQuota(0);
+        long nowNanos = TimeUnit.SECONDS.toNanos(5);
+        assertThat(host.admit(WORKSPACE, QUOTA, 47_000, nowNanos)).isZero();
+        long waitNanos = host.admit(WORKSPACE, QUOTA, 4_700, nowNanos);
+        assertThat(waitNanos).isEqualTo(TimeUnit.MILLISECONDS.toNanos(100));
+        assertThat(host.admit(WORKSPACE, QUOTA, 4_700, nowNanos + waitNanos)).isZero();
+    }
+
+    @Example
+    void tokensOfARequestThatDidNotRunComeBackEverywhere() {
+        start(2);
+        long nowNanos = TimeUnit.SECONDS.toNanos(5);
+        mHosts.forEach(host -> host.admit(WORKSPACE, QUOTA, 1, nowNanos));
+        pulses(0, nowNanos);
+        mHosts.get(0).admit(WORKSPACE, QUOTA, 46_000, nowNanos);
+        pulses(0, nowNanos);
+        assertThat(mHosts.get(1).admit(WORKSPACE, QUOTA, 40_000, nowNanos)).isPositive();
+        mHosts.get(0).refund(WORKSPACE, 46_000);
+        pulses(0, nowNanos);
+        assertThat(mHosts.get(1).admit(WORKSPACE, QUOTA, 40_000, nowNanos)).isZero();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaford/registry/ServerRegistryTest.java
@@ -0,0 +1,63 @@
+package org.fuchsiaford.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.fuchsiaford.TestServers.SERVICE;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.fuchsiaford.TestServers;
+
+/** What is believed of a server whose entry changes, vanishes and returns. */
+class ServerRegistryTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final ServerRegistry mRegistry = new ServerRegistry();
+    private final LiveServer mServer = TestServers.plain("s", "here");
+    private final LiveServer mDraining = TestServers.server("s", "here", Optional.empty(), true, 1);
+
+    @Example
+    void anOlderReportChangesNothing() {
+        mRegistry.put(mDraining, 5);
+        assertThat(mRegistry.put(mServer, 4)).isFalse();
+        assertThat(mRegistry.remove(mServer.id(), 4, 0)).isFalse();
+        assertThat(mRegistry.usable(SERVICE, 0)).isEmpty();
+    }
+
+    @Example
+    void aRemovedServerIsGoneAtOnceAndALateReportDoesNotBringItBack() {
+        mRegistry.put(mServer, 1);
+        mRegistry.remove(mServer.id(), 3, 0);
+        assertThat(mRegistry.usable(SERVICE, 0)).isEmpty();
+        assertThat(mRegistry.put(mServer, 2)).isFalse();
+        assertThat(mRegistry.usable(SERVICE, 0)).isEmpty();
+    }
+
+    @Example
+    void aServerMissingAfterAnOutageIsKeptForItsTimeToReturn() {
+        mRegistry.put(mServer, 1);
+        mRegistry.holdMissing(0);
+        mRegistry.remove(mServer.id(), 2, MILLI);
+        assertThat(mRegistry.usable(SERVICE, 2_000 * MILLI)).containsExactly(mServer);
+        assertThat(mRegistry.isUsable(mServer, 2_000 * MILLI)).isTrue();
+        assertThat(mRegistry.usable(SERVICE, 2_400 * MILLI)).isEmpty();
+        assertThat(mRegistry.isUsable(mServer, 2_400 * MILLI)).isFalse();
+    }
+
+    @Example
+    void aDrainingServerIsNotKept() {
+        mRegistry.put(mDraining, 1);
+        mRegistry.holdMissing(0);
+        mRegistry.remove(mServer.id(), 2, MILLI);
+        assertThat(mRegistry.usable(SERVICE, MILLI)).isEmpty();
+    }
+
+    @Example
+    void anotherRunUnderTheSameIdIsNotTheServerThatWasPicked() {
+        mRegistry.put(mServer, 1);
+        LiveServer reborn = TestServers.server("s", "here", Optional.empty(), false, 2);
+        mRegistry.put(reborn, 2);
+        assertThat(mRegistry.isUsable(mServer, 0)).isFalse();
+        assertThat(mRegistry.isUsable(reborn, 0)).isTrue();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaford/routing/RoutingTableTest.java
@@ -0,0 +1,68 @@
+package org.fuchsiaford.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.OptionalInt;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.workspace.KeyHash;
+import org.fuchsiaford.workspace.WorkspaceId;
+
+/** Look-ups of routes, workspaces and services. */
+class RoutingTableTest {
+    private static final ServiceId OLD = new ServiceId("old");
+    private static final ServiceId NEW = new ServiceId("new");
+
+    private static GatewayRoute route(String name, String prefix, WeightedService... services) {
+        return new GatewayRoute(
+                name, "h", prefix, RequestKind.ONCE, 1, 1, 0, 1, false, List.of(services));
+    }
+
+    private static RoutingTable table(GatewayRoute... routes) {
+        WorkspaceDeclaration workspace =
+                new WorkspaceDeclaration(
+                        new WorkspaceId("w"),
+                        List.of(KeyHash.of("key")),
+                        OptionalInt.empty(),
+                        new TokenQuota(0, 0, 0));
+        return new RoutingTable(1, 10, List.of(routes), List.of(), List.of(workspace));
+    }
+
+    @Example
+    void longestPrefixOfTheHostWins() {
+        RoutingTable table =
+                table(
+                        route("short", "/a/", new WeightedService(OLD, 1)),
+                        route("long", "/a/b/", new WeightedService(OLD, 1)));
+        assertThat(table.route("h", "/a/b/c").orElseThrow().name()).isEqualTo("long");
+        assertThat(table.route("h", "/a/bc").orElseThrow().name()).isEqualTo("short");
+        assertThat(table.route("h", "/b/")).isEmpty();
+        assertThat(table.route("other", "/a/b/c")).isEmpty();
+    }
+
+    @Example
+    void onlyAKnownKeyHasAWorkspace() {
+        assertThat(table().workspaceOfKey(KeyHash.of("key"))).isPresent();
+        assertThat(table().workspaceOfKey(KeyHash.of("Key"))).isEmpty();
+    }
+
+    @Property(seed = "7")
+    void servicesAreDrawnByWeight(
+            @ForAll @IntRange(min = 1, max = 100) int oldWeight,
+            @ForAll @IntRange(min = 1, max = 100) int newWeight,
+            @ForAll @DoubleRange(max = 1, maxIncluded = false) double draw) {
+        GatewayRoute route =
+                route(
+                        "r",
+                        "/",
+                        new WeightedService(OLD, oldWeight),
+                        new WeightedService(NEW, newWeight));
+        boolean expectOld = draw * (oldWeight + newWeight) < oldWeight;
+        assertThat(route.pickService(draw)).isEqualTo(expectOld ? OLD : NEW);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
@@ -0,0 +1,134 @@
+package org.fuchsiaford.selection;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.fuchsiaford.TestServers;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.fleet.ServerLoad;
+import org.fuchsiaford.registry.EngineStage;
+import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.routing.EngineCapacity;
+import org.fuchsiaford.routing.TokenCounts;
+
+/** The choices of servers and engines, without jitter. */
+class SelectionTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final FailureDomainId HERE = new FailureDomainId("here");
+    private static final EngineCapacity CAPACITY = new EngineCapacity(8, 50_000);
+    private static final long TARGET_MILLIS = 900;
+
+    private final LoadBoard mLoads = new LoadBoard();
+    private final ServerHealth mHealth = new ServerHealth();
+    private final ServerSelector mSelector = new ServerSelector(HERE, mLoads, mHealth, () -> 0);
+    private final EnginePlanner mPlanner = new EnginePlanner(HERE, mLoads, mHealth, () -> 0);
+    private final LiveServer mNear = TestServers.plain("near", "here");
+    private final LiveServer mFar = TestServers.plain("far", "there");
+
+    private Optional<LiveServer> pick(LiveServer... servers) {
+        return mSelector.pick(List.of(servers), Set.of(), SECOND);
+    }
+
+    @Example
+    void theOwnDomainIsPreferredUntilItIsMuchFuller() {
+        assertThat(pick(mNear, mFar)).contains(mNear);
+        mLoads.add(new ServerLoad(mNear.id(), 1, 0, 0));
+        assertThat(pick(mNear, mFar)).contains(mNear);
+        mLoads.replaceOthers(List.of(new ServerLoad(mNear.id(), 1, 0, 0)));
+        assertThat(pick(mNear, mFar)).contains(mFar);
+    }
+
+    @Example
+    void aServerThatFailsPartOfItsRequestsIsAvoidedForAWhile() {
+        for (int i = 0; i < 3; i++) {
+            mHealth.fail(mNear.id(), SECOND);
+        }
+        assertThat(pick(mNear, mFar)).contains(mFar);
+        assertThat(mSelector.pick(List.of(mNear, mFar), Set.of(), 20 * SECOND)).contains(mNear);
+    }
+
+    @Example
+    void aSlowServerIsAvoided() {
+        mHealth.succeed(mFar.id(), 20, SECOND);
+        mHealth.succeed(mNear.id(), 200, SECOND);
+        assertThat(pick(mNear, mFar)).contains(mFar);
+    }
+
+    @Example
+    void aPausedServerIsPickedOnlyIfAllArePaused() {
+        mHealth.pause(mNear.id(), 2 * SECOND, SECOND);
+        assertThat(pick(mNear, mFar)).contains(mFar);
+        assertThat(pick(mNear)).contains(mNear);
+        mHealth.forget(mNear.id());
+        assertThat(pick(mNear, mFar)).contains(mNear);
+    }
+
+    @Example
+    void noServerIsPickedIfAllAreFull() {
+        mLoads.add(new ServerLoad(mNear.id(), 18, 0, 0));
+        assertThat(pick(mNear)).isEmpty();
+    }
+
+    private Optional<EnginePlan> plan(long promptTokens, LiveServer... engines) {
+        return mPlanner.plan(
+                List.of(engines),
+                Set.of(),
+                CAPACITY,
+                new TokenCounts(promptTokens, 100),
+                TARGET_MILLIS,
+                SECOND);
+    }
+
+    private final LiveServer mDecode = TestServers.engine("d", EngineStage.DECODE);
+    private final LiveServer mOtherDecode = TestServers.engine("e", EngineStage.DECODE);
+    private final LiveServer mPrefill = TestServers.engine("p", EngineStage.PREFILL);
+
+    @Example
+    void anIdleDecodeEngineReadsAShortPromptItself() {
+        assertThat(plan(2_000, mDecode, mPrefill).orElseThrow().prefill()).isEmpty();
+    }
+
+    @Example
+    void aPrefillEngineReadsWhatWouldTakeTooLong() {
+        assertThat(plan(20_000, mDecode, mPrefill).orElseThrow().prefill()).contains(mPrefill);
+        mLoads.add(new ServerLoad(mDecode.id(), 1, 8_000, 8_000));
+        assertThat(plan(2_000, mDecode, mPrefill).orElseThrow().prefill()).contains(mPrefill);
+    }
+
+    @Example
+    void withoutAPrefillEngineTheDecodeEngineReadsEverything() {
+        assertThat(plan(20_000, mDecode).orElseThrow().prefill()).isEmpty();
+        mHealth.pause(mPrefill.id(), 2 * SECOND, SECOND);
+        assertThat(plan(20_000, mDecode, mPrefill).orElseThrow().prefill()).isEmpty();
+    }
+
+    @Example
+    void noPlanExceedsSeatsOrMemory() {
+        mLoads.add(new ServerLoad(mDecode.id(), 1, 45_000, 0));
+        mLoads.replaceOthers(List.of(new ServerLoad(mOtherDecode.id(), 8, 1_000, 0)));
+        assertThat(plan(5_000, mDecode, mOtherDecode, mPrefill)).isEmpty();
+        assertThat(plan(4_000, mDecode, mOtherDecode, mPrefill).orElseThrow().decode())
+                .isEqualTo(mDecode);
+    }
+
+    @Example
+    void aRequestLargerThanAnEngineGoesToAnEmptyOne() {
+        assertThat(plan(90_000, mDecode)).isPresent();
+        mLoads.add(new ServerLoad(mDecode.id(), 1, 10, 0));
+        assertThat(plan(90_000, mDecode)).isEmpty();
+    }
+
+    @Example
+    void whatIsRemovedFromTheBoardLeavesNothing() {
+        ServerLoad load = new ServerLoad(mDecode.id(), 1, 500, 400);
+        mLoads.add(load);
+        mLoads.remove(new ServerLoad(mDecode.id(), 0, 0, 400));
+        assertThat(mLoads.total(mDecode.id())).isEqualTo(new ServerLoad(mDecode.id(), 1, 500, 0));
+        mLoads.remove(new ServerLoad(mDecode.id(), 1, 500, 0));
+        assertThat(mLoads.own()).isEmpty();
+    }
+}
