--- a/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
@@ -80,6 +80,23 @@
         return regained;
     }
 
+    /** Notes what a known host has under way, between two pulses. */
+    public synchronized void hearLoads(
+            HostId id, List<ServerLoad> loads, long waitingTokens, long nowNanos) {
+        Peer peer = mPeers.get(id);
+        if (peer != null && peer.isFresh(nowNanos)) {
+            HostPulse last = peer.mPulse;
+            peer.mPulse =
+                    new HostPulse(
+                            last.host(),
+                            last.accepting(),
+                            last.stateRevision(),
+                            last.admitted(),
+                            loads,
+                            waitingTokens);
+        }
+    }
+
     /** Notes that nobody listens at a host's address any more. Returns whether that is news. */
     public synchronized boolean end(HostId id) {
         Peer peer = mPeers.get(id);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -60,7 +60,7 @@
     private static final int CALLER_LIFE_FACTOR = 3;
 
     /** The end of the grace period that is kept for ending the process itself. */
-    private static final long EXIT_MILLIS = 500;
+    private static final long EXIT_MILLIS = 1_000;
 
     private static final Duration POLL = Duration.ofMillis(50);
     private static final Duration STORE_PATIENCE = Duration.ofMillis(300);
@@ -154,7 +154,9 @@
         Attempts attempts = new Attempts(health, budgets, mLog, mTicker);
         EnginePlanner planner = new EnginePlanner(domain, loads, health, GatewayHost::draw);
         ServerSelector selector = new ServerSelector(domain, loads, health, GatewayHost::draw);
-        EngineGate engines = new EngineGate(mState, mFleet, loads, planner, queue, mLog, mTicker);
+        EngineGate engines =
+                new EngineGate(
+                        mState, mFleet, loads, planner, queue, mPulses::reportLoads, mLog, mTicker);
         PrefillCall prefill =
                 new PrefillCall(client, mAdapter.servers(), loads, planner, attempts, mTicker);
         return new GatewayServer(
@@ -177,6 +179,9 @@
         if (message instanceof PeerMessage.Pulse pulse) {
             return Mono.just(mPulses.answer(pulse));
         }
+        if (message instanceof PeerMessage.Loads loads) {
+            return Mono.just(mPulses.answer(loads));
+        }
         if (message instanceof PeerMessage.FetchEntries) {
             return Mono.just(mPulses.entries());
         }
@@ -272,6 +277,7 @@
         mPulses.stop();
         mLog.write(new Decision.Lifecycle("stopped", mServer.inFlight() + " in flight"));
         return mStages.stop()
+                .timeout(STORE_PATIENCE)
                 .onErrorResume(e -> Mono.empty())
                 .then(Mono.defer(mFollower::stop))
                 .timeout(STORE_PATIENCE)
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/PulseExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/PulseExchange.java
@@ -37,6 +37,9 @@
     /** Limits and loads of other hosts are at most this old between hosts in touch. */
     private static final Duration INTERVAL = Duration.ofMillis(250);
 
+    /** Changes of load within this time are reported together. */
+    private static final Duration LOAD_REPORT_DELAY = Duration.ofMillis(10);
+
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
     private static final Duration COPY_TIMEOUT = Duration.ofMillis(1_000);
 
@@ -54,6 +57,7 @@
     private final Ticker mTicker;
     private final BooleanSupplier mAccepting;
     private final AtomicBoolean mCopying = new AtomicBoolean();
+    private final AtomicBoolean mReporting = new AtomicBoolean();
     private final Disposable.Swap mTask = Disposables.swap();
     private long mBehindSinceNanos;
     private boolean mBehind;
@@ -98,14 +102,50 @@
         return Flux.fromIterable(mFleet.others()).flatMap(this::exchange).then();
     }
 
-    private void round() {
+    /** Reports the loads at engines to all hosts soon, so that they do not pick the same engine. */
+    public void reportLoads() {
+        if (mReporting.compareAndSet(false, true)) {
+            Mono.delay(LOAD_REPORT_DELAY).subscribe(tick -> sendLoads());
+        }
+    }
+
+    private void sendLoads() {
+        mReporting.set(false);
+        PeerMessage.Loads report =
+                new PeerMessage.Loads(mFleet.self().id(), mLoads.own(), mQueue.waitingTokens());
         long nowNanos = mTicker.nowNanos();
-        mFleet.expire(nowNanos).forEach(mQuota::forget);
-        updateShare(nowNanos);
+        mFleet.others().stream()
+                .filter(peer -> mFleet.isFresh(peer.id(), nowNanos))
+                .map(peer -> PeerAddress.parse(peer.peerAddress()))
+                .forEach(peer -> send(peer, report));
+    }
+
+    private void send(PeerAddress peer, PeerMessage.Loads report) {
+        // A lost report is made good by the next pulse.
+        mPeers.call(peer, report, PeerMessage.Done.class, CALL_TIMEOUT)
+                .onErrorComplete()
+                .subscribe();
+    }
+
+    /** Takes another host's loads in. */
+    public PeerMessage.Done answer(PeerMessage.Loads report) {
+        mFleet.hearLoads(report.host(), report.loads(), report.waitingTokens(), mTicker.nowNanos());
+        refreshLoads(mTicker.nowNanos());
+        return new PeerMessage.Done();
+    }
+
+    private void refreshLoads(long nowNanos) {
         mLoads.replaceOthers(
                 mFleet.freshPulses(nowNanos).stream()
                         .flatMap(pulse -> pulse.loads().stream())
                         .toList());
+    }
+
+    private void round() {
+        long nowNanos = mTicker.nowNanos();
+        mFleet.expire(nowNanos).forEach(mQuota::forget);
+        updateShare(nowNanos);
+        refreshLoads(nowNanos);
         List<HostRecord> others = mFleet.others();
         others.stream().filter(this::isOurTurn).forEach(peer -> exchange(peer).subscribe());
         if (mFleet.reachableCount(nowNanos) == 1) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
@@ -55,6 +55,7 @@
     private final LoadBoard mLoads;
     private final EnginePlanner mPlanner;
     private final EngineQueue mQueue;
+    private final Runnable mLoadsChanged;
     private final DecisionLog mLog;
     private final Ticker mTicker;
     private final Map<RequestId, Waiter> mWaiters = new HashMap<>();
@@ -64,13 +65,18 @@
 
     private record Grant(Waiter waiter, EngineSeat seat) {}
 
-    /** Creates a gate. */
+    /**
+     * Creates a gate.
+     *
+     * @param loadsChanged told whenever this host's load at engines has changed; must not wait
+     */
     public EngineGate(
             GatewayState state,
             FleetView fleet,
             LoadBoard loads,
             EnginePlanner planner,
             EngineQueue queue,
+            Runnable loadsChanged,
             DecisionLog log,
             Ticker ticker) {
         mState = state;
@@ -78,6 +84,7 @@
         mLoads = loads;
         mPlanner = planner;
         mQueue = queue;
+        mLoadsChanged = loadsChanged;
         mLog = log;
         mTicker = ticker;
     }
@@ -95,6 +102,7 @@
     /** Learns from an ended stream, and lets the next request take its room. */
     void leave(EngineSeat seat, long tookNanos) {
         seat.room().release();
+        mLoadsChanged.run();
         mQueue.observeDuration(tookNanos);
         drain();
     }
@@ -183,6 +191,7 @@
     }
 
     private Reservation reserve(RequestContext context, EnginePlan plan) {
+        mLoadsChanged.run();
         return Reservation.decode(
                 mLoads, plan.decode(), context.tokens(), plan.prefill().isEmpty());
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -34,10 +34,10 @@
     private static final double PREFILL_TARGET_SHARE = 0.6;
 
     /** A resumable stream leaves an engine whose first event takes this many times the target. */
-    private static final double FIRST_EVENT_TARGETS = 1.5;
+    private static final double FIRST_EVENT_TARGETS = 2.5;
 
-    /** Callers give a silent stream up after two seconds; a new engine needs the rest of them. */
-    private static final Duration LONGEST_SILENCE = Duration.ofMillis(1_000);
+    /** Callers give a silent stream up after two seconds or more, and an engine may preempt one. */
+    private static final Duration LONGEST_SILENCE = Duration.ofMillis(1_800);
 
     private final GatewayState mState;
     private final RouteGate mRoutes;
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -7,6 +7,7 @@
 import org.fuchsiaford.bundle.BundleHead;
 import org.fuchsiaford.bundle.Digest;
 import org.fuchsiaford.fleet.HostPulse;
+import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.host.Incarnation;
 import org.fuchsiaford.host.PromiseReply;
@@ -47,6 +48,7 @@
     @JsonSubTypes.Type(value = PeerMessage.Identify.class, name = "i"),
     @JsonSubTypes.Type(value = PeerMessage.Identity.class, name = "I"),
     @JsonSubTypes.Type(value = PeerMessage.Pulse.class, name = "v"),
+    @JsonSubTypes.Type(value = PeerMessage.Loads.class, name = "o"),
     @JsonSubTypes.Type(value = PeerMessage.FetchEntries.class, name = "e"),
     @JsonSubTypes.Type(value = PeerMessage.Entries.class, name = "E"),
     @JsonSubTypes.Type(value = PeerMessage.Done.class, name = "D"),
@@ -116,6 +118,9 @@
     /** Says how a host is; answered by the {@link Pulse} of the other. */
     record Pulse(HostPulse pulse) implements PeerMessage {}
 
+    /** Says what a host has under way at engines; answered by {@link Done}. */
+    record Loads(HostId host, List<ServerLoad> loads, long waitingTokens) implements PeerMessage {}
+
     /** Asks for all store entries that the host knows; answered by {@link Entries}. */
     record FetchEntries() implements PeerMessage {}
 
