Plan with the expected answer, and wait no longer than callers do

Every request reserved its most answer tokens (1,760, with 748 on average). Change: waits end with the caller's patience, room is planned by the caller's own guess.

--- a/core/src/main/java/org/fuchsiaford/routing/GatewayRoute.java
+++ b/core/src/main/java/org/fuchsiaford/routing/GatewayRoute.java
@@ -12,6 +12,7 @@
  * @param kind what may be repeated
  * @param timeoutMillis the longest wait for a whole answer, in milliseconds
  * @param targetMillis the wait within which an answer (of a stream: its first event) is on time
+ * @param targetGapMillis the pause between events within which a stream is on time; zero for others
  * @param priority the rank of its requests; zero comes first
  * @param maxServers how many backend servers may run one request
  * @param open whether no key is needed
@@ -24,11 +25,25 @@
         RequestKind kind,
         long timeoutMillis,
         long targetMillis,
+        long targetGapMillis,
         int priority,
         int maxServers,
         boolean open,
         List<WeightedService> services) {
 
+    /** Callers give a silent stream up after the longest of these three. */
+    private static final long LEAST_PATIENCE_MILLIS = 2_000;
+
+    private static final long PATIENCE_TARGETS = 4;
+    private static final long PATIENCE_GAPS = 8;
+
+    /** Returns how long callers wait for the next event of a stream, in milliseconds. */
+    public long eventPatienceMillis() {
+        return Math.max(
+                LEAST_PATIENCE_MILLIS,
+                Math.max(targetMillis * PATIENCE_TARGETS, targetGapMillis * PATIENCE_GAPS));
+    }
+
     /**
      * Picks the service of one request.
      *
--- a/core/src/main/java/org/fuchsiaford/routing/TokenCounts.java
+++ b/core/src/main/java/org/fuchsiaford/routing/TokenCounts.java
@@ -5,10 +5,27 @@
  *
  * @param prompt tokens of the prompt
  * @param maxAnswer most tokens of the answer
+ * @param expectedAnswer tokens of the answer that the caller expects; a guess
  */
-public record TokenCounts(long prompt, long maxAnswer) {
-    /** Returns what the request costs and the KV cache that it may need. */
+public record TokenCounts(long prompt, long maxAnswer, long expectedAnswer) {
+    /** Part of the most tokens that answers have on average if the caller expects nothing. */
+    private static final int USUAL_ANSWER_DIVISOR = 2;
+
+    /** Creates a size without a guess of the caller's. */
+    public TokenCounts(long prompt, long maxAnswer) {
+        this(prompt, maxAnswer, maxAnswer / USUAL_ANSWER_DIVISOR);
+    }
+
+    /** Returns what the request costs of a limit. */
     public long total() {
         return prompt + maxAnswer;
     }
+
+    /**
+     * Returns the KV cache that is planned for the request. An engine runs about ten at a time, so
+     * their guesses even out; it preempts one in the rare case that they do not.
+     */
+    public long planned() {
+        return prompt + Math.min(maxAnswer, expectedAnswer);
+    }
 }
--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -113,7 +113,7 @@
         boolean empty = load.requests() <= 0;
         return empty
                 || load.requests() < capacity.seats()
-                        && load.tokens() + tokens.total() <= capacity.memoryTokens();
+                        && load.tokens() + tokens.planned() <= capacity.memoryTokens();
     }
 
     private double decodeScore(LiveServer server, EngineCapacity capacity, long nowNanos) {
--- a/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
@@ -26,8 +26,8 @@
     /** Part of the time that a request may wait which its estimated wait may use up. */
     private static final double HOPEFUL_SHARE = 0.7;
 
-    /** Means of a stream's duration that are kept for the run itself. */
-    private static final double RUN_MARGIN = 1.3;
+    /** Kept for the start of the run itself: reading a prompt of usual size twice over. */
+    private static final long START_NANOS = 400_000_000L;
 
     private final Map<RequestId, Waiting> mWaiting = new LinkedHashMap<>();
     private double mMeanDurationNanos = FIRST_DURATION_NANOS;
@@ -40,7 +40,7 @@
      * @param priority its rank, zero first
      * @param arrivedNanos when it came
      * @param onTimeUntilNanos until when it must start to be on time
-     * @param deadlineNanos when it must be finished
+     * @param giveUpNanos when its caller gives up if nothing has come
      */
     public record Waiting(
             RequestId request,
@@ -48,7 +48,7 @@
             int priority,
             long arrivedNanos,
             long onTimeUntilNanos,
-            long deadlineNanos) {}
+            long giveUpNanos) {}
 
     /** Learns how long streams take. */
     public synchronized void observeDuration(long tookNanos) {
@@ -72,7 +72,7 @@
 
     /** Returns the tokens of all that wait. */
     public synchronized long waitingTokens() {
-        return mWaiting.values().stream().mapToLong(w -> w.tokens().total()).sum();
+        return mWaiting.values().stream().mapToLong(w -> w.tokens().planned()).sum();
     }
 
     /** Returns the request that is served next. */
@@ -87,7 +87,7 @@
     /** Returns those that could not be finished any more if they started now. */
     public synchronized List<Waiting> hopeless(long nowNanos) {
         return mWaiting.values().stream()
-                .filter(waiting -> patienceNanos(waiting.deadlineNanos(), nowNanos) <= 0)
+                .filter(waiting -> patienceNanos(waiting.giveUpNanos(), nowNanos) <= 0)
                 .toList();
     }
 
@@ -103,11 +103,11 @@
     }
 
     /** Returns whether a request that has this wait before it can probably be served. */
-    public synchronized boolean isHopeful(long waitNanos, long deadlineNanos, long nowNanos) {
-        return waitNanos < patienceNanos(deadlineNanos, nowNanos) * HOPEFUL_SHARE;
+    public boolean isHopeful(long waitNanos, long giveUpNanos, long nowNanos) {
+        return waitNanos < patienceNanos(giveUpNanos, nowNanos) * HOPEFUL_SHARE;
     }
 
-    private long patienceNanos(long deadlineNanos, long nowNanos) {
-        return deadlineNanos - nowNanos - (long) (mMeanDurationNanos * RUN_MARGIN);
+    private static long patienceNanos(long giveUpNanos, long nowNanos) {
+        return giveUpNanos - nowNanos - START_NANOS;
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
@@ -114,7 +114,7 @@
             return Mono.error(refusal(context, NO_ENGINE_RETRY_MILLIS, "no engine is known"));
         }
         long waitNanos = estimateWaitNanos(context, engines, nowNanos);
-        if (!mQueue.isHopeful(waitNanos, context.deadlineNanos(), nowNanos)) {
+        if (!mQueue.isHopeful(waitNanos, giveUpNanos(context), nowNanos)) {
             long retryMillis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
             return Mono.error(refusal(context, retryMillis, "no engine has room in time"));
         }
@@ -141,7 +141,12 @@
                 context.priority(),
                 context.arrivedNanos(),
                 context.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(onTimeMillis),
-                context.deadlineNanos());
+                giveUpNanos(context));
+    }
+
+    private static long giveUpNanos(RequestContext context) {
+        long patience = TimeUnit.MILLISECONDS.toNanos(context.route().eventPatienceMillis());
+        return Math.min(context.deadlineNanos(), context.arrivedNanos() + patience);
     }
 
     private long estimateWaitNanos(
@@ -150,7 +155,7 @@
         long memory = decoding * capacity(context).memoryTokens();
         long ahead =
                 mQueue.waitingTokens()
-                        + context.tokens().total()
+                        + context.tokens().planned()
                         + mFleet.freshPulses(nowNanos).stream()
                                 .mapToLong(HostPulse::waitingTokens)
                                 .sum();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/Reservation.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/Reservation.java
@@ -23,7 +23,7 @@
     static Reservation decode(
             LoadBoard loads, LiveServer server, TokenCounts tokens, boolean readsPrompt) {
         long unread = readsPrompt ? tokens.prompt() : 0;
-        return new Reservation(loads, new ServerLoad(server.id(), 1, tokens.total(), unread));
+        return new Reservation(loads, new ServerLoad(server.id(), 1, tokens.planned(), unread));
     }
 
     /** Reserves the time of a prefill engine. */
