--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -7,6 +7,7 @@
 import java.util.function.DoubleSupplier;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.EngineCapacity;
@@ -16,15 +17,22 @@
  * Picks the engines of one model request: first a decode engine with room, then whether it reads
  * the prompt itself or a prefill engine does.
  *
- * <p>A decode engine that reads a prompt slows its own streams but saves a transfer; it does so
- * while the first event would come well within its target, else the way that is estimated to be
- * faster is taken. Invariant: a decode engine is planned only with room for prompt and answer.
- * Thread-safe.
+ * <p>A decode engine that reads a prompt slows its own streams but saves a transfer. It does so
+ * while it has few streams and the first event would come well within its target. Load pattern of a
+ * busy engine: bursts in which memory runs out; each prompt read there keeps all its streams, and
+ * so their memory, for longer, hence prefill engines come first as long as they are quick.
+ * Invariant: a decode engine is planned only with room for prompt and answer. Thread-safe.
  */
 public final class EnginePlanner {
     /** Part of the target of the first event that reading at the decode engine may take. */
     private static final double DIRECT_TARGET_SHARE = 0.35;
 
+    /** Part of the memory in use beyond which an engine is busy. */
+    private static final double BUSY_SHARE = 0.5;
+
+    /** Part of the target within which a prefill engine must be done to come first. */
+    private static final double PREFILL_TARGET_SHARE = 0.6;
+
     /** A decode engine reads prompts at half the speed. */
     private static final double DIRECT_SLOWNESS = 2;
 
@@ -92,6 +100,7 @@
                                                 servers,
                                                 failed,
                                                 decode,
+                                                capacity,
                                                 tokens,
                                                 targetMillis,
                                                 nowNanos)));
@@ -109,7 +118,7 @@
     }
 
     private boolean hasRoom(LiveServer server, EngineCapacity capacity, TokenCounts tokens) {
-        var load = mLoads.total(server.id());
+        ServerLoad load = mLoads.total(server.id());
         boolean empty = load.requests() <= 0;
         return empty
                 || load.requests() < capacity.seats()
@@ -117,7 +126,7 @@
     }
 
     private double decodeScore(LiveServer server, EngineCapacity capacity, long nowNanos) {
-        var load = mLoads.total(server.id());
+        ServerLoad load = mLoads.total(server.id());
         double memory = (double) load.tokens() / Math.max(1, capacity.memoryTokens());
         double unread = (double) load.unreadTokens() / Math.max(1, capacity.memoryTokens());
         return memory + unread + commonScore(server, nowNanos);
@@ -133,12 +142,16 @@
             List<LiveServer> servers,
             Set<BackendServerId> failed,
             LiveServer decode,
+            EngineCapacity capacity,
             TokenCounts tokens,
             long targetMillis,
             long nowNanos) {
-        double directTokens =
-                (mLoads.total(decode.id()).unreadTokens() + tokens.prompt()) * DIRECT_SLOWNESS;
-        if (directTokens / mTokensPerMilli <= targetMillis * DIRECT_TARGET_SHARE) {
+        ServerLoad load = mLoads.total(decode.id());
+        boolean busy = load.tokens() > capacity.memoryTokens() * BUSY_SHARE;
+        double directTokens = (load.unreadTokens() + tokens.prompt()) * DIRECT_SLOWNESS;
+        double quickTokens = targetMillis * PREFILL_TARGET_SHARE * mTokensPerMilli;
+        double mostTokens = busy ? Math.max(directTokens, quickTokens) : directTokens;
+        if (!busy && directTokens / mTokensPerMilli <= targetMillis * DIRECT_TARGET_SHARE) {
             return Optional.empty();
         }
         return able(servers, EngineStage.PREFILL, failed, nowNanos).stream()
@@ -147,7 +160,7 @@
                 .filter(
                         server ->
                                 prefillTokens(server, nowNanos) + tokens.prompt() + TRANSFER_TOKENS
-                                        < directTokens);
+                                        < mostTokens);
     }
 
     private double prefillTokens(LiveServer server, long nowNanos) {
--- a/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
@@ -99,6 +99,14 @@
         assertThat(plan(2_000, mDecode, mPrefill).orElseThrow().prefill()).contains(mPrefill);
     }
 
+    @Example
+    void aBusyDecodeEngineLeavesEvenShortPromptsToAQuickPrefillEngine() {
+        mLoads.add(new ServerLoad(mDecode.id(), 5, 30_000, 0));
+        assertThat(plan(2_000, mDecode, mPrefill).orElseThrow().prefill()).contains(mPrefill);
+        mLoads.add(new ServerLoad(mPrefill.id(), 9, 60_000, 60_000));
+        assertThat(plan(2_000, mDecode, mPrefill).orElseThrow().prefill()).isEmpty();
+    }
+
     @Example
     void withoutAPrefillEngineTheDecodeEngineReadsEverything() {
         assertThat(plan(20_000, mDecode).orElseThrow().prefill()).isEmpty();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -30,8 +30,8 @@
  * repetition; a stream that cannot be finished ends with an error. Thread-safe.
  */
 public final class StreamCourse {
-    /** A prefill call may take this part of the target; then the decode engine reads the prompt. */
-    private static final double PREFILL_TARGET_SHARE = 0.6;
+    /** A prefill call that takes longer than this part of the target is as good as failed. */
+    private static final double PREFILL_TARGET_SHARE = 1.2;
 
     /** A resumable stream leaves an engine whose first event takes this many times the target. */
     private static final double FIRST_EVENT_TARGETS = 2.5;
