--- a/cli/src/main/java/org/fuchsiaford/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiaford/cli/Main.java
@@ -29,7 +29,8 @@
                 new RollbackCommand(),
                 new StatusCommand(),
                 new KeysCommand(),
-                new LoadCommand());
+                new LoadCommand(),
+                new ExplainCommand());
     }
 
     /** Runs a command and returns its exit code. */
