Refuse at once what is not served soon in an overload

Change: the estimate counts those ahead that are on time, waits are admitted up to a third of the callers' patience, and refused callers come back spread over a second. Durations are learned from whole streams.

--- a/core/src/main/java/org/fuchsiaford/fleet/HostPulse.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostPulse.java
@@ -11,7 +11,7 @@
  * @param stateRevision the store's revision up to which it knows all changes
  * @param admitted what it has admitted of each workspace
  * @param loads what it has under way at backend servers
- * @param waitingTokens the size of all its requests that wait for an engine
+ * @param waitingTokens the size of its requests that wait for an engine and can still be on time
  */
 public record HostPulse(
         HostRecord host,
--- a/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
@@ -23,8 +23,12 @@
     /** A stream's duration until one has been seen; a few hundred steps of an engine. */
     private static final long FIRST_DURATION_NANOS = 3_000_000_000L;
 
-    /** Part of the time that a request may wait which its estimated wait may use up. */
-    private static final double HOPEFUL_SHARE = 0.7;
+    /**
+     * Part of the time that a caller waits which the estimated wait may use up. While an overload
+     * lasts, those that are not served soon are overtaken by newcomers that can still be on time,
+     * so it is better for them to be told at once and to come back.
+     */
+    private static final double HOPEFUL_SHARE = 0.35;
 
     /** Kept for the start of the run itself: reading a prompt of usual size twice over. */
     private static final long START_NANOS = 400_000_000L;
@@ -50,7 +54,7 @@
             long onTimeUntilNanos,
             long giveUpNanos) {}
 
-    /** Learns how long streams take. */
+    /** Learns from a whole stream how long streams take. */
     public synchronized void observeDuration(long tookNanos) {
         mMeanDurationNanos += (tookNanos - mMeanDurationNanos) * NEWEST_WEIGHT;
     }
@@ -70,9 +74,12 @@
         return mWaiting.isEmpty();
     }
 
-    /** Returns the tokens of all that wait. */
-    public synchronized long waitingTokens() {
-        return mWaiting.values().stream().mapToLong(w -> w.tokens().planned()).sum();
+    /** Returns the tokens of those that wait and can still be on time, who go first. */
+    public synchronized long onTimeTokens(long nowNanos) {
+        return mWaiting.values().stream()
+                .filter(waiting -> nowNanos - waiting.onTimeUntilNanos() <= 0)
+                .mapToLong(waiting -> waiting.tokens().planned())
+                .sum();
     }
 
     /** Returns the request that is served next. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -156,7 +156,15 @@
         ServerSelector selector = new ServerSelector(domain, loads, health, GatewayHost::draw);
         EngineGate engines =
                 new EngineGate(
-                        mState, mFleet, loads, planner, queue, mPulses::reportLoads, mLog, mTicker);
+                        mState,
+                        mFleet,
+                        loads,
+                        planner,
+                        queue,
+                        mPulses::reportLoads,
+                        GatewayHost::draw,
+                        mLog,
+                        mTicker);
         PrefillCall prefill =
                 new PrefillCall(client, mAdapter.servers(), loads, planner, attempts, mTicker);
         return new GatewayServer(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/PulseExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/PulseExchange.java
@@ -111,9 +111,10 @@
 
     private void sendLoads() {
         mReporting.set(false);
-        PeerMessage.Loads report =
-                new PeerMessage.Loads(mFleet.self().id(), mLoads.own(), mQueue.waitingTokens());
         long nowNanos = mTicker.nowNanos();
+        PeerMessage.Loads report =
+                new PeerMessage.Loads(
+                        mFleet.self().id(), mLoads.own(), mQueue.onTimeTokens(nowNanos));
         mFleet.others().stream()
                 .filter(peer -> mFleet.isFresh(peer.id(), nowNanos))
                 .map(peer -> PeerAddress.parse(peer.peerAddress()))
@@ -208,7 +209,7 @@
                 mState.revision(),
                 mQuota.totals(),
                 mLoads.own(),
-                mQueue.waitingTokens());
+                mQueue.onTimeTokens(mTicker.nowNanos()));
     }
 
     /** Takes a pulse in and answers it with this host's own. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
@@ -47,6 +48,9 @@
     /** When to come back if no engine is known. */
     private static final long NO_ENGINE_RETRY_MILLIS = 500;
 
+    /** Those that are refused together come back spread over this time. */
+    private static final long RETRY_SPREAD_MILLIS = 1_000;
+
     /** Part of the target of the first event that may pass before a request starts. */
     private static final double ON_TIME_SHARE = 0.6;
 
@@ -56,6 +60,7 @@
     private final EnginePlanner mPlanner;
     private final EngineQueue mQueue;
     private final Runnable mLoadsChanged;
+    private final DoubleSupplier mRandom;
     private final DecisionLog mLog;
     private final Ticker mTicker;
     private final Map<RequestId, Waiter> mWaiters = new HashMap<>();
@@ -69,6 +74,7 @@
      * Creates a gate.
      *
      * @param loadsChanged told whenever this host's load at engines has changed; must not wait
+     * @param random evenly distributed numbers from 0 to 1
      */
     public EngineGate(
             GatewayState state,
@@ -77,6 +83,7 @@
             EnginePlanner planner,
             EngineQueue queue,
             Runnable loadsChanged,
+            DoubleSupplier random,
             DecisionLog log,
             Ticker ticker) {
         mState = state;
@@ -85,6 +92,7 @@
         mPlanner = planner;
         mQueue = queue;
         mLoadsChanged = loadsChanged;
+        mRandom = random;
         mLog = log;
         mTicker = ticker;
     }
@@ -100,10 +108,12 @@
     }
 
     /** Learns from an ended stream, and lets the next request take its room. */
-    void leave(EngineSeat seat, long tookNanos) {
+    void leave(EngineSeat seat, boolean whole, long tookNanos) {
         seat.room().release();
         mLoadsChanged.run();
-        mQueue.observeDuration(tookNanos);
+        if (whole) {
+            mQueue.observeDuration(tookNanos);
+        }
         drain();
     }
 
@@ -115,7 +125,8 @@
         }
         long waitNanos = estimateWaitNanos(context, engines, nowNanos);
         if (!mQueue.isHopeful(waitNanos, giveUpNanos(context), nowNanos)) {
-            long retryMillis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
+            long spreadMillis = (long) (mRandom.getAsDouble() * RETRY_SPREAD_MILLIS);
+            long retryMillis = TimeUnit.NANOSECONDS.toMillis(waitNanos) + spreadMillis;
             return Mono.error(refusal(context, retryMillis, "no engine has room in time"));
         }
         Waiter waiter = new Waiter(context, Sinks.one());
@@ -128,7 +139,7 @@
         mLog.write(
                 new Decision.Queued(
                         id.value(),
-                        mQueue.waitingTokens(),
+                        mQueue.onTimeTokens(nowNanos),
                         TimeUnit.NANOSECONDS.toMillis(waitNanos)));
         return waiter.sink().asMono().doOnCancel(() -> abandon(waiter));
     }
@@ -154,7 +165,7 @@
         long decoding = engines.stream().filter(e -> e.isStage(EngineStage.DECODE)).count();
         long memory = decoding * capacity(context).memoryTokens();
         long ahead =
-                mQueue.waitingTokens()
+                mQueue.onTimeTokens(nowNanos)
                         + context.tokens().planned()
                         + mFleet.freshPulses(nowNanos).stream()
                                 .mapToLong(HostPulse::waitingTokens)
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -21,6 +21,7 @@
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.SignalType;
 
 /**
  * Streams a model's answer: plans engines, has the prompt read where that helps, passes events on
@@ -87,7 +88,12 @@
         return Mono.fromCallable(() -> begin(context, seat.plan()))
                 .flatMap(plan -> source(context, plan))
                 .flatMapMany(source -> decode(context, progress, seat, source))
-                .doFinally(signal -> mGate.leave(seat, mTicker.nowNanos() - startNanos));
+                .doFinally(
+                        signal ->
+                                mGate.leave(
+                                        seat,
+                                        signal == SignalType.ON_COMPLETE,
+                                        mTicker.nowNanos() - startNanos));
     }
 
     /** Checks, after any wait, that the request may still run and its engine still takes work. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -23,7 +23,9 @@
             long registryRevision)
             implements Decision {}
 
-    /** A request waits for room at an engine; tokens are those of all that wait here. */
+    /**
+     * A request waits for room at an engine; tokens are those that wait here and can be on time.
+     */
     record Queued(String request, long waitingTokens, long estimatedWaitMillis)
             implements Decision {}
 
