--- a/core/src/main/java/org/fuchsiaford/routing/RoutingTable.java
+++ b/core/src/main/java/org/fuchsiaford/routing/RoutingTable.java
@@ -17,7 +17,7 @@
  */
 public final class RoutingTable {
     private final long mVersion;
-    private final int mMaxBodyBytes;
+    private final CallerLimits mLimits;
     private final Map<String, List<GatewayRoute>> mRoutesByHost;
     private final Map<ServiceId, ServiceDeclaration> mServices;
     private final Map<KeyHash, WorkspaceDeclaration> mWorkspacesByKey;
@@ -27,16 +27,16 @@
      * Creates a table.
      *
      * @param version the operators' number; a later declaration has a higher one
-     * @param maxBodyBytes the longest request body, in bytes
+     * @param limits what callers may send
      */
     public RoutingTable(
             long version,
-            int maxBodyBytes,
+            CallerLimits limits,
             List<GatewayRoute> routes,
             List<ServiceDeclaration> services,
             List<WorkspaceDeclaration> workspaces) {
         mVersion = version;
-        mMaxBodyBytes = maxBodyBytes;
+        mLimits = limits;
         mServices = byId(services, ServiceDeclaration::id);
         mWorkspaces = byId(workspaces, WorkspaceDeclaration::id);
         mRoutesByHost =
@@ -64,9 +64,9 @@
         return mVersion;
     }
 
-    /** Returns the longest request body, in bytes. */
-    public int maxBodyBytes() {
-        return mMaxBodyBytes;
+    /** Returns what callers may send. */
+    public CallerLimits limits() {
+        return mLimits;
     }
 
     /** Returns the route with the longest prefix of the path on a virtual host. */
--- a/core/src/test/java/org/fuchsiaford/routing/RoutingTableTest.java
+++ b/core/src/test/java/org/fuchsiaford/routing/RoutingTableTest.java
@@ -30,7 +30,8 @@
                         List.of(KeyHash.of("key")),
                         OptionalInt.empty(),
                         new TokenQuota(0, 0, 0));
-        return new RoutingTable(1, 10, List.of(routes), List.of(), List.of(workspace));
+        return new RoutingTable(
+                1, CallerLimits.DEFAULT, List.of(routes), List.of(), List.of(workspace));
     }
 
     @Example
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -86,6 +86,10 @@
                         spec ->
                                 spec.maxInitialLineLength(MAX_LINE_BYTES)
                                         .maxHeaderSize(MAX_HEADER_BYTES))
+                .doOnChannelInit(
+                        (observer, channel, address) ->
+                                channel.pipeline()
+                                        .addFirst(new FirstHeadDeadline(mGate::headMillis)))
                 .handle(this::handle)
                 .bind();
     }
@@ -126,7 +130,7 @@
         return Mono.fromCallable(() -> pass(caller, trace))
                 .flatMap(
                         passage ->
-                                RequestBody.read(request, passage.table().maxBodyBytes())
+                                RequestBody.read(request, passage.table().limits().maxBodyBytes())
                                         .defaultIfEmpty(new byte[0])
                                         .flatMap(body -> admit(caller, body, response, trace)));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteGate.java
@@ -8,6 +8,7 @@
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.quota.FleetQuota;
+import org.fuchsiaford.routing.CallerLimits;
 import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.routing.RoutingTable;
 import org.fuchsiaford.routing.TokenCounts;
@@ -42,6 +43,11 @@
         mTicker = ticker;
     }
 
+    /** Returns how long the head of a request may take, in milliseconds. */
+    long headMillis() {
+        return mState.table().map(RoutingTable::limits).orElse(CallerLimits.DEFAULT).headMillis();
+    }
+
     /**
      * Finds route and workspace of a request.
      *
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
@@ -28,6 +28,7 @@
 import org.fuchsiaford.registry.ServerAddress;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.routing.CallerLimits;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.routing.RequestKind;
@@ -78,7 +79,7 @@
             EngineCapacity capacity = new EngineCapacity(8, 10_000);
             return new RoutingTable(
                     1,
-                    1,
+                    CallerLimits.DEFAULT,
                     List.of(route()),
                     List.of(new ServiceDeclaration(SERVICE, Optional.of(capacity))),
                     List.of());
