A leaving host starts nothing that it might not finish

Ruled out: the store calls at the end (they take the last half second). Change: callers' answers last one second, requests that come after three and the margin are refused as not run, and the process uses the grace period up to its last half second.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -59,11 +59,14 @@
     /** Callers keep an answer which hosts to use up to three times as long as it says. */
     private static final int CALLER_LIFE_FACTOR = 3;
 
+    /** Callers' own clocks and calls take this long beyond the life of an answer. */
+    private static final long CALLER_MARGIN_MILLIS = 200;
+
     /** The end of the grace period that is kept for ending the process itself. */
-    private static final long EXIT_MILLIS = 1_000;
+    private static final long EXIT_MILLIS = 500;
 
     private static final Duration POLL = Duration.ofMillis(50);
-    private static final Duration STORE_PATIENCE = Duration.ofMillis(300);
+    private static final Duration STORE_PATIENCE = Duration.ofMillis(200);
 
     private final GatewaySettings mSettings;
     private final Adapter mAdapter;
@@ -261,10 +264,12 @@
     public Mono<Void> stop() {
         long startNanos = mTicker.nowNanos();
         long callersGoneMillis =
-                TimeUnit.SECONDS.toMillis(mSettings.addressLifeSeconds()) * CALLER_LIFE_FACTOR;
+                TimeUnit.SECONDS.toMillis(mSettings.addressLifeSeconds()) * CALLER_LIFE_FACTOR
+                        + CALLER_MARGIN_MILLIS;
         long endMillis = mSettings.graceMillis() - EXIT_MILLIS;
         mLeaving = true;
-        mServer.startLeaving();
+        mServer.startLeaving(startNanos + TimeUnit.MILLISECONDS.toNanos(callersGoneMillis));
+        mStages.stop().timeout(STORE_PATIENCE).onErrorComplete().subscribe();
         mLog.write(new Decision.Lifecycle("leaving", mServer.inFlight() + " in flight"));
         return mPulses.tellAll()
                 .onErrorResume(e -> Mono.empty())
@@ -289,10 +294,8 @@
     public Mono<Void> close() {
         mPulses.stop();
         mLog.write(new Decision.Lifecycle("stopped", mServer.inFlight() + " in flight"));
-        return mStages.stop()
-                .timeout(STORE_PATIENCE)
-                .onErrorResume(e -> Mono.empty())
-                .then(Mono.defer(mFollower::stop))
+        return mFollower
+                .stop()
                 .timeout(STORE_PATIENCE)
                 .onErrorResume(e -> Mono.empty())
                 .thenMany(Flux.fromIterable(mServers).doOnNext(DisposableServer::dispose))
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -43,6 +43,9 @@
     /** The longest headers that a declaration may allow. */
     private static final int MAX_HEADER_BYTES = 16_384;
 
+    /** A caller that is still here asks for other hosts and comes back to one of them. */
+    private static final long LEAVING_RETRY_MILLIS = 50;
+
     private static final WorkspaceId NO_WORKSPACE = new WorkspaceId("none");
 
     private final PeerAddress mAddress;
@@ -55,6 +58,7 @@
     private final Ticker mTicker;
     private final AtomicInteger mInFlight = new AtomicInteger();
     private volatile boolean mLeaving;
+    private volatile long mServeUntilNanos;
 
     /** Creates a server; it listens once {@link #start} is called. */
     public GatewayServer(
@@ -94,8 +98,12 @@
                 .bind();
     }
 
-    /** Asks callers to close from now on; requests that still come are served. */
-    public void startLeaving() {
+    /**
+     * Asks callers to close from now on. Requests that still come are served until callers must
+     * have gone, then refused: what starts later might not be finished before the process ends.
+     */
+    public void startLeaving(long serveUntilNanos) {
+        mServeUntilNanos = serveUntilNanos;
         mLeaving = true;
     }
 
@@ -110,12 +118,24 @@
         if (mLeaving) {
             response.keepAlive(false);
         }
-        return Mono.fromCallable(() -> mProtocol.read(request, trace.startNanos()))
+        return Mono.fromCallable(() -> read(request, trace))
                 .flatMap(caller -> serve(caller, request, response, trace))
                 .onErrorResume(e -> conclude(e, response, trace))
                 .doFinally(signal -> end(trace));
     }
 
+    private CallerRequest read(HttpServerRequest request, RequestTrace trace)
+            throws RefusalException {
+        if (mLeaving && trace.startNanos() - mServeUntilNanos > 0) {
+            throw RefusalException.notRunRetry(
+                    RefusalReason.HOST_NOT_SERVING,
+                    LEAVING_RETRY_MILLIS,
+                    Step.ADMIT,
+                    "this host is leaving; use another one");
+        }
+        return mProtocol.read(request, trace.startNanos());
+    }
+
     private void end(RequestTrace trace) {
         mInFlight.decrementAndGet();
         mLog.write(trace.end(mTicker.nowNanos()));
