--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -33,6 +33,9 @@
     /** Part of the target within which a prefill engine must be done to come first. */
     private static final double PREFILL_TARGET_SHARE = 0.6;
 
+    /** An engine that lately failed so often may fail again, and a prompt read for it is lost. */
+    private static final double DOUBTFUL_RATE = 0.15;
+
     /** A decode engine reads prompts at half the speed. */
     private static final double DIRECT_SLOWNESS = 2;
 
@@ -146,6 +149,9 @@
             TokenCounts tokens,
             long targetMillis,
             long nowNanos) {
+        if (mHealth.failureRate(decode.id(), nowNanos) > DOUBTFUL_RATE) {
+            return Optional.empty();
+        }
         ServerLoad load = mLoads.total(decode.id());
         boolean busy = load.tokens() > capacity.memoryTokens() * BUSY_SHARE;
         double directTokens = (load.unreadTokens() + tokens.prompt()) * DIRECT_SLOWNESS;
--- a/core/src/main/java/org/fuchsiaford/selection/ServerHealth.java
+++ b/core/src/main/java/org/fuchsiaford/selection/ServerHealth.java
@@ -19,6 +19,9 @@
     /** Weight of the newest outcome. */
     private static final double NEWEST_WEIGHT = 0.3;
 
+    /** A server that is away for long is tried about as often as its entry is checked. */
+    private static final int MOST_DOUBLINGS = 2;
+
     private final Map<BackendServerId, Record> mRecords = new HashMap<>();
 
     private static final class Record {
@@ -27,6 +30,7 @@
         private long mUpdatedNanos;
         private long mPausedUntilNanos;
         private boolean mPaused;
+        private int mPauses;
     }
 
     /** Notes a whole answer and how long it took. */
@@ -38,6 +42,7 @@
                         ? latencyNanos
                         : record.mLatencyNanos * (1 - NEWEST_WEIGHT) + latencyNanos * NEWEST_WEIGHT;
         record.mPaused = false;
+        record.mPauses = 0;
     }
 
     /** Notes a failure. */
@@ -46,12 +51,19 @@
         record.mFailureRate += (1 - record.mFailureRate) * NEWEST_WEIGHT;
     }
 
-    /** Notes a failure after which the server gets nothing for a while if others are there. */
-    public synchronized void pause(BackendServerId server, long untilNanos, long nowNanos) {
+    /**
+     * Notes a failure after which the server gets nothing for a while if others are there; each
+     * such failure in a row doubles the while, up to {@link #MOST_DOUBLINGS} times.
+     */
+    public synchronized void pause(BackendServerId server, long firstNanos, long nowNanos) {
         fail(server, nowNanos);
         Record record = faded(server, nowNanos);
+        boolean another = !record.mPaused || nowNanos - record.mPausedUntilNanos >= 0;
+        if (another) {
+            record.mPausedUntilNanos = nowNanos + (firstNanos << record.mPauses);
+            record.mPauses = Math.min(record.mPauses + 1, MOST_DOUBLINGS);
+        }
         record.mPaused = true;
-        record.mPausedUntilNanos = untilNanos;
     }
 
     /** Forgets a server, since another run of it has begun. */
--- a/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
@@ -60,7 +60,7 @@
 
     @Example
     void aPausedServerIsPickedOnlyIfAllArePaused() {
-        mHealth.pause(mNear.id(), 2 * SECOND, SECOND);
+        mHealth.pause(mNear.id(), SECOND, SECOND);
         assertThat(pick(mNear, mFar)).contains(mFar);
         assertThat(pick(mNear)).contains(mNear);
         mHealth.forget(mNear.id());
@@ -99,6 +99,25 @@
         assertThat(plan(2_000, mDecode, mPrefill).orElseThrow().prefill()).contains(mPrefill);
     }
 
+    @Example
+    void pausesDoubleUntilAnAnswerComes() {
+        mHealth.pause(mNear.id(), SECOND, 0);
+        assertThat(mHealth.isPaused(mNear.id(), SECOND - 1)).isTrue();
+        assertThat(mHealth.isPaused(mNear.id(), SECOND)).isFalse();
+        mHealth.pause(mNear.id(), SECOND, SECOND);
+        assertThat(mHealth.isPaused(mNear.id(), 3 * SECOND - 1)).isTrue();
+        mHealth.succeed(mNear.id(), 1, 3 * SECOND);
+        mHealth.pause(mNear.id(), SECOND, 4 * SECOND);
+        assertThat(mHealth.isPaused(mNear.id(), 5 * SECOND)).isFalse();
+    }
+
+    @Example
+    void noPromptIsReadElsewhereForAnEngineThatMayFail() {
+        assertThat(plan(20_000, mDecode, mPrefill).orElseThrow().prefill()).contains(mPrefill);
+        mHealth.fail(mDecode.id(), SECOND);
+        assertThat(plan(20_000, mDecode, mPrefill).orElseThrow().prefill()).isEmpty();
+    }
+
     @Example
     void aBusyDecodeEngineLeavesEvenShortPromptsToAQuickPrefillEngine() {
         mLoads.add(new ServerLoad(mDecode.id(), 5, 30_000, 0));
@@ -110,7 +129,7 @@
     @Example
     void withoutAPrefillEngineTheDecodeEngineReadsEverything() {
         assertThat(plan(20_000, mDecode).orElseThrow().prefill()).isEmpty();
-        mHealth.pause(mPrefill.id(), 2 * SECOND, SECOND);
+        mHealth.pause(mPrefill.id(), SECOND, SECOND);
         assertThat(plan(20_000, mDecode, mPrefill).orElseThrow().prefill()).isEmpty();
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/Attempts.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/Attempts.java
@@ -96,9 +96,8 @@
     private void noteHealth(LiveServer server, AttemptOutcome outcome) {
         long nowNanos = mTicker.nowNanos();
         switch (outcome) {
-            case NOT_SENT -> mHealth.pause(server.id(), nowNanos + PAUSE_NANOS, nowNanos);
-            case WRONG_SERVER ->
-                    mHealth.pause(server.id(), nowNanos + WRONG_SERVER_PAUSE_NANOS, nowNanos);
+            case NOT_SENT -> mHealth.pause(server.id(), PAUSE_NANOS, nowNanos);
+            case WRONG_SERVER -> mHealth.pause(server.id(), WRONG_SERVER_PAUSE_NANOS, nowNanos);
             default -> mHealth.fail(server.id(), nowNanos);
         }
     }
