--- a/entry/src/main/java/org/fuchsiaford/entry/EntryMain.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/EntryMain.java
@@ -21,7 +21,6 @@
  * host cannot start, 2 for wrong arguments, 3 for wrong settings.
  */
 public final class EntryMain {
-    private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_SETTINGS = 3;
     private static final String SETTINGS_VARIABLE = "FUCHSIAFORD_CONFIG";
@@ -108,13 +107,6 @@
         }
         LogSetup.apply(settings);
         EntryHost host = new EntryHost(settings);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> host.stop().block(), "shutdown"));
-        try {
-            host.start().block();
-        } catch (RuntimeException e) {
-            System.err.println("cannot start: " + e.getMessage());
-            Runtime.getRuntime().halt(EXIT_FAILED);
-        }
-        Thread.currentThread().join();
+        Daemon.run(host::start, host::stop);
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayMain.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayMain.java
@@ -5,14 +5,13 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.ServiceLoader;
+import org.fuchsiaford.entry.Daemon;
 import org.fuchsiaford.entry.gateway.protocol.Adapter;
 import org.fuchsiaford.entry.settings.SettingsException;
 import org.fuchsiaford.json.JsonProblem;
 
 /** Runs a {@link GatewayHost} until the process is told to stop. Stateless, hence thread-safe. */
 public final class GatewayMain {
-    private static final int EXIT_FAILED = 1;
-
     private GatewayMain() {}
 
     /**
@@ -33,14 +32,7 @@
         GatewayLogSetup.apply();
         GatewayHost host = new GatewayHost(settings, adapter);
         HangupSignal.handle(() -> host.reload(check(file, settings)));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> host.stop().block(), "shutdown"));
-        try {
-            host.start().block();
-        } catch (RuntimeException e) {
-            System.err.println("cannot start: " + e.getMessage());
-            Runtime.getRuntime().halt(EXIT_FAILED);
-        }
-        Thread.currentThread().join();
+        Daemon.run(host::start, host::stop);
     }
 
     /**
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/settings/SettingsDocument.java
@@ -0,0 +1,66 @@
+package org.fuchsiaford.entry.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Optional;
+import org.fuchsiaford.json.CheckedObject;
+import org.fuchsiaford.json.CommentedJson;
+import org.fuchsiaford.json.JsonProblem;
+import org.fuchsiaford.peer.PeerAddress;
+
+/** What readers of settings share: the document and its addresses. Stateless, hence thread-safe. */
+public final class SettingsDocument {
+    private static final PeerAddress NO_ADDRESS = new PeerAddress("0.0.0.0", 0);
+    private static final int MAX_PORT = 65_535;
+
+    private SettingsDocument() {}
+
+    /**
+     * Parses a document.
+     *
+     * @param text JSON with comments
+     * @throws SettingsException if it is not
+     */
+    public static JsonNode parse(String text) throws SettingsException {
+        try {
+            return CommentedJson.parse(text);
+        } catch (JsonProcessingException e) {
+            throw new SettingsException(
+                    List.of(
+                            new JsonProblem(
+                                    "$", "not JSON with comments: " + e.getOriginalMessage())));
+        }
+    }
+
+    /** Reads a required address of the form {@code ip:port}. */
+    public static PeerAddress address(CheckedObject root, String field) {
+        Optional<PeerAddress> address = parseAddress(root.text(field));
+        if (address.isEmpty()) {
+            root.problem(field, "must be of the form ip:port");
+        }
+        return address.orElse(NO_ADDRESS);
+    }
+
+    /** Reads a list of addresses; an absent one is empty. */
+    public static List<PeerAddress> addresses(CheckedObject root, String field) {
+        List<String> texts = root.has(field) ? root.texts(field) : List.of();
+        texts.stream()
+                .filter(text -> parseAddress(text).isEmpty())
+                .forEach(text -> root.problem(field, "holds no ip:port: " + text));
+        return texts.stream()
+                .map(SettingsDocument::parseAddress)
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    private static Optional<PeerAddress> parseAddress(String text) {
+        try {
+            PeerAddress address = PeerAddress.parse(text);
+            boolean port = address.port() > 0 && address.port() <= MAX_PORT;
+            return port ? Optional.of(address) : Optional.empty();
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
@@ -0,0 +1,60 @@
+package org.fuchsiaford.entry.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import net.jqwik.api.Example;
+import org.fuchsiaford.entry.gateway.GatewaySettings;
+import org.fuchsiaford.entry.gateway.GatewaySettingsReader;
+
+/**
+ * Settings of a host that follows a live registry, as the template of the deploy file makes them.
+ */
+class GatewaySettingsReaderTest {
+    private static String filledIn() throws IOException {
+        return Files.readString(Path.of("..", "deploy", "host.jsonc"))
+                .replace("{{nodeName|json}}", "\"edge-1\"")
+                .replace("{{zone|json}}", "\"z1\"")
+                .replaceAll("\\{\\{listen\\.(\\w+)\\|json}}", "\"10.0.0.1:80\"")
+                .replace("{{ip}}:{{internalPorts.0}}", "10.0.0.1:7600")
+                .replace("{{seeds|json}}", "[\"10.0.0.2:90\"]")
+                .replace("{{platform.address|json}}", "\"10.0.0.9:1\"")
+                .replace("{{bounds.graceS}}", "8")
+                .replace("{{bounds.budgetWindowS}}", "10")
+                .replace("{{bounds.budgetRatio|json}}", "0.2")
+                .replace("{{bounds.budgetSlack|json}}", "52");
+    }
+
+    @Example
+    void theTemplateIsCompleteAndCorrect() throws IOException, SettingsException {
+        assertThat(filledIn()).doesNotContain("{{");
+        GatewaySettings settings = new GatewaySettingsReader().read(filledIn());
+        assertThat(settings.adapter()).isEqualTo("platform");
+        assertThat(settings.graceMillis()).isEqualTo(8_000);
+        assertThat(settings.retryRatio()).isEqualTo(0.2);
+        assertThat(settings.seedPeers()).hasSize(1);
+        assertThat(GatewaySettingsReader.isFor(filledIn())).isTrue();
+    }
+
+    @Example
+    void everyMistakeIsNamedWithItsPath() throws IOException {
+        String wrong =
+                filledIn()
+                        .replace("\"10.0.0.9:1\"", "\"10.0.0.9\"")
+                        .replace("0.2", "2")
+                        .replace("\"hostName\"", "\"hostname\"");
+        assertThatThrownBy(() -> new GatewaySettingsReader().read(wrong))
+                .isInstanceOfSatisfying(
+                        SettingsException.class,
+                        e ->
+                                assertThat(e.problems().toString())
+                                        .contains(
+                                                "$.storeAddress",
+                                                "$.retryRatio",
+                                                "$.hostName: is missing",
+                                                "$.hostname: unknown field"));
+    }
+}
