--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -249,13 +249,14 @@
                             return response.send(
                                             all.skip(1)
                                                     .cast(AnswerPart.Bytes.class)
-                                                    .map(b -> Unpooled.wrappedBuffer(b.bytes())),
+                                                    .map(b -> Unpooled.wrappedBuffer(b.bytes()))
+                                                    .doOnComplete(trace::answered)
+                                                    .doOnCancel(trace::cancelled),
                                             buffer -> true)
                                     .then()
                                     .flux();
                         })
-                .then()
-                .doOnSuccess(done -> trace.answered());
+                .then();
     }
 
     /** A course that ends without an answer or an error would look like an empty success. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
@@ -9,12 +9,14 @@
 /** What is known of a request for its last log line. Not thread-safe; one request's signals. */
 final class RequestTrace {
     private static final long NEVER = -1;
+    private static final String ANSWERED = "answered";
+    private static final String CANCELLED = "cancelled";
 
     private final long mStartNanos;
     private String mRequest = "unread";
     private String mRoute;
     private String mWorkspace;
-    private String mOutcome = "cancelled";
+    private String mOutcome = CANCELLED;
     private String mReason;
     private int mStatus;
     private long mRetryAfterMillis;
@@ -56,7 +58,14 @@
     }
 
     void answered() {
-        mOutcome = "answered";
+        mOutcome = ANSWERED;
+    }
+
+    /** Notes that the caller has gone; sending ends like a success then. */
+    void cancelled() {
+        if (!mOutcome.equals(ANSWERED)) {
+            mOutcome = CANCELLED;
+        }
     }
 
     void refused(RefusalException refusal) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
@@ -27,7 +27,11 @@
     /** A lost store is noticed within this time and the time limit of a call. */
     private static final Duration RENEWAL = Duration.ofMillis(1_000);
 
-    private static final Duration REOPEN_PAUSE = Duration.ofMillis(200);
+    private static final Duration FIRST_REOPEN_PAUSE = Duration.ofMillis(200);
+
+    /** A store that turns this host away is asked as often as the registration is renewed. */
+    private static final Duration LONGEST_REOPEN_PAUSE = Duration.ofMillis(1_000);
+
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
     private final Store mStore;
@@ -39,6 +43,7 @@
     private final Disposable.Swap mWatch = Disposables.swap();
     private final Disposable.Swap mRegistration = Disposables.swap();
     private StoreLeaseId mLease = StoreLeaseId.NONE;
+    private volatile Duration mReopenPause = FIRST_REOPEN_PAUSE;
     private boolean mLost;
 
     /**
@@ -86,17 +91,25 @@
         mWatch.update(
                 Mono.defer(this::readAndWatch)
                         .onErrorResume(e -> Mono.fromRunnable(() -> reopened(e)))
-                        .then(Mono.delay(REOPEN_PAUSE))
+                        .then(Mono.defer(() -> Mono.delay(nextReopenPause())))
                         .repeat()
                         .subscribe());
     }
 
+    private Duration nextReopenPause() {
+        Duration pause = mReopenPause;
+        Duration doubled = pause.multipliedBy(2);
+        mReopenPause = doubled.compareTo(LONGEST_REOPEN_PAUSE) > 0 ? LONGEST_REOPEN_PAUSE : doubled;
+        return pause;
+    }
+
     private Mono<Void> readAndWatch() {
         return mStore.readPrefix(StoreKey.ALL)
                 .doOnError(this::lost)
                 .doOnNext(
                         snapshot -> {
                             reached(false);
+                            mReopenPause = FIRST_REOPEN_PAUSE;
                             mState.applyAll(snapshot.revision(), snapshot.entries());
                         })
                 .flatMapMany(snapshot -> mStore.watch(StoreKey.ALL, snapshot.revision() + 1))
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -138,6 +138,9 @@
                         .map(PlatformServerStandin::event)
                         .delayElements(EVENT_GAP);
         response.header("Content-Type", "text/event-stream");
+        if (behaviour == ServerBehaviour.STALL) {
+            return send(response, events.take(EVENTS_BEFORE_BREAK).concatWith(Flux.never()));
+        }
         return breaks
                 ? send(response, events.concatWith(Mono.just(bytes("id: 9\nda"))))
                         .then(close(response))
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/ServerBehaviour.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/ServerBehaviour.java
@@ -12,6 +12,8 @@
     LOSE_ANSWER,
     /** Runs, and breaks its answer off in the middle. */
     BREAK_OFF,
+    /** Runs, and falls silent in the middle of its answer. */
+    STALL,
     /** Runs, and answers in the name of another request. */
     WRONG_REQUEST,
     /** Runs, and never answers. */
