--- a/standin/src/main/java/org/fuchsiaford/standin/StandinMain.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/StandinMain.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.standin;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.List;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
@@ -9,12 +10,14 @@
 import org.fuchsiaford.standin.engine.EngineProfile;
 import org.fuchsiaford.standin.engine.EngineStandin;
 import org.fuchsiaford.standin.hostlist.HostListStandin;
+import org.fuchsiaford.standin.platform.PlatformStandins;
 import org.fuchsiaford.standin.service.ServiceStandin;
 import org.fuchsiaford.standin.store.StoreStandin;
 
 /**
  * Runs stand-ins as a process until it is killed: {@code --store 9001 --engine p1=9101 --service
- * app1=9201 --host-list 9002}. Options may be repeated.
+ * app1=9201 --host-list 9002}, or those of the users' platform: {@code --platform-store 9001
+ * --declaration FILE --platform-server e1=llm/decode=9101}. Options may be repeated.
  */
 public final class StandinMain {
     private static final int EXIT_USAGE = 2;
@@ -29,12 +32,23 @@
                 parser.accepts("host-list").withRequiredArg().ofType(Integer.class);
         OptionSpec<String> engine = parser.accepts("engine").withRequiredArg();
         OptionSpec<String> service = parser.accepts("service").withRequiredArg();
+        OptionSpec<Integer> platformStore =
+                parser.accepts("platform-store").withRequiredArg().ofType(Integer.class);
+        OptionSpec<String> declaration = parser.accepts("declaration").withRequiredArg();
+        OptionSpec<String> platformServer = parser.accepts("platform-server").withRequiredArg();
         try {
             OptionSet options = parser.parse(args);
             options.valuesOf(store).forEach(port -> new StoreStandin().start(port));
             options.valuesOf(list).forEach(port -> new HostListStandin().start(port));
             options.valuesOf(engine).forEach(StandinMain::startEngine);
             options.valuesOf(service).forEach(StandinMain::startService);
+            if (options.has(platformStore)) {
+                PlatformStandins platform =
+                        new PlatformStandins(
+                                options.valueOf(platformStore),
+                                Path.of(options.valueOf(declaration)));
+                options.valuesOf(platformServer).forEach(platform::addServer);
+            }
         } catch (OptionException e) {
             System.err.println(e.getMessage());
             parser.printHelpOn(System.err);
