--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/DecisionLog.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/DecisionLog.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jboss.logging.Logger;
@@ -33,6 +34,7 @@
     private static final long BATCH_MILLIS = 20;
 
     private final BlockingQueue<Line> mQueue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final Semaphore mArrived = new Semaphore(0);
     private final AtomicLong mOverflowed = new AtomicLong();
     private final Map<String, Integer> mWritten = new HashMap<>();
     private final Map<String, Integer> mLeftOut = new HashMap<>();
@@ -64,9 +66,10 @@
         if (!mQueue.offer(new Line(System.currentTimeMillis(), decision))) {
             mOverflowed.incrementAndGet();
         }
+        mArrived.release();
     }
 
-    /** Writes all that waits; for the end of the process. */
+    /** Writes all that waits; also for the end of the process. */
     public synchronized void flush() {
         List<Line> lines = new ArrayList<>();
         mQueue.drainTo(lines);
@@ -76,11 +79,10 @@
     private void run() {
         try {
             while (true) {
-                Line first = mQueue.take();
+                mArrived.acquire();
+                mArrived.drainPermits();
                 TimeUnit.MILLISECONDS.sleep(BATCH_MILLIS);
-                List<Line> lines = new ArrayList<>(List.of(first));
-                mQueue.drainTo(lines);
-                write(lines);
+                flush();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
