--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
@@ -139,7 +139,10 @@
         Waiter waiter = new Waiter(context, Sinks.one());
         RequestId id = context.caller().id();
         synchronized (this) {
-            mWaiters.put(id, waiter);
+            if (mWaiters.putIfAbsent(id, waiter) != null) {
+                return Mono.error(
+                        refusal(context, NO_ENGINE_RETRY_MILLIS, "this id waits already"));
+            }
             mQueue.add(waiting(context));
             mPoll.update(Flux.interval(POLL).subscribe(tick -> drain()));
         }
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
@@ -202,6 +202,23 @@
         assertThat(mQueue.isEmpty()).isTrue();
     }
 
+    @Example
+    void aSecondRequestWithTheIdOfOneThatWaitsIsRefused() {
+        acquire(15 * SECOND);
+        acquire(15 * SECOND);
+        acquire(15 * SECOND);
+        mRequests--;
+        acquire(15 * SECOND);
+
+        assertThat(mErrors).hasSize(1);
+        mGate.leave(mSeats.get(0), true, SECOND);
+        assertThat(mSeats).hasSize(3);
+        mGate.leave(mSeats.get(1), true, SECOND);
+        mGate.leave(mSeats.get(2), true, SECOND);
+        assertThat(mLoads.own()).isEmpty();
+        assertThat(mQueue.isEmpty()).isTrue();
+    }
+
     @Example
     void whatCannotBeServedInTimeIsRefusedAtOnceWithATimeToComeBack() {
         acquire(15 * SECOND);
