--- a/entry/src/test/java/org/fuchsiaford/entry/ArchitectureTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/ArchitectureTest.java
@@ -10,14 +10,21 @@
 /** Dependencies run one way, towards the core, which does no I/O. */
 class ArchitectureTest {
     private static final String[] CORE = {
+        "org.fuchsiaford.attempt..",
         "org.fuchsiaford.backend..",
         "org.fuchsiaford.bundle..",
         "org.fuchsiaford.failure..",
+        "org.fuchsiaford.fleet..",
         "org.fuchsiaford.hash..",
         "org.fuchsiaford.host..",
         "org.fuchsiaford.json..",
+        "org.fuchsiaford.order..",
         "org.fuchsiaford.placement..",
+        "org.fuchsiaford.quota..",
+        "org.fuchsiaford.registry..",
         "org.fuchsiaford.request..",
+        "org.fuchsiaford.routing..",
+        "org.fuchsiaford.selection..",
         "org.fuchsiaford.time..",
         "org.fuchsiaford.workspace..",
     };
@@ -47,7 +54,7 @@
     }
 
     @Example
-    void platformAndPeerDependOnlyOnCore() {
+    void storeAndPeerDependOnlyOnCore() {
         noClasses()
                 .that()
                 .resideInAnyPackage("org.fuchsiaford.store..")
