--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -299,7 +299,6 @@
                 .timeout(STORE_PATIENCE)
                 .onErrorResume(e -> Mono.empty())
                 .thenMany(Flux.fromIterable(mServers).doOnNext(DisposableServer::dispose))
-                .then()
-                .doFinally(signal -> mLog.flush());
+                .then(Mono.fromRunnable(mLog::flush));
     }
 }
