Say what is checked before a send, and drop a look-up that nothing calls

Servers are picked after any wait, but not again while a prefill call of about a second runs; the words now say so. ServerRegistry.ids had no caller. ServerRegistry.isUsable, which that check would use, is called by tests only.

--- a/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
@@ -75,12 +75,4 @@
                 .filter(now -> now.bornMillis() == server.bornMillis() && !now.draining())
                 .isPresent();
     }
-
-    /** Returns the ids of all entries that are there, missing ones that are kept included. */
-    public synchronized List<BackendServerId> ids() {
-        return mEntries.entrySet().stream()
-                .filter(entry -> entry.getValue().server() != null && !entry.getValue().missing())
-                .map(Map.Entry::getKey)
-                .toList();
-    }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -96,7 +96,7 @@
                                         mTicker.nowNanos() - startNanos));
     }
 
-    /** Checks, after any wait, that the request may still run and its engine still takes work. */
+    /** Checks, after any wait, that the request may still run; its engines were just picked. */
     private EnginePlan begin(RequestContext context, EnginePlan plan) throws RefusalException {
         mRoutes.recheck(context);
         int before = mAttempts.begin(context);
