Prompts wait at the host while the engines have a backlog to read

Change: an engine whose unread prompts take more than 0.35 of the target gets no further one; the request waits at its host, where those on time go first, or goes to the next best engine. Test red before.

--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.stream.Stream;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.fleet.ServerLoad;
@@ -20,7 +21,9 @@
  * <p>A decode engine that reads a prompt slows its own streams but saves a transfer. It does so
  * while it has few streams and the first event would come well within its target. Load pattern of a
  * busy engine: bursts in which memory runs out; each prompt read there keeps all its streams, and
- * so their memory, for longer, hence prefill engines come first as long as they are quick.
+ * so their memory, for longer, hence prefill engines come first as long as they are quick. Load
+ * pattern of a backlog of prompts: after a loss of engines more is asked than the others can read.
+ * Prompts then wait at the hosts, where those that can be on time go first, and not at an engine.
  * Invariant: a decode engine is planned only with room for prompt and answer. Thread-safe.
  */
 public final class EnginePlanner {
@@ -36,6 +39,12 @@
     /** An engine that lately failed so often may fail again, and a prompt read for it is lost. */
     private static final double DOUBTFUL_RATE = 0.15;
 
+    /**
+     * Part of the target that the prompts ahead at an engine may take; as much again is left for
+     * the wait at the host and for the prompt itself.
+     */
+    private static final double BACKLOG_TARGET_SHARE = 0.35;
+
     /** A decode engine reads prompts at half the speed. */
     private static final double DIRECT_SLOWNESS = 2;
 
@@ -56,6 +65,8 @@
     private final DoubleSupplier mRandom;
     private double mTokensPerMilli = FIRST_TOKENS_PER_MILLI;
 
+    private record Scored(LiveServer server, double score) {}
+
     /**
      * Creates a planner.
      *
@@ -85,7 +96,7 @@
      * @param servers the engines that take new work
      * @param failed those that have failed this request
      * @param targetMillis the wait for the first event that is still on time
-     * @return the plan, or none if no decode engine has room
+     * @return the plan, or none if no decode engine has room or too many prompts wait to be read
      */
     public Optional<EnginePlan> plan(
             List<LiveServer> servers,
@@ -94,7 +105,7 @@
             TokenCounts tokens,
             long targetMillis,
             long nowNanos) {
-        return decode(servers, failed, capacity, tokens, nowNanos)
+        return decodes(servers, failed, capacity, tokens, nowNanos)
                 .map(
                         decode ->
                                 new EnginePlan(
@@ -106,10 +117,23 @@
                                                 capacity,
                                                 tokens,
                                                 targetMillis,
-                                                nowNanos)));
+                                                nowNanos)))
+                .filter(plan -> backlogMillis(plan) <= targetMillis * BACKLOG_TARGET_SHARE)
+                .findFirst();
+    }
+
+    private synchronized double backlogMillis(EnginePlan plan) {
+        double tokens =
+                plan.prefill()
+                        .map(prefill -> (double) mLoads.total(prefill.id()).unreadTokens())
+                        .orElseGet(
+                                () ->
+                                        mLoads.total(plan.decode().id()).unreadTokens()
+                                                * DIRECT_SLOWNESS);
+        return tokens / mTokensPerMilli;
     }
 
-    private Optional<LiveServer> decode(
+    private Stream<LiveServer> decodes(
             List<LiveServer> servers,
             Set<BackendServerId> failed,
             EngineCapacity capacity,
@@ -117,7 +141,9 @@
             long nowNanos) {
         return able(servers, EngineStage.DECODE, failed, nowNanos).stream()
                 .filter(server -> hasRoom(server, capacity, tokens))
-                .min(Comparator.comparingDouble(server -> decodeScore(server, capacity, nowNanos)));
+                .map(server -> new Scored(server, decodeScore(server, capacity, nowNanos)))
+                .sorted(Comparator.comparingDouble(Scored::score))
+                .map(Scored::server);
     }
 
     private boolean hasRoom(LiveServer server, EngineCapacity capacity, TokenCounts tokens) {
--- a/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
@@ -133,6 +133,23 @@
         assertThat(plan(20_000, mDecode, mPrefill).orElseThrow().prefill()).isEmpty();
     }
 
+    /**
+     * Two of four engines died; the others have memory but would not read for more than a second.
+     */
+    @Example
+    void aPromptWaitsAtTheHostWhileEnginesHaveTooManyToRead() {
+        mLoads.add(new ServerLoad(mDecode.id(), 5, 25_000, 25_000));
+        mLoads.add(new ServerLoad(mOtherDecode.id(), 5, 30_000, 10_000));
+        assertThat(plan(5_000, mDecode, mOtherDecode)).isEmpty();
+        mLoads.remove(new ServerLoad(mOtherDecode.id(), 1, 5_000, 5_000));
+        assertThat(plan(5_000, mDecode, mOtherDecode).orElseThrow().decode())
+                .isEqualTo(mOtherDecode);
+        LiveServer elsewhere =
+                TestServers.server("g", "there", Optional.of(EngineStage.DECODE), false, 1);
+        assertThat(plan(5_000, mDecode, elsewhere).orElseThrow().decode()).isEqualTo(elsewhere);
+        assertThat(plan(40_000, mPrefill, TestServers.engine("f", EngineStage.DECODE))).isPresent();
+    }
+
     @Example
     void noPlanExceedsSeatsOrMemory() {
         mLoads.add(new ServerLoad(mDecode.id(), 1, 45_000, 0));
