A prompt that was read is not read again if the decode engine is down

Ruled out: rejected fetches (503), after which a handle may be gone; those still read again. Change: a prompt whose decode engine was not reached, or was another run, goes with the request to the next engine while the prefill engine keeps it (the declared life less 100 ms); freeing one holds nothing up.

--- a/core/src/main/java/org/fuchsiaford/routing/EngineCapacity.java
+++ b/core/src/main/java/org/fuchsiaford/routing/EngineCapacity.java
@@ -5,5 +5,6 @@
  *
  * @param seats requests that it runs at once
  * @param memoryTokens tokens of KV cache that it holds
+ * @param promptLifeMillis how long a prefill engine keeps a prompt that nobody has fetched
  */
-public record EngineCapacity(int seats, long memoryTokens) {}
+public record EngineCapacity(int seats, long memoryTokens, long promptLifeMillis) {}
--- a/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
@@ -19,7 +19,7 @@
 class SelectionTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final FailureDomainId HERE = new FailureDomainId("here");
-    private static final EngineCapacity CAPACITY = new EngineCapacity(8, 50_000);
+    private static final EngineCapacity CAPACITY = new EngineCapacity(8, 50_000, 500);
     private static final long TARGET_MILLIS = 900;
 
     private final LoadBoard mLoads = new LoadBoard();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
@@ -238,11 +238,12 @@
         return mState.servers().usable(context.service(), nowNanos);
     }
 
-    private EngineCapacity capacity(RequestContext context) {
+    /** Returns what each engine of a request's service can hold. */
+    EngineCapacity capacity(RequestContext context) {
         return mState.table()
                 .flatMap(table -> table.service(context.service()))
                 .flatMap(ServiceDeclaration::engine)
-                .orElse(new EngineCapacity(Integer.MAX_VALUE, Long.MAX_VALUE));
+                .orElse(new EngineCapacity(Integer.MAX_VALUE, Long.MAX_VALUE, 0));
     }
 
     /** Lets through all that have room, and refuses those for whom it is too late. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillCall.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillCall.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.entry.gateway.protocol.KvSource;
 import org.fuchsiaford.entry.gateway.protocol.ServerProtocol;
@@ -22,6 +23,9 @@
  * then reads the prompt itself. Thread-safe.
  */
 public final class PrefillCall {
+    /** The answer's way here and the request's way to the decode engine, with room for a delay. */
+    private static final long FETCH_MARGIN_MILLIS = 100;
+
     private final ServerClient mClient;
     private final ServerProtocol mProtocol;
     private final LoadBoard mLoads;
@@ -45,8 +49,13 @@
         mTicker = ticker;
     }
 
-    /** Returns where the KV cache is, or nothing if the engine failed within the limit. */
-    Mono<Optional<KvSource>> call(RequestContext context, LiveServer engine, long limitMillis) {
+    /**
+     * Returns where the KV cache is, or nothing if the engine failed within the limit.
+     *
+     * @param lifeMillis how long the engine keeps it
+     */
+    Mono<Optional<KvSource>> call(
+            RequestContext context, LiveServer engine, long limitMillis, long lifeMillis) {
         TokenCounts tokens = context.tokens();
         long startNanos = mTicker.nowNanos();
         boolean idle = mLoads.total(engine.id()).requests() <= 0;
@@ -63,7 +72,7 @@
                         Step.PREFILL,
                         Duration.ofMillis(leftMillis))
                 .collectList()
-                .flatMap(parts -> read(engine, parts))
+                .flatMap(parts -> read(engine, parts, lifeMillis))
                 .doOnNext(source -> succeeded(engine, tokens, startNanos, idle))
                 .map(Optional::of)
                 .onErrorResume(
@@ -82,7 +91,7 @@
         }
     }
 
-    private Mono<KvSource> read(LiveServer engine, List<AnswerPart> parts) {
+    private Mono<KvSource> read(LiveServer engine, List<AnswerPart> parts, long lifeMillis) {
         RemoteName remote = new RemoteName(engine.id().value());
         Optional<WholeAnswer> answer = WholeAnswer.of(parts);
         if (answer.isEmpty() || answer.get().head().status() != 200) {
@@ -94,7 +103,9 @@
         }
         try {
             String handle = mProtocol.readPrefill(answer.get().body());
-            return Mono.just(new KvSource(engine.address(), handle));
+            long fetchMillis = Math.max(0, lifeMillis - FETCH_MARGIN_MILLIS);
+            long untilNanos = mTicker.nowNanos() + TimeUnit.MILLISECONDS.toNanos(fetchMillis);
+            return Mono.just(new KvSource(engine.address(), handle, untilNanos));
         } catch (UnreadableException e) {
             return Mono.error(
                     new CallFailure(Step.PREFILL, remote, AttemptOutcome.UNKNOWN, e.getMessage()));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -75,18 +75,26 @@
     /** Runs a request; fails with {@link RefusalException} before the head, else in any way. */
     Flux<AnswerPart> run(RequestContext context) {
         boolean resumable = context.route().kind().isRepeatable();
-        return attempt(context, new StreamProgress(resumable, context.caller().lastEventId()));
+        StreamProgress progress = new StreamProgress(resumable, context.caller().lastEventId());
+        return attempt(context, progress, Optional.empty());
     }
 
-    private Flux<AnswerPart> attempt(RequestContext context, StreamProgress progress) {
-        return mGate.acquire(context).flatMapMany(seat -> attempt(context, progress, seat));
+    /** Makes one attempt; a prompt that was read for an earlier one and is still kept is used. */
+    private Flux<AnswerPart> attempt(
+            RequestContext context, StreamProgress progress, Optional<KvSource> kept) {
+        return mGate.acquire(context)
+                .onErrorResume(e -> release(kept).then(Mono.error(e)))
+                .flatMapMany(seat -> attempt(context, progress, seat, kept));
     }
 
     private Flux<AnswerPart> attempt(
-            RequestContext context, StreamProgress progress, EngineSeat seat) {
+            RequestContext context,
+            StreamProgress progress,
+            EngineSeat seat,
+            Optional<KvSource> kept) {
         long startNanos = mTicker.nowNanos();
         return Mono.fromCallable(() -> begin(context, seat.plan()))
-                .flatMap(plan -> source(context, plan))
+                .flatMap(plan -> source(context, seat, kept))
                 .flatMapMany(source -> decode(context, progress, seat, source))
                 .doFinally(
                         signal ->
@@ -104,12 +112,31 @@
         return plan;
     }
 
-    private Mono<Optional<KvSource>> source(RequestContext context, EnginePlan plan) {
+    private Mono<Optional<KvSource>> source(
+            RequestContext context, EngineSeat seat, Optional<KvSource> kept) {
+        if (kept.filter(this::isFetchable).isPresent()) {
+            seat.room().markRead();
+            return Mono.just(kept);
+        }
+        return release(kept).then(Mono.defer(() -> readPrompt(context, seat.plan())));
+    }
+
+    private boolean isFetchable(KvSource source) {
+        return mTicker.nowNanos() - source.fetchUntilNanos() < 0;
+    }
+
+    /** Frees a prompt that is not used any more; nothing waits for that. */
+    private Mono<Void> release(Optional<KvSource> source) {
+        return Mono.fromRunnable(() -> source.ifPresent(s -> mClient.release(s).subscribe()));
+    }
+
+    private Mono<Optional<KvSource>> readPrompt(RequestContext context, EnginePlan plan) {
         if (plan.prefill().isEmpty() || !mAttempts.allowsExtraCall(context)) {
             return Mono.just(Optional.empty());
         }
-        long limit = (long) (context.route().targetMillis() * PREFILL_TARGET_SHARE);
-        return mPrefill.call(context, plan.prefill().get(), limit);
+        long limitMillis = (long) (context.route().targetMillis() * PREFILL_TARGET_SHARE);
+        long lifeMillis = mGate.capacity(context).promptLifeMillis();
+        return mPrefill.call(context, plan.prefill().get(), limitMillis, lifeMillis);
     }
 
     private Flux<AnswerPart> decode(
@@ -210,26 +237,31 @@
             Optional<KvSource> source) {
         progress.breakOff();
         NextStep next = mAttempts.failed(context, server, failure.outcome(), failure.getMessage());
-        Flux<AnswerPart> after =
-                switch (next) {
-                    case ANSWER ->
-                            progress.isHeadPassed()
-                                    ? Flux.error(failure)
-                                    : Flux.fromIterable(failure.parts());
-                    case TRY_AGAIN -> resume(context, progress);
-                    case REFUSE, FAIL -> Flux.error(mAttempts.refusal(context, server, next));
-                };
-        boolean unused = source.isPresent() && failure.outcome() == AttemptOutcome.NOT_SENT;
-        return unused ? mClient.release(source.get()).thenMany(after) : after;
-    }
-
-    private Flux<AnswerPart> resume(RequestContext context, StreamProgress progress) {
+        Optional<KvSource> unused = source.filter(s -> isUnfetched(failure.outcome()));
+        return switch (next) {
+            case ANSWER ->
+                    progress.isHeadPassed()
+                            ? Flux.error(failure)
+                            : Flux.fromIterable(failure.parts());
+            case TRY_AGAIN -> resume(context, progress, unused);
+            case REFUSE, FAIL ->
+                    release(unused).thenMany(Flux.error(mAttempts.refusal(context, server, next)));
+        };
+    }
+
+    /** Returns whether an engine that failed so has not tried to fetch the prompt. */
+    private static boolean isUnfetched(AttemptOutcome outcome) {
+        return outcome == AttemptOutcome.NOT_SENT || outcome == AttemptOutcome.WRONG_SERVER;
+    }
+
+    private Flux<AnswerPart> resume(
+            RequestContext context, StreamProgress progress, Optional<KvSource> unused) {
         if (progress.isHeadPassed()) {
             mLog.write(
                     new Decision.Resumed(
                             context.caller().id().value(), progress.lastEventId().orElse(null)));
         }
-        return attempt(context, progress);
+        return attempt(context, progress, unused);
     }
 
     private void logPlaced(RequestContext context, EnginePlan plan, int before) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/KvSource.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/KvSource.java
@@ -7,5 +7,6 @@
  *
  * @param address the engine that keeps it
  * @param handle the engine's name of it; can be used once
+ * @param fetchUntilNanos until when a decode engine can be told to fetch it
  */
-public record KvSource(ServerAddress address, String handle) {}
+public record KvSource(ServerAddress address, String handle, long fetchUntilNanos) {}
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
@@ -76,7 +76,7 @@
 
         @Override
         public RoutingTable readTable(byte[] value) {
-            EngineCapacity capacity = new EngineCapacity(8, 10_000);
+            EngineCapacity capacity = new EngineCapacity(8, 10_000, 500);
             return new RoutingTable(
                     1,
                     CallerLimits.DEFAULT,
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -34,6 +34,7 @@
 
     private final String mId;
     private final List<Run> mRuns = new CopyOnWriteArrayList<>();
+    private final AtomicInteger mPrefills = new AtomicInteger();
     private final AtomicInteger mActive = new AtomicInteger();
     private volatile ServerBehaviour mBehaviour = ServerBehaviour.ANSWER;
 
@@ -65,6 +66,11 @@
         return List.copyOf(mRuns);
     }
 
+    /** Returns how many prompts it has read for other engines. */
+    public int prefills() {
+        return mPrefills.get();
+    }
+
     /** Returns how many requests it is working on. */
     public int active() {
         return mActive.get();
@@ -85,6 +91,7 @@
             return response.status(503).header("Fuchsiaford-Not-Executed", "1").send();
         }
         if ("prefill".equals(headers.get("Fuchsiaford-Stage"))) {
+            mPrefills.incrementAndGet();
             return Json.send(response, 200, Json.object().put("transferHandle", "handle-" + mId));
         }
         return request.receive().aggregate().then().then(run(request, response));
