Late requests are told once they cannot be served; whoever is refused comes back when room has changed hands

Change: the queue learns how long starts take (mean and twice the mean deviation) and refuses what could not start in time, and late requests whose wait, with nobody else coming, is longer than their caller's. Retry-After is one turnover of the engines' memory, but leaves time for a run of twice the usual length.

--- a/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.selection;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -30,11 +31,16 @@
      */
     private static final double HOPEFUL_SHARE = 0.35;
 
-    /** Kept for the start of the run itself: reading a prompt of usual size twice over. */
-    private static final long START_NANOS = 400_000_000L;
+    /** Time from a seat to the first event until some were seen: a usual prompt read twice over. */
+    private static final long FIRST_START_NANOS = 300_000_000L;
+
+    /** Mean deviations beyond the mean within which about nine in ten starts lie. */
+    private static final int START_DEVIATIONS = 2;
 
     private final Map<RequestId, Waiting> mWaiting = new LinkedHashMap<>();
     private double mMeanDurationNanos = FIRST_DURATION_NANOS;
+    private double mMeanStartNanos = FIRST_START_NANOS;
+    private double mStartDeviationNanos;
 
     /**
      * A request that waits.
@@ -59,6 +65,18 @@
         mMeanDurationNanos += (tookNanos - mMeanDurationNanos) * NEWEST_WEIGHT;
     }
 
+    /** Learns how long it took from a seat to the first event. */
+    public synchronized void observeStart(long tookNanos) {
+        double deviation = Math.abs(tookNanos - mMeanStartNanos);
+        mStartDeviationNanos += (deviation - mStartDeviationNanos) * NEWEST_WEIGHT;
+        mMeanStartNanos += (tookNanos - mMeanStartNanos) * NEWEST_WEIGHT;
+    }
+
+    /** Returns the time in which the engines' memory changes hands once, in nanoseconds. */
+    public synchronized long turnoverNanos() {
+        return (long) mMeanDurationNanos;
+    }
+
     /** Adds a request. */
     public synchronized void add(Waiting waiting) {
         mWaiting.put(waiting.request(), waiting);
@@ -101,11 +119,26 @@
         return nowNanos - waiting.onTimeUntilNanos() <= 0;
     }
 
-    /** Returns those that could not be finished any more if they started now. */
-    public synchronized List<Waiting> hopeless(long nowNanos) {
-        return mWaiting.values().stream()
-                .filter(waiting -> patienceNanos(waiting.giveUpNanos(), nowNanos) <= 0)
-                .toList();
+    /**
+     * Returns those that cannot be served in time any more, even if nobody else came: those that
+     * would start too late now, and late ones with too much ahead of them.
+     *
+     * @param othersOnTimeTokens tokens at other hosts that can be on time
+     * @param capacityTokens the memory of all decode engines
+     */
+    public synchronized List<Waiting> hopeless(
+            long othersOnTimeTokens, long capacityTokens, long nowNanos) {
+        long aheadTokens = onTimeTokens(nowNanos) + othersOnTimeTokens;
+        List<Waiting> hopeless = new ArrayList<>();
+        for (Waiting waiting : mWaiting.values()) {
+            boolean late = !isOnTime(waiting, nowNanos);
+            aheadTokens += late ? waiting.tokens().planned() : 0;
+            long waitNanos = late ? estimateWaitNanos(aheadTokens, capacityTokens) : 0;
+            if (waitNanos >= patienceNanos(waiting.giveUpNanos(), nowNanos)) {
+                hopeless.add(waiting);
+            }
+        }
+        return hopeless;
     }
 
     /**
@@ -120,11 +153,12 @@
     }
 
     /** Returns whether a request that has this wait before it can probably be served. */
-    public boolean isHopeful(long waitNanos, long giveUpNanos, long nowNanos) {
+    public synchronized boolean isHopeful(long waitNanos, long giveUpNanos, long nowNanos) {
         return waitNanos < patienceNanos(giveUpNanos, nowNanos) * HOPEFUL_SHARE;
     }
 
-    private static long patienceNanos(long giveUpNanos, long nowNanos) {
-        return giveUpNanos - nowNanos - START_NANOS;
+    private double patienceNanos(long giveUpNanos, long nowNanos) {
+        double startNanos = mMeanStartNanos + START_DEVIATIONS * mStartDeviationNanos;
+        return giveUpNanos - nowNanos - startNanos;
     }
 }
--- a/core/src/test/java/org/fuchsiaford/selection/EngineQueueTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineQueueTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
@@ -17,6 +18,7 @@
     private static final long PATIENCE = 3_600 * MILLI;
     private static final TokenCounts SIZE = new TokenCounts(5_000, 200, 200);
     private static final long MEMORY_TOKENS = 200_000;
+    private static final long PLENTY_TOKENS = 1_000_000_000;
 
     private final EngineQueue mQueue = new EngineQueue();
 
@@ -62,7 +64,7 @@
                 add("x" + tick, 1, nowNanos);
                 add("y" + tick, 1, nowNanos);
             }
-            for (EngineQueue.Waiting hopeless : mQueue.hopeless(nowNanos)) {
+            for (EngineQueue.Waiting hopeless : mQueue.hopeless(0, MEMORY_TOKENS, nowNanos)) {
                 gaveUp += mQueue.remove(hopeless.request()) ? 1 : 0;
             }
             EngineQueue.Waiting next = mQueue.next(false, nowNanos).orElse(null);
@@ -132,7 +134,27 @@
     @Example
     void whatHasNoTimeLeftForItsRunLeavesTheQueue() {
         EngineQueue.Waiting waiting = add("a", 1, 0);
-        assertThat(mQueue.hopeless(3_000 * MILLI)).isEmpty();
-        assertThat(mQueue.hopeless(3_300 * MILLI)).containsExactly(waiting);
+        assertThat(mQueue.hopeless(0, PLENTY_TOKENS, 3_000 * MILLI)).isEmpty();
+        assertThat(mQueue.hopeless(0, PLENTY_TOKENS, 3_300 * MILLI)).containsExactly(waiting);
+    }
+
+    /** Half of the engines died: those that came in the burst before learn it while they wait. */
+    @Example
+    void aLateRequestWithTooMuchAheadIsToldBeforeItsTimeIsUp() {
+        EngineQueue.Waiting first = add("a", 1, 0);
+        EngineQueue.Waiting second = add("b", 1, 1);
+        assertThat(mQueue.hopeless(90_000, MEMORY_TOKENS, 500 * MILLI)).isEmpty();
+        assertThat(mQueue.hopeless(0, MEMORY_TOKENS, 2_500 * MILLI)).isEmpty();
+        assertThat(mQueue.hopeless(45_000, MEMORY_TOKENS, 2_500 * MILLI)).containsExactly(second);
+        assertThat(mQueue.hopeless(90_000, MEMORY_TOKENS, 2_000 * MILLI))
+                .containsExactly(first, second);
+    }
+
+    @Example
+    void slowStartsLeaveLessTimeToWait() {
+        add("a", 1, 0);
+        IntStream.range(0, 40).forEach(i -> mQueue.observeStart((i % 2 == 0 ? 400 : 800) * MILLI));
+        assertThat(mQueue.hopeless(0, PLENTY_TOKENS, 2_500 * MILLI)).isEmpty();
+        assertThat(mQueue.hopeless(0, PLENTY_TOKENS, 2_800 * MILLI)).hasSize(1);
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
@@ -113,15 +113,20 @@
                 });
     }
 
+    /** Learns how long it took until an engine's answer began. */
+    void started(EngineSeat seat) {
+        mQueue.observeStart(mTicker.nowNanos() - seat.grantedNanos());
+    }
+
     /** Learns from an ended stream, and lets the next request take its room. */
-    void leave(EngineSeat seat, boolean whole, long tookNanos) {
+    void leave(EngineSeat seat, boolean whole) {
         seat.room().release();
         if (mReporting) {
             mLoadsChanged.run();
             mReporting = !mQueue.isEmpty();
         }
         if (whole) {
-            mQueue.observeDuration(tookNanos);
+            mQueue.observeDuration(mTicker.nowNanos() - seat.grantedNanos());
         }
         drain();
     }
@@ -134,9 +139,11 @@
         }
         long waitNanos = estimateWaitNanos(context, engines, nowNanos);
         if (!mQueue.isHopeful(waitNanos, giveUpNanos(context), nowNanos)) {
-            long spreadMillis = (long) (mRandom.getAsDouble() * RETRY_SPREAD_MILLIS);
-            long retryMillis = TimeUnit.NANOSECONDS.toMillis(waitNanos) + spreadMillis;
-            return Mono.error(refusal(context, retryMillis, "no engine has room in time"));
+            return Mono.error(
+                    refusal(
+                            context,
+                            busyRetryMillis(context, waitNanos),
+                            "no engine has room in time"));
         }
         Waiter waiter = new Waiter(context, Sinks.one());
         RequestId id = context.caller().id();
@@ -175,13 +182,29 @@
 
     private long estimateWaitNanos(
             RequestContext context, List<LiveServer> engines, long nowNanos) {
-        long decoding = engines.stream().filter(e -> e.isStage(EngineStage.DECODE)).count();
-        long memory = decoding * capacity(context).memoryTokens();
         long ahead =
                 mQueue.onTimeTokens(nowNanos)
                         + context.tokens().planned()
                         + waitingElsewhere(nowNanos);
-        return mQueue.estimateWaitNanos(ahead, memory);
+        return mQueue.estimateWaitNanos(ahead, memoryTokens(context, engines));
+    }
+
+    private long memoryTokens(RequestContext context, List<LiveServer> engines) {
+        long decoding = engines.stream().filter(e -> e.isStage(EngineStage.DECODE)).count();
+        return decoding * capacity(context).memoryTokens();
+    }
+
+    /**
+     * Returns when to come back if the engines have no room: once their memory has changed hands,
+     * and not all at once, but with time left for a run that is twice as long as usual.
+     */
+    private long busyRetryMillis(RequestContext context, long waitNanos) {
+        long spreadMillis = (long) (mRandom.getAsDouble() * RETRY_SPREAD_MILLIS);
+        long turnoverMillis = TimeUnit.NANOSECONDS.toMillis(mQueue.turnoverNanos());
+        long waitMillis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
+        long lastMillis = context.leftMillis(mTicker.nowNanos()) - 2 * turnoverMillis;
+        long soonestMillis = Math.max(waitMillis, turnoverMillis) + spreadMillis;
+        return Math.max(NO_ENGINE_RETRY_MILLIS, Math.min(soonestMillis, lastMillis));
     }
 
     /** Returns the tokens of requests that wait at other hosts and can still be on time. */
@@ -219,7 +242,7 @@
                         context.tokens(),
                         context.route().targetMillis(),
                         nowNanos)
-                .map(plan -> new EngineSeat(plan, reserve(context, plan)));
+                .map(plan -> new EngineSeat(plan, reserve(context, plan), nowNanos));
     }
 
     private Reservation reserve(RequestContext context, EnginePlan plan) {
@@ -252,7 +275,7 @@
         List<Waiter> hopeless = new ArrayList<>();
         synchronized (this) {
             long nowNanos = mTicker.nowNanos();
-            mQueue.hopeless(nowNanos).forEach(w -> take(w).ifPresent(hopeless::add));
+            hopeless(nowNanos).forEach(w -> take(w).ifPresent(hopeless::add));
             boolean othersOnTime = waitingElsewhere(nowNanos) > 0;
             Optional<EngineQueue.Waiting> next = mQueue.next(othersOnTime, nowNanos);
             while (next.isPresent()) {
@@ -280,6 +303,19 @@
         }
     }
 
+    private List<EngineQueue.Waiting> hopeless(long nowNanos) {
+        return mWaiters.values().stream()
+                .findAny()
+                .map(Waiter::context)
+                .map(
+                        any ->
+                                mQueue.hopeless(
+                                        waitingElsewhere(nowNanos),
+                                        memoryTokens(any, engines(any, nowNanos)),
+                                        nowNanos))
+                .orElse(List.of());
+    }
+
     private Optional<Waiter> take(EngineQueue.Waiting waiting) {
         mQueue.remove(waiting.request());
         return Optional.ofNullable(mWaiters.remove(waiting.request()));
@@ -298,7 +334,7 @@
                 .tryEmitError(
                         refusal(
                                 waiter.context(),
-                                NO_ENGINE_RETRY_MILLIS,
+                                busyRetryMillis(waiter.context(), 0),
                                 "no engine had room in time"));
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineSeat.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineSeat.java
@@ -7,5 +7,6 @@
  *
  * @param plan the engines
  * @param room the reservation
+ * @param grantedNanos when it was granted
  */
-record EngineSeat(EnginePlan plan, Reservation room) {}
+record EngineSeat(EnginePlan plan, Reservation room, long grantedNanos) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -92,16 +92,10 @@
             StreamProgress progress,
             EngineSeat seat,
             Optional<KvSource> kept) {
-        long startNanos = mTicker.nowNanos();
         return Mono.fromCallable(() -> begin(context, seat.plan()))
                 .flatMap(plan -> source(context, seat, kept))
                 .flatMapMany(source -> decode(context, progress, seat, source))
-                .doFinally(
-                        signal ->
-                                mGate.leave(
-                                        seat,
-                                        signal == SignalType.ON_COMPLETE,
-                                        mTicker.nowNanos() - startNanos));
+                .doFinally(signal -> mGate.leave(seat, signal == SignalType.ON_COMPLETE));
     }
 
     /** Checks, after any wait, that the request may still run; its engines were just picked. */
@@ -164,7 +158,7 @@
                         (first, all) ->
                                 first.get() instanceof AnswerPart.Head head
                                                 && head.head().outcome() == AttemptOutcome.ANSWERED
-                                        ? events(context, progress, server, head, all, startNanos)
+                                        ? events(context, progress, seat, head, all, startNanos)
                                         : rejected(server, all))
                 .onErrorResume(CallFailure.class, e -> goOn(context, progress, server, e, source));
     }
@@ -191,11 +185,13 @@
     private Flux<AnswerPart> events(
             RequestContext context,
             StreamProgress progress,
-            LiveServer server,
+            EngineSeat seat,
             AnswerPart.Head head,
             Flux<AnswerPart> all,
             long startNanos) {
+        LiveServer server = seat.plan().decode();
         mAttempts.answered(server, startNanos);
+        mGate.started(seat);
         Flux<AnswerPart> bytes =
                 all.skip(1)
                         .map(part -> progress.take(((AnswerPart.Bytes) part).bytes()))
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
@@ -177,13 +177,13 @@
         assertThat(mSeats).hasSize(2);
         assertThat(requestsAtTheEngine()).isEqualTo(2);
 
-        mGate.leave(mSeats.get(0), true, SECOND);
+        mGate.leave(mSeats.get(0), true);
 
         assertThat(mSeats).hasSize(3);
         assertThat(requestsAtTheEngine()).isEqualTo(2);
         assertThat(mChanges.get()).isPositive();
-        mGate.leave(mSeats.get(1), true, SECOND);
-        mGate.leave(mSeats.get(2), true, SECOND);
+        mGate.leave(mSeats.get(1), true);
+        mGate.leave(mSeats.get(2), true);
         assertThat(mLoads.own()).isEmpty();
     }
 
@@ -195,7 +195,7 @@
         acquire(15 * SECOND);
         third.dispose();
 
-        mGate.leave(mSeats.get(0), true, SECOND);
+        mGate.leave(mSeats.get(0), true);
 
         assertThat(mSeats).hasSize(3);
         assertThat(requestsAtTheEngine()).isEqualTo(2);
@@ -211,10 +211,10 @@
         acquire(15 * SECOND);
 
         assertThat(mErrors).hasSize(1);
-        mGate.leave(mSeats.get(0), true, SECOND);
+        mGate.leave(mSeats.get(0), true);
         assertThat(mSeats).hasSize(3);
-        mGate.leave(mSeats.get(1), true, SECOND);
-        mGate.leave(mSeats.get(2), true, SECOND);
+        mGate.leave(mSeats.get(1), true);
+        mGate.leave(mSeats.get(2), true);
         assertThat(mLoads.own()).isEmpty();
         assertThat(mQueue.isEmpty()).isTrue();
     }
@@ -230,4 +230,18 @@
         assertThat(refusal.reason().status()).isEqualTo(503);
         assertThat(refusal.retryAfterMillis()).isPositive();
     }
+
+    /** Streams take four seconds here; who returns later than that has no time for another two. */
+    @Example
+    void whoIsRefusedComesBackOnceRoomHasChangedHandsAndWithTimeForARun() {
+        IntStream.range(0, 100).forEach(i -> mQueue.observeDuration(4 * SECOND));
+        IntStream.range(0, 4).forEach(i -> acquire(15 * SECOND));
+        IntStream.range(0, 2).forEach(i -> acquire(11 * SECOND));
+
+        List<Long> retryMillis =
+                mErrors.stream().map(e -> ((RefusalException) e).retryAfterMillis()).toList();
+        assertThat(retryMillis).hasSizeGreaterThanOrEqualTo(2);
+        assertThat(retryMillis.get(0)).isBetween(3_500L, 4_500L);
+        assertThat(retryMillis.get(retryMillis.size() - 1)).isBetween(500L, 2_100L);
+    }
 }
