Callers' port opens first at a start; library log lines reach standard output as JSON

Ruled out: NIO in place of epoll, a larger first heap, no performance data file: no change beyond the noise of ten starts each.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -214,17 +214,19 @@
         return mFleet.callerAddresses(domain, isReady(), mTicker.nowNanos());
     }
 
-    /** Starts to listen and to take part; completes once all ports are open. */
+    /**
+     * Starts to listen and to take part; completes once all ports are open. Callers' port comes
+     * first: whoever connects while the rest starts is told when to come back.
+     */
     public Mono<Void> start() {
         mLog.start();
-        mFollower.start();
-        return mPeerServer
-                .start()
-                .doOnNext(mServers::add)
-                .then(Mono.defer(mServer::start))
+        return mServer.start()
                 .doOnNext(mServers::add)
                 .then(Mono.defer(() -> mAdapter.startEndpoints(mSettings, this)))
                 .doOnNext(mServers::addAll)
+                .doOnNext(endpoints -> mFollower.start())
+                .then(Mono.defer(mPeerServer::start))
+                .doOnNext(mServers::add)
                 .then(Mono.defer(this::startMetrics))
                 .doOnNext(mServers::add)
                 .doOnNext(server -> startPulses())
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayLogSetup.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayLogSetup.java
@@ -1,11 +1,11 @@
 package org.fuchsiaford.entry.gateway;
 
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.jboss.logmanager.formatters.JsonFormatter;
 import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.ConsoleHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler.Target;
 
 /** Sends decisions to standard output as they are, everything else as JSON. Stateless. */
@@ -19,14 +19,12 @@
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        ConsoleHandler others = new ConsoleHandler();
-        others.setFormatter(new JsonFormatter());
+        ConsoleHandler others = new ConsoleHandler(Target.SYSTEM_OUT, new JsonFormatter());
         others.setLevel(Level.ALL);
         root.addHandler(others);
         root.setLevel(Level.WARNING);
-        org.jboss.logmanager.handlers.ConsoleHandler decisions =
-                new org.jboss.logmanager.handlers.ConsoleHandler(
-                        Target.SYSTEM_OUT, new PatternFormatter(AS_IT_IS));
+        ConsoleHandler decisions =
+                new ConsoleHandler(Target.SYSTEM_OUT, new PatternFormatter(AS_IT_IS));
         Logger decisionLogger = Logger.getLogger("org.fuchsiaford.decisions");
         decisionLogger.setUseParentHandlers(false);
         decisionLogger.addHandler(decisions);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/WarmUp.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/WarmUp.java
@@ -7,8 +7,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.Stream;
-import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.entry.gateway.protocol.Adapter;
+import org.fuchsiaford.entry.settings.SettingsException;
 import org.fuchsiaford.peer.PeerAddress;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -22,14 +22,14 @@
     private static final Duration LENGTH = Duration.ofSeconds(3);
     private static final Duration PATIENCE = Duration.ofSeconds(10);
     private static final int REQUESTS = 20;
-    private static final long SECONDS = 3;
 
     private WarmUp() {}
 
     /** Runs; fails with an unchecked error if a host cannot listen. */
-    static void run(Adapter adapter) throws IOException {
-        GatewaySettings first = settings(adapter, "warm-up-1", List.of());
-        GatewaySettings second = settings(adapter, "warm-up-2", List.of(first.peerAddress()));
+    static void run(Adapter adapter) throws IOException, SettingsException {
+        HangupSignal.handle(() -> {});
+        GatewaySettings first = settings(adapter, "warm-up-1", "");
+        GatewaySettings second = settings(adapter, "warm-up-2", "\"" + first.peerAddress() + "\"");
         List<GatewayHost> hosts =
                 Stream.of(first, second).map(s -> new GatewayHost(s, adapter)).toList();
         hosts.forEach(host -> host.start().block(PATIENCE));
@@ -46,26 +46,29 @@
                 .responseSingle((response, body) -> Mono.just(response.status().code()));
     }
 
-    private static GatewaySettings settings(Adapter adapter, String name, List<PeerAddress> seeds)
-            throws IOException {
-        return new GatewaySettings(
-                adapter.name(),
-                name,
-                new FailureDomainId("warm-up"),
-                free(),
-                free(),
-                free(),
-                free(),
-                free(),
-                seeds,
-                free(),
-                SECONDS,
-                SECONDS,
-                SECONDS,
-                SECONDS,
-                0,
-                0,
-                SECONDS);
+    /** Goes through the reader of settings, since every start does. */
+    private static GatewaySettings settings(Adapter adapter, String name, String seed)
+            throws IOException, SettingsException {
+        String text =
+                """
+                // Settings of a host that runs for a moment.
+                {"adapter":"%s","hostName":"%s","failureDomain":"warm-up","callerAddress":"%s",
+                 "readinessAddress":"%s","directoryAddress":"%s","peerAddress":"%s",
+                 "metricsAddress":"%s","seedPeers":[%s],"storeAddress":"%s",
+                 "registrationSeconds":3,"addressLifeSeconds":3,"graceMillis":3000,
+                 "retryWindowMillis":3000,"retryRatio":0.2,"retrySlack":10,"orderLeaseSeconds":3}
+                """
+                        .formatted(
+                                adapter.name(),
+                                name,
+                                free(),
+                                free(),
+                                free(),
+                                free(),
+                                free(),
+                                seed,
+                                free());
+        return new GatewaySettingsReader().read(text);
     }
 
     private static PeerAddress free() throws IOException {
