--- a/core/src/main/java/org/fuchsiaford/order/StagePolicy.java
+++ b/core/src/main/java/org/fuchsiaford/order/StagePolicy.java
@@ -13,8 +13,12 @@
  *
  * <p>Load pattern: answers hold memory for seconds, prompts an engine for a tenth of one, and
  * decode engines can read prompts as well. So memory for answers runs out first, and only a small
- * part of the engines is kept for prompts. Orders go one way, from prefill to decode, and so never
- * flap. Stateless, hence thread-safe.
+ * part of the engines is kept for prompts. Without any prefill engine, though, decode engines read
+ * every prompt at half the speed between the tokens of their streams, which then hold their memory
+ * for longer: four decode engines start 8 usual requests a second, three and a prefill engine 9.
+ *
+ * <p>Orders from prefill to decode end with one prefill engine for six; only a service that has
+ * none gets one back. So orders never flap. Stateless, hence thread-safe.
  */
 public final class StagePolicy {
     /** One prefill engine for so many engines; the rest of the prompts is read while decoding. */
@@ -33,16 +37,29 @@
      */
     public static Optional<StageOrder> next(
             List<LiveServer> engines, Set<BackendServerId> pending) {
-        List<LiveServer> prefill =
-                engines.stream()
-                        .filter(engine -> engine.isStage(EngineStage.PREFILL))
-                        .filter(engine -> !pending.contains(engine.id()))
-                        .sorted(Comparator.comparing(LiveServer::id))
-                        .toList();
-        int wanted = Math.max(1, engines.size() / ENGINES_PER_PREFILL);
-        if (engines.size() < FEWEST_ENGINES || prefill.size() <= wanted) {
+        if (engines.size() < FEWEST_ENGINES) {
             return Optional.empty();
         }
-        return Optional.of(new StageOrder(prefill.get(prefill.size() - 1), EngineStage.DECODE));
+        List<LiveServer> prefill = free(engines, EngineStage.PREFILL, pending);
+        if (prefill.isEmpty() && pending.isEmpty()) {
+            return order(free(engines, EngineStage.DECODE, pending), EngineStage.PREFILL);
+        }
+        int wanted = Math.max(1, engines.size() / ENGINES_PER_PREFILL);
+        return prefill.size() > wanted ? order(prefill, EngineStage.DECODE) : Optional.empty();
+    }
+
+    private static List<LiveServer> free(
+            List<LiveServer> engines, EngineStage stage, Set<BackendServerId> pending) {
+        return engines.stream()
+                .filter(engine -> engine.isStage(stage) && !pending.contains(engine.id()))
+                .sorted(Comparator.comparing(LiveServer::id))
+                .toList();
+    }
+
+    /** The last one, so that hosts which know the same engines want the same order. */
+    private static Optional<StageOrder> order(List<LiveServer> engines, EngineStage stage) {
+        return engines.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new StageOrder(engines.get(engines.size() - 1), stage));
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaford/order/PendingOrdersTest.java
@@ -0,0 +1,67 @@
+package org.fuchsiaford.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Example;
+import org.fuchsiaford.TestServers;
+import org.fuchsiaford.registry.EngineStage;
+import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.routing.EngineCapacity;
+import org.fuchsiaford.selection.LoadBoard;
+
+/** How long an engine that was ordered to change counts as full. */
+class PendingOrdersTest {
+    private static final EngineCapacity CAPACITY = new EngineCapacity(8, 50_000, 500);
+
+    private final LoadBoard mLoads = new LoadBoard();
+    private final AtomicInteger mReports = new AtomicInteger();
+    private final PendingOrders mPending = new PendingOrders(mLoads, mReports::incrementAndGet);
+    private final LiveServer mEngine = TestServers.engine("d", EngineStage.DECODE);
+    private final StageOrder mOrder = new StageOrder(mEngine, EngineStage.PREFILL);
+
+    private int requests() {
+        return mLoads.total(mEngine.id()).requests();
+    }
+
+    private void order() {
+        mPending.add(mOrder, 100);
+        mPending.accept(mOrder, CAPACITY);
+        mPending.accept(mOrder, CAPACITY);
+    }
+
+    @Example
+    void anEngineThatIsChangingCountsAsFullOnce() {
+        order();
+        mPending.refresh(List.of(mEngine), 99);
+        assertThat(requests()).isEqualTo(CAPACITY.seats());
+        assertThat(mReports.get()).isEqualTo(1);
+        assertThat(mPending.engines()).containsExactly(mEngine.id());
+    }
+
+    @Example
+    void anEngineThatHasChangedTakesWorkButNoOtherOrderYet() {
+        order();
+        mPending.refresh(List.of(TestServers.engine("d", EngineStage.PREFILL)), 50);
+        assertThat(requests()).isZero();
+        assertThat(mPending.engines()).containsExactly(mEngine.id());
+    }
+
+    @Example
+    void anEngineThatIsGoneOrNeverChangesIsFreed() {
+        order();
+        mPending.refresh(List.of(), 50);
+        assertThat(mPending.fullCount()).isZero();
+        order();
+        mPending.refresh(List.of(mEngine), 100);
+        assertThat(requests()).isZero();
+        assertThat(mPending.engines()).isEmpty();
+    }
+
+    @Example
+    void anOrderThatWasNotAcceptedLeavesTheEngineAsItIs() {
+        mPending.add(mOrder, 100);
+        assertThat(requests()).isZero();
+    }
+}
--- a/core/src/test/java/org/fuchsiaford/order/StagePolicyTest.java
+++ b/core/src/test/java/org/fuchsiaford/order/StagePolicyTest.java
@@ -34,17 +34,30 @@
             @ForAll @IntRange(max = 20) int prefill, @ForAll @IntRange(max = 20) int decode) {
         List<LiveServer> engines = engines(prefill, decode);
         Optional<StageOrder> order = StagePolicy.next(engines, Set.of());
+        int orders = 0;
         while (order.isPresent()) {
-            assertThat(order.get().stage()).isEqualTo(EngineStage.DECODE);
+            EngineStage wantedStage = prefill == 0 ? EngineStage.PREFILL : EngineStage.DECODE;
+            assertThat(order.get().stage()).isEqualTo(wantedStage);
             LiveServer changed = order.get().engine();
             engines.remove(changed);
-            engines.add(TestServers.engine(changed.id().value(), EngineStage.DECODE));
+            engines.add(TestServers.engine(changed.id().value(), order.get().stage()));
             order = StagePolicy.next(engines, Set.of());
+            orders++;
         }
         long left = engines.stream().filter(e -> e.isStage(EngineStage.PREFILL)).count();
         long wanted = Math.max(1, engines.size() / 6);
         boolean few = engines.size() < 4;
-        assertThat(left).isEqualTo(few ? prefill : Math.min(prefill, wanted));
+        long expected = few ? prefill : Math.max(1, Math.min(prefill, wanted));
+        assertThat(left).isEqualTo(expected);
+        assertThat(orders).isEqualTo((int) Math.abs(prefill - expected));
+    }
+
+    @Example
+    void aServiceThatLostItsOnlyPrefillEngineGetsOneBack() {
+        StageOrder order = StagePolicy.next(engines(0, 5), Set.of()).orElseThrow();
+        assertThat(order.stage()).isEqualTo(EngineStage.PREFILL);
+        assertThat(StagePolicy.next(engines(0, 5), Set.of(order.engine().id()))).isEmpty();
+        assertThat(StagePolicy.next(engines(0, 3), Set.of())).isEmpty();
     }
 
     @Example
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -30,6 +30,7 @@
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.order.PendingOrders;
 import org.fuchsiaford.peer.PeerClient;
 import org.fuchsiaford.peer.PeerServer;
 import org.fuchsiaford.peer.message.PeerMessage;
@@ -102,15 +103,6 @@
                         mTicker,
                         health::forget);
         Store store = adapter.store(settings);
-        mStages =
-                Orders.keeper(
-                        mState,
-                        store,
-                        adapter.orders(),
-                        mFleet.self().id(),
-                        settings.orderLeaseSeconds(),
-                        mLog,
-                        mTicker);
         mFollower =
                 new StateFollower(
                         store,
@@ -131,6 +123,16 @@
                         mLog,
                         mTicker,
                         this::isReady);
+        mStages =
+                Orders.keeper(
+                        mState,
+                        store,
+                        adapter.orders(),
+                        mFleet.self().id(),
+                        settings.orderLeaseSeconds(),
+                        new PendingOrders(loads, mPulses::reportSoon),
+                        mLog,
+                        mTicker);
         mPeerServer = new PeerServer(settings.peerAddress(), this::answer);
         mServer =
                 server(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
@@ -43,6 +44,11 @@
     /** The longest headers that a declaration may allow. */
     private static final int MAX_HEADER_BYTES = 16_384;
 
+    private static final HttpDecoderConfig DECODER =
+            new HttpDecoderConfig()
+                    .setMaxInitialLineLength(MAX_LINE_BYTES)
+                    .setMaxHeaderSize(MAX_HEADER_BYTES);
+
     /** A caller that is still here asks for other hosts and comes back to one of them. */
     private static final long LEAVING_RETRY_MILLIS = 50;
 
@@ -86,14 +92,11 @@
                 .host(mAddress.host())
                 .port(mAddress.port())
                 .idleTimeout(IDLE_LIMIT)
-                .httpRequestDecoder(
-                        spec ->
-                                spec.maxInitialLineLength(MAX_LINE_BYTES)
-                                        .maxHeaderSize(MAX_HEADER_BYTES))
                 .doOnChannelInit(
-                        (observer, channel, address) ->
-                                channel.pipeline()
-                                        .addFirst(new FirstHeadDeadline(mGate::headMillis)))
+                        (observer, channel, address) -> {
+                            OneLength.add(channel.pipeline(), DECODER);
+                            HeadDeadline.add(channel.pipeline(), mGate::headMillis);
+                        })
                 .handle(this::handle)
                 .bind();
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/Orders.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/Orders.java
@@ -4,6 +4,7 @@
 import org.fuchsiaford.entry.gateway.protocol.OrderProtocol;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.order.PendingOrders;
 import org.fuchsiaford.store.Store;
 import org.fuchsiaford.time.Ticker;
 
@@ -22,12 +23,14 @@
             OrderProtocol protocol,
             HostId self,
             long leaseSeconds,
+            PendingOrders pending,
             DecisionLog log,
             Ticker ticker) {
         return new StageKeeper(
                 state,
                 new OrderLease(store, self, leaseSeconds, ticker),
                 new OrderClient(protocol, self),
+                pending,
                 log,
                 ticker);
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageKeeper.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageKeeper.java
@@ -1,18 +1,18 @@
 package org.fuchsiaford.entry.gateway.order;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.EngineReport;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.order.OrderTenure;
+import org.fuchsiaford.order.PendingOrders;
 import org.fuchsiaford.order.StageOrder;
 import org.fuchsiaford.order.StagePolicy;
 import org.fuchsiaford.registry.LiveServer;
@@ -32,6 +32,7 @@
  * pending for as long as it may still be carried out. Thread-safe.
  */
 public final class StageKeeper {
+    private static final int ACCEPTED = 202;
     private static final Duration INTERVAL = Duration.ofMillis(1_000);
 
     /** An order without an answer may be carried out within this time. */
@@ -45,7 +46,7 @@
     private final OrderClient mClient;
     private final DecisionLog mLog;
     private final Ticker mTicker;
-    private final Map<BackendServerId, Long> mPendingUntilNanos = new HashMap<>();
+    private final PendingOrders mPending;
     private final Disposable.Swap mTask = Disposables.swap();
     private Optional<StageOrder> mWanted = Optional.empty();
     private long mWantedSinceNanos;
@@ -55,11 +56,13 @@
             GatewayState state,
             OrderLease lease,
             OrderClient client,
+            PendingOrders pending,
             DecisionLog log,
             Ticker ticker) {
         mState = state;
         mLease = lease;
         mClient = client;
+        mPending = pending;
         mLog = log;
         mTicker = ticker;
     }
@@ -86,10 +89,11 @@
 
     private Mono<Void> round() {
         long nowNanos = mTicker.nowNanos();
+        mPending.refresh(services().flatMap(s -> engines(s, nowNanos).stream()).toList(), nowNanos);
         Optional<StageOrder> order = nextOrder(nowNanos);
         Optional<OrderTenure> tenure = mLease.tenure();
         if (order.isEmpty()) {
-            return tenure.isPresent() && pending(nowNanos).isEmpty()
+            return tenure.isPresent() && mPending.engines().isEmpty()
                     ? mLease.release().doOnSuccess(done -> logHolder("released", tenure.get()))
                     : tenure.isPresent() ? mLease.renew() : Mono.empty();
         }
@@ -121,19 +125,20 @@
     }
 
     private Optional<StageOrder> nextOrder(long nowNanos) {
-        Set<BackendServerId> pending = pending(nowNanos);
-        return mState.table().map(RoutingTable::services).orElse(List.of()).stream()
-                .filter(service -> service.engine().isPresent())
-                .map(ServiceDeclaration::id)
-                .map(service -> mState.servers().usable(service, nowNanos))
-                .map(engines -> StagePolicy.next(engines, pending))
+        Set<BackendServerId> pending = mPending.engines();
+        return services()
+                .map(service -> StagePolicy.next(engines(service, nowNanos), pending))
                 .flatMap(Optional::stream)
                 .findFirst();
     }
 
-    private synchronized Set<BackendServerId> pending(long nowNanos) {
-        mPendingUntilNanos.values().removeIf(until -> nowNanos - until >= 0);
-        return Set.copyOf(mPendingUntilNanos.keySet());
+    private Stream<ServiceDeclaration> services() {
+        return mState.table().map(RoutingTable::services).orElse(List.of()).stream()
+                .filter(service -> service.engine().isPresent());
+    }
+
+    private List<LiveServer> engines(ServiceDeclaration service, long nowNanos) {
+        return mState.servers().usable(service.id(), nowNanos);
     }
 
     private Mono<Void> giveIfAllowed(StageOrder order) {
@@ -148,7 +153,7 @@
                                 !report.busy()
                                         && !report.stage().equals(Optional.of(order.stage())))
                 .flatMap(report -> send(order, report, tenure))
-                .switchIfEmpty(Mono.fromRunnable(() -> setPending(order.engine())));
+                .switchIfEmpty(Mono.fromRunnable(() -> setPending(order)));
     }
 
     private Mono<Void> send(StageOrder order, EngineReport report, OrderTenure tenure) {
@@ -156,15 +161,25 @@
         if (!mLease.tenure().map(t -> t.mayOrder(mTicker.nowNanos())).orElse(false)) {
             return Mono.empty();
         }
-        setPending(order.engine());
+        setPending(order);
         return mClient.order(order, tenure.fence(), report.acceptedOrders())
                 .doOnNext(status -> logOrder(order, tenure, "status " + status))
+                .filter(status -> status == ACCEPTED)
+                .doOnNext(status -> accepted(order))
                 .doOnError(e -> logOrder(order, tenure, "no answer: " + e.getMessage()))
                 .then();
     }
 
-    private synchronized void setPending(LiveServer engine) {
-        mPendingUntilNanos.put(engine.id(), mTicker.nowNanos() + PENDING_NANOS);
+    private void setPending(StageOrder order) {
+        mPending.add(order, mTicker.nowNanos() + PENDING_NANOS);
+    }
+
+    private void accepted(StageOrder order) {
+        services()
+                .filter(service -> service.id().equals(order.engine().service()))
+                .findAny()
+                .flatMap(ServiceDeclaration::engine)
+                .ifPresent(capacity -> mPending.accept(order, capacity));
     }
 
     private void logOrder(StageOrder order, OrderTenure tenure, String outcome) {
