--- a/core/src/main/java/org/fuchsiaford/order/PendingOrders.java
+++ b/core/src/main/java/org/fuchsiaford/order/PendingOrders.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.fleet.ServerLoad;
+import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.selection.LoadBoard;
@@ -69,6 +70,14 @@
                         .anyMatch(engine -> !engine.isStage(pending.order().stage()));
     }
 
+    /** Returns the part of the decode engines' memory that is planned for requests, from 0. */
+    public double usedShare(List<LiveServer> engines, EngineCapacity capacity) {
+        List<LiveServer> decoding =
+                engines.stream().filter(engine -> engine.isStage(EngineStage.DECODE)).toList();
+        long tokens = decoding.stream().mapToLong(e -> mLoads.total(e.id()).tokens()).sum();
+        return (double) tokens / Math.max(1, decoding.size() * capacity.memoryTokens());
+    }
+
     /** Returns the engines with orders that may still be carried out. */
     public synchronized Set<BackendServerId> engines() {
         return Set.copyOf(mPending.keySet());
--- a/core/src/main/java/org/fuchsiaford/order/StagePolicy.java
+++ b/core/src/main/java/org/fuchsiaford/order/StagePolicy.java
@@ -18,7 +18,8 @@
  * for longer: four decode engines start 8 usual requests a second, three and a prefill engine 9.
  *
  * <p>Orders from prefill to decode end with one prefill engine for six; only a service that has
- * none gets one back. So orders never flap. Stateless, hence thread-safe.
+ * none gets one back, and not while its memory is in demand: the engine is away for the rest of its
+ * streams and the change itself. So orders never flap. Stateless, hence thread-safe.
  */
 public final class StagePolicy {
     /** One prefill engine for so many engines; the rest of the prompts is read while decoding. */
@@ -27,6 +28,9 @@
     /** Fewer engines are left as they are: one that changes its part is away for seconds. */
     private static final int FEWEST_ENGINES = 4;
 
+    /** Part of the decode engines' memory that may be in use when one of them is taken away. */
+    private static final double CALM_SHARE = 0.5;
+
     private StagePolicy() {}
 
     /**
@@ -34,15 +38,18 @@
      *
      * @param engines the engines that take new work
      * @param pending engines with an order that may still be carried out
+     * @param usedShare part of the decode engines' memory that is in use
      */
     public static Optional<StageOrder> next(
-            List<LiveServer> engines, Set<BackendServerId> pending) {
+            List<LiveServer> engines, Set<BackendServerId> pending, double usedShare) {
         if (engines.size() < FEWEST_ENGINES) {
             return Optional.empty();
         }
         List<LiveServer> prefill = free(engines, EngineStage.PREFILL, pending);
-        if (prefill.isEmpty() && pending.isEmpty()) {
-            return order(free(engines, EngineStage.DECODE, pending), EngineStage.PREFILL);
+        if (prefill.isEmpty()) {
+            return !pending.isEmpty() || usedShare > CALM_SHARE
+                    ? Optional.empty()
+                    : order(free(engines, EngineStage.DECODE, pending), EngineStage.PREFILL);
         }
         int wanted = Math.max(1, engines.size() / ENGINES_PER_PREFILL);
         return prefill.size() > wanted ? order(prefill, EngineStage.DECODE) : Optional.empty();
--- a/core/src/test/java/org/fuchsiaford/order/PendingOrdersTest.java
+++ b/core/src/test/java/org/fuchsiaford/order/PendingOrdersTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
 import org.fuchsiaford.TestServers;
+import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.EngineCapacity;
@@ -59,6 +60,14 @@
         assertThat(mPending.engines()).isEmpty();
     }
 
+    @Example
+    void theUsedShareCountsDecodeEnginesOnly() {
+        LiveServer prefill = TestServers.engine("p", EngineStage.PREFILL);
+        mLoads.add(new ServerLoad(mEngine.id(), 1, 10_000, 0));
+        mLoads.add(new ServerLoad(prefill.id(), 1, 50_000, 0));
+        assertThat(mPending.usedShare(List.of(mEngine, prefill), CAPACITY)).isEqualTo(0.2);
+    }
+
     @Example
     void anOrderThatWasNotAcceptedLeavesTheEngineAsItIs() {
         mPending.add(mOrder, 100);
--- a/core/src/test/java/org/fuchsiaford/order/StagePolicyTest.java
+++ b/core/src/test/java/org/fuchsiaford/order/StagePolicyTest.java
@@ -33,7 +33,7 @@
     void ordersEndWithOnePrefillEngineForSixAndNeverFlap(
             @ForAll @IntRange(max = 20) int prefill, @ForAll @IntRange(max = 20) int decode) {
         List<LiveServer> engines = engines(prefill, decode);
-        Optional<StageOrder> order = StagePolicy.next(engines, Set.of());
+        Optional<StageOrder> order = StagePolicy.next(engines, Set.of(), 0.5);
         int orders = 0;
         while (order.isPresent()) {
             EngineStage wantedStage = prefill == 0 ? EngineStage.PREFILL : EngineStage.DECODE;
@@ -41,7 +41,7 @@
             LiveServer changed = order.get().engine();
             engines.remove(changed);
             engines.add(TestServers.engine(changed.id().value(), order.get().stage()));
-            order = StagePolicy.next(engines, Set.of());
+            order = StagePolicy.next(engines, Set.of(), 0.5);
             orders++;
         }
         long left = engines.stream().filter(e -> e.isStage(EngineStage.PREFILL)).count();
@@ -54,24 +54,27 @@
 
     @Example
     void aServiceThatLostItsOnlyPrefillEngineGetsOneBack() {
-        StageOrder order = StagePolicy.next(engines(0, 5), Set.of()).orElseThrow();
+        StageOrder order = StagePolicy.next(engines(0, 5), Set.of(), 0.5).orElseThrow();
         assertThat(order.stage()).isEqualTo(EngineStage.PREFILL);
-        assertThat(StagePolicy.next(engines(0, 5), Set.of(order.engine().id()))).isEmpty();
-        assertThat(StagePolicy.next(engines(0, 3), Set.of())).isEmpty();
+        assertThat(StagePolicy.next(engines(0, 5), Set.of(order.engine().id()), 0.5)).isEmpty();
+        assertThat(StagePolicy.next(engines(0, 5), Set.of(), 0.6)).isEmpty();
+        assertThat(StagePolicy.next(engines(0, 3), Set.of(), 0.5)).isEmpty();
     }
 
     @Example
     void anEngineWithAPendingOrderGetsNoOther() {
         List<LiveServer> engines = engines(3, 3);
-        StageOrder first = StagePolicy.next(engines, Set.of()).orElseThrow();
-        StageOrder second = StagePolicy.next(engines, Set.of(first.engine().id())).orElseThrow();
+        StageOrder first = StagePolicy.next(engines, Set.of(), 0.5).orElseThrow();
+        StageOrder second =
+                StagePolicy.next(engines, Set.of(first.engine().id()), 0.5).orElseThrow();
         assertThat(second.engine()).isNotEqualTo(first.engine());
         assertThat(
                         StagePolicy.next(
                                 engines,
                                 Set.of(first.engine(), second.engine()).stream()
                                         .map(LiveServer::id)
-                                        .collect(Collectors.toSet())))
+                                        .collect(Collectors.toSet()),
+                                0.5))
                 .isEmpty();
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageKeeper.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageKeeper.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.EngineReport;
@@ -16,6 +14,7 @@
 import org.fuchsiaford.order.StageOrder;
 import org.fuchsiaford.order.StagePolicy;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.RoutingTable;
 import org.fuchsiaford.routing.ServiceDeclaration;
 import org.fuchsiaford.store.StoreLayout;
@@ -125,13 +124,17 @@
     }
 
     private Optional<StageOrder> nextOrder(long nowNanos) {
-        Set<BackendServerId> pending = mPending.engines();
         return services()
-                .map(service -> StagePolicy.next(engines(service, nowNanos), pending))
+                .map(service -> nextOrder(engines(service, nowNanos), service.engine().get()))
                 .flatMap(Optional::stream)
                 .findFirst();
     }
 
+    private Optional<StageOrder> nextOrder(List<LiveServer> engines, EngineCapacity capacity) {
+        double usedShare = mPending.usedShare(engines, capacity);
+        return StagePolicy.next(engines, mPending.engines(), usedShare);
+    }
+
     private Stream<ServiceDeclaration> services() {
         return mState.table().map(RoutingTable::services).orElse(List.of()).stream()
                 .filter(service -> service.engine().isPresent());
