--- a/core/src/main/java/org/fuchsiaford/routing/TokenCounts.java
+++ b/core/src/main/java/org/fuchsiaford/routing/TokenCounts.java
@@ -21,11 +21,16 @@
         return prompt + maxAnswer;
     }
 
+    /** Returns the tokens of the answer that are likely to come. */
+    public long expected() {
+        return Math.min(maxAnswer, expectedAnswer);
+    }
+
     /**
      * Returns the KV cache that is planned for the request. An engine runs about ten at a time, so
      * their guesses even out; it preempts one in the rare case that they do not.
      */
     public long planned() {
-        return prompt + Math.min(maxAnswer, expectedAnswer);
+        return prompt + expected();
     }
 }
--- a/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
@@ -24,6 +24,12 @@
     /** A stream's duration until one has been seen; a few hundred steps of an engine. */
     private static final long FIRST_DURATION_NANOS = 3_000_000_000L;
 
+    /** Time of a whole run for each expected token until some were seen: a step of an engine. */
+    private static final double FIRST_NANOS_PER_TOKEN = 4_000_000;
+
+    /** What callers expect of an answer's length is often too little. */
+    private static final double RUN_MARGIN = 1.3;
+
     /**
      * Part of the time that a caller waits which the estimated wait may use up. While an overload
      * lasts, those that are not served soon are overtaken by newcomers that can still be on time,
@@ -39,6 +45,7 @@
 
     private final Map<RequestId, Waiting> mWaiting = new LinkedHashMap<>();
     private double mMeanDurationNanos = FIRST_DURATION_NANOS;
+    private double mNanosPerToken = FIRST_NANOS_PER_TOKEN;
     private double mMeanStartNanos = FIRST_START_NANOS;
     private double mStartDeviationNanos;
 
@@ -60,9 +67,16 @@
             long onTimeUntilNanos,
             long giveUpNanos) {}
 
-    /** Learns from a whole stream how long streams take. */
-    public synchronized void observeDuration(long tookNanos) {
+    /** Learns from a whole run, from its seat to its end, how long runs take. */
+    public synchronized void observeRun(TokenCounts tokens, long tookNanos) {
         mMeanDurationNanos += (tookNanos - mMeanDurationNanos) * NEWEST_WEIGHT;
+        double perToken = (double) tookNanos / Math.max(1, tokens.expected());
+        mNanosPerToken += (perToken - mNanosPerToken) * NEWEST_WEIGHT;
+    }
+
+    /** Returns how long a run of this size may well take, in nanoseconds. */
+    public synchronized long runNanos(TokenCounts tokens) {
+        return (long) (mNanosPerToken * tokens.expected() * RUN_MARGIN);
     }
 
     /** Learns how long it took from a seat to the first event. */
--- a/core/src/test/java/org/fuchsiaford/selection/EngineQueueTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineQueueTest.java
@@ -157,4 +157,15 @@
         assertThat(mQueue.hopeless(0, PLENTY_TOKENS, 2_500 * MILLI)).isEmpty();
         assertThat(mQueue.hopeless(0, PLENTY_TOKENS, 2_800 * MILLI)).hasSize(1);
     }
+
+    @Example
+    void theTimeOfARunFollowsTheLengthThatItsCallerExpects() {
+        TokenCounts usual = new TokenCounts(5_000, 2_000, 500);
+        IntStream.range(0, 100).forEach(i -> mQueue.observeRun(usual, 2_000 * MILLI));
+        assertThat(mQueue.runNanos(usual)).isBetween(2_500 * MILLI, 2_700 * MILLI);
+        assertThat(mQueue.runNanos(new TokenCounts(5_000, 2_000, 1_000)))
+                .isBetween(5_000 * MILLI, 5_400 * MILLI);
+        assertThat(mQueue.runNanos(new TokenCounts(5_000, 100, 1_000)))
+                .isBetween(500 * MILLI, 540 * MILLI);
+    }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
@@ -119,14 +119,14 @@
     }
 
     /** Learns from an ended stream, and lets the next request take its room. */
-    void leave(EngineSeat seat, boolean whole) {
+    void leave(RequestContext context, EngineSeat seat, boolean whole) {
         seat.room().release();
         if (mReporting) {
             mLoadsChanged.run();
             mReporting = !mQueue.isEmpty();
         }
         if (whole) {
-            mQueue.observeDuration(mTicker.nowNanos() - seat.grantedNanos());
+            mQueue.observeRun(context.tokens(), mTicker.nowNanos() - seat.grantedNanos());
         }
         drain();
     }
@@ -175,9 +175,11 @@
                 giveUpNanos(context));
     }
 
-    private static long giveUpNanos(RequestContext context) {
+    /** Returns when the caller leaves without a first event, or the run would not end in time. */
+    private long giveUpNanos(RequestContext context) {
         long patience = TimeUnit.MILLISECONDS.toNanos(context.route().eventPatienceMillis());
-        return Math.min(context.deadlineNanos(), context.arrivedNanos() + patience);
+        long lastStartNanos = context.deadlineNanos() - mQueue.runNanos(context.tokens());
+        return Math.min(lastStartNanos, context.arrivedNanos() + patience);
     }
 
     private long estimateWaitNanos(
@@ -196,13 +198,14 @@
 
     /**
      * Returns when to come back if the engines have no room: once their memory has changed hands,
-     * and not all at once, but with time left for a run that is twice as long as usual.
+     * and not all at once, but with time left for the run.
      */
     private long busyRetryMillis(RequestContext context, long waitNanos) {
         long spreadMillis = (long) (mRandom.getAsDouble() * RETRY_SPREAD_MILLIS);
         long turnoverMillis = TimeUnit.NANOSECONDS.toMillis(mQueue.turnoverNanos());
         long waitMillis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
-        long lastMillis = context.leftMillis(mTicker.nowNanos()) - 2 * turnoverMillis;
+        long runMillis = TimeUnit.NANOSECONDS.toMillis(mQueue.runNanos(context.tokens()));
+        long lastMillis = context.leftMillis(mTicker.nowNanos()) - runMillis;
         long soonestMillis = Math.max(waitMillis, turnoverMillis) + spreadMillis;
         return Math.max(NO_ENGINE_RETRY_MILLIS, Math.min(soonestMillis, lastMillis));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -95,7 +95,7 @@
         return Mono.fromCallable(() -> begin(context, seat.plan()))
                 .flatMap(plan -> source(context, seat, kept))
                 .flatMapMany(source -> decode(context, progress, seat, source))
-                .doFinally(signal -> mGate.leave(seat, signal == SignalType.ON_COMPLETE));
+                .doFinally(signal -> mGate.leave(context, seat, signal == SignalType.ON_COMPLETE));
     }
 
     /** Checks, after any wait, that the request may still run; its engines were just picked. */
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
@@ -58,6 +58,7 @@
     private final AtomicInteger mChanges = new AtomicInteger();
     private final Ticker mTicker = () -> SECOND;
     private final EngineGate mGate = gate();
+    private final List<RequestContext> mContexts = new ArrayList<>();
     private final List<EngineSeat> mSeats = new ArrayList<>();
     private final List<Throwable> mErrors = new ArrayList<>();
     private int mRequests;
@@ -116,7 +117,7 @@
 
     private EngineGate gate() {
         // Streams are short, so that a short queue is worth waiting in.
-        IntStream.range(0, 20).forEach(i -> mQueue.observeDuration(0));
+        IntStream.range(0, 20).forEach(i -> mQueue.observeRun(SIZE, 0));
         DecisionLog log = new DecisionLog("host");
         FleetView fleet =
                 new FleetView(new HostRecord(new HostId("self"), DOMAIN, "1.1.1.1:1", "1.1.1.1:2"));
@@ -162,7 +163,17 @@
                         Optional.empty(),
                         SECOND,
                         deadlineNanos);
-        return mGate.acquire(context).subscribe(mSeats::add, mErrors::add);
+        return mGate.acquire(context)
+                .subscribe(
+                        seat -> {
+                            mContexts.add(context);
+                            mSeats.add(seat);
+                        },
+                        mErrors::add);
+    }
+
+    private void leave(int seat) {
+        mGate.leave(mContexts.get(seat), mSeats.get(seat), true);
     }
 
     private int requestsAtTheEngine() {
@@ -177,13 +188,13 @@
         assertThat(mSeats).hasSize(2);
         assertThat(requestsAtTheEngine()).isEqualTo(2);
 
-        mGate.leave(mSeats.get(0), true);
+        leave(0);
 
         assertThat(mSeats).hasSize(3);
         assertThat(requestsAtTheEngine()).isEqualTo(2);
         assertThat(mChanges.get()).isPositive();
-        mGate.leave(mSeats.get(1), true);
-        mGate.leave(mSeats.get(2), true);
+        leave(1);
+        leave(2);
         assertThat(mLoads.own()).isEmpty();
     }
 
@@ -195,7 +206,7 @@
         acquire(15 * SECOND);
         third.dispose();
 
-        mGate.leave(mSeats.get(0), true);
+        leave(0);
 
         assertThat(mSeats).hasSize(3);
         assertThat(requestsAtTheEngine()).isEqualTo(2);
@@ -211,10 +222,10 @@
         acquire(15 * SECOND);
 
         assertThat(mErrors).hasSize(1);
-        mGate.leave(mSeats.get(0), true);
+        leave(0);
         assertThat(mSeats).hasSize(3);
-        mGate.leave(mSeats.get(1), true);
-        mGate.leave(mSeats.get(2), true);
+        leave(1);
+        leave(2);
         assertThat(mLoads.own()).isEmpty();
         assertThat(mQueue.isEmpty()).isTrue();
     }
@@ -231,12 +242,12 @@
         assertThat(refusal.retryAfterMillis()).isPositive();
     }
 
-    /** Streams take four seconds here; who returns later than that has no time for another two. */
+    /** Runs take four seconds here; who returns has time for one and a third of that. */
     @Example
     void whoIsRefusedComesBackOnceRoomHasChangedHandsAndWithTimeForARun() {
-        IntStream.range(0, 100).forEach(i -> mQueue.observeDuration(4 * SECOND));
+        IntStream.range(0, 100).forEach(i -> mQueue.observeRun(SIZE, 4 * SECOND));
         IntStream.range(0, 4).forEach(i -> acquire(15 * SECOND));
-        IntStream.range(0, 2).forEach(i -> acquire(11 * SECOND));
+        IntStream.range(0, 2).forEach(i -> acquire(8 * SECOND));
 
         List<Long> retryMillis =
                 mErrors.stream().map(e -> ((RefusalException) e).retryAfterMillis()).toList();
