--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
@@ -38,6 +38,7 @@
     private long mRevision = 1;
     private long mLastLease;
     private long mCalls;
+    private long mForgottenRevision;
     private volatile FaultMode mFault = FaultMode.NONE;
 
     private record Item(String value, long revision, long created, long lease) {}
@@ -63,6 +64,12 @@
         mEvents.add(new Event(key, null, ++mRevision));
     }
 
+    /** Drops the history of changes up to now; watches that ask for it are told that it is gone. */
+    public synchronized void forgetHistory() {
+        mEvents.clear();
+        mForgottenRevision = mRevision;
+    }
+
     /** Returns the keys with a prefix. */
     public synchronized List<String> keys(String prefix) {
         return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
@@ -180,11 +187,17 @@
         return Flux.interval(Duration.ZERO, WATCH_POLL)
                 .onBackpressureDrop()
                 .filter(tick -> mFault == FaultMode.NONE)
-                .map(tick -> events(prefix, after))
-                .filter(reply -> !reply.path("events").isEmpty())
+                .map(tick -> watched(prefix, after))
+                .filter(reply -> reply.status() != 200 || !reply.body().path("events").isEmpty())
                 .next()
-                .timeout(wait, Mono.fromSupplier(() -> events(prefix, after)))
-                .flatMap(reply -> Mono.from(Json.send(response, 200, reply)));
+                .timeout(wait, Mono.fromSupplier(() -> watched(prefix, after)))
+                .flatMap(reply -> Mono.from(Json.send(response, reply.status(), reply.body())));
+    }
+
+    private synchronized Reply watched(String prefix, long after) {
+        return after < mForgottenRevision
+                ? new Reply(410, Json.object())
+                : new Reply(200, events(prefix, after));
     }
 
     private synchronized ObjectNode events(String prefix, long after) {
