Planned memory counts six tenths of the expected answer

Ruled out: seats (64, at most 15 in use). Change: a run is planned with its prompt and 0.6 of the expected answer: the half that it holds on average, and a margin.

--- a/core/src/main/java/org/fuchsiaford/routing/TokenCounts.java
+++ b/core/src/main/java/org/fuchsiaford/routing/TokenCounts.java
@@ -11,6 +11,9 @@
     /** Part of the most tokens that answers have on average if the caller expects nothing. */
     private static final int USUAL_ANSWER_DIVISOR = 2;
 
+    /** Part of its answer that a run holds on average over its life, with a margin. */
+    private static final double HELD_ANSWER_SHARE = 0.6;
+
     /** Creates a size without a guess of the caller's. */
     public TokenCounts(long prompt, long maxAnswer) {
         this(prompt, maxAnswer, maxAnswer / USUAL_ANSWER_DIVISOR);
@@ -31,6 +34,6 @@
      * their guesses even out; it preempts one in the rare case that they do not.
      */
     public long planned() {
-        return prompt + expected();
+        return prompt + (long) (expected() * HELD_ANSWER_SHARE);
     }
 }
