A prompt that no prefill engine could read counts as unread at its decode engine

Ruled out: stale reports (a bound on the backlog held for requests planned without a prefill engine). Change: the reservation at the decode engine takes the prompt as unread once the prefill call has failed. Test red before.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/Reservation.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/Reservation.java
@@ -32,6 +32,15 @@
                 loads, new ServerLoad(server.id(), 1, tokens.prompt(), tokens.prompt()));
     }
 
+    /** Notes that the engine reads the prompt itself, since no other has read it. */
+    synchronized void markUnread(long promptTokens) {
+        if (mHeld != null && mHeld.unreadTokens() == 0) {
+            ServerLoad unread = new ServerLoad(mHeld.server(), 0, 0, promptTokens);
+            mLoads.add(unread);
+            mHeld = mHeld.plus(unread);
+        }
+    }
+
     /** Notes that the prompt has been read. */
     synchronized void markRead() {
         if (mHeld != null && mHeld.unreadTokens() > 0) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -112,7 +112,7 @@
             seat.room().markRead();
             return Mono.just(kept);
         }
-        return release(kept).then(Mono.defer(() -> readPrompt(context, seat.plan())));
+        return release(kept).then(Mono.defer(() -> readPrompt(context, seat)));
     }
 
     private boolean isFetchable(KvSource source) {
@@ -124,7 +124,17 @@
         return Mono.fromRunnable(() -> source.ifPresent(s -> mClient.release(s).subscribe()));
     }
 
-    private Mono<Optional<KvSource>> readPrompt(RequestContext context, EnginePlan plan) {
+    private Mono<Optional<KvSource>> readPrompt(RequestContext context, EngineSeat seat) {
+        return callPrefill(context, seat.plan())
+                .doOnNext(
+                        source -> {
+                            if (source.isEmpty()) {
+                                seat.room().markUnread(context.tokens().prompt());
+                            }
+                        });
+    }
+
+    private Mono<Optional<KvSource>> callPrefill(RequestContext context, EnginePlan plan) {
         if (plan.prefill().isEmpty() || !mAttempts.allowsExtraCall(context)) {
             return Mono.just(Optional.empty());
         }
