A decode engine that begins to leave while its prompt is read gets nothing

Change: it is checked once more right before the send; the request goes to another engine with the prompt that was read.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -151,6 +151,9 @@
         long startNanos = mTicker.nowNanos();
         long leftMillis = context.leftMillis(startNanos);
         LiveServer server = seat.plan().decode();
+        if (!mState.servers().isUsable(server, startNanos)) {
+            return goOn(context, progress, server, leaving(server), source);
+        }
         Flux<AnswerPart> parts =
                 mClient.exchange(
                         context.to(
@@ -173,6 +176,15 @@
                 .onErrorResume(CallFailure.class, e -> goOn(context, progress, server, e, source));
     }
 
+    /** The engine was usable when it was picked, before its prompt was read elsewhere. */
+    private static CallFailure leaving(LiveServer server) {
+        return new CallFailure(
+                Step.DECODE,
+                new RemoteName(server.id().value()),
+                AttemptOutcome.NOT_SENT,
+                "the engine has begun to leave");
+    }
+
     /** Watches the silence of a stream that can go on elsewhere; any other is waited for. */
     private Flux<AnswerPart> watched(
             RequestContext context, LiveServer server, Flux<AnswerPart> parts) {
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -36,6 +36,7 @@
     private final List<Run> mRuns = new CopyOnWriteArrayList<>();
     private final AtomicInteger mPrefills = new AtomicInteger();
     private final AtomicInteger mActive = new AtomicInteger();
+    private volatile Duration mPrefillDelay = Duration.ZERO;
     private volatile ServerBehaviour mBehaviour = ServerBehaviour.ANSWER;
 
     /**
@@ -61,6 +62,11 @@
         mBehaviour = behaviour;
     }
 
+    /** Sets how long it takes to read a prompt for another engine. */
+    public void setPrefillDelay(Duration delay) {
+        mPrefillDelay = delay;
+    }
+
     /** Returns the runs so far, in order. */
     public List<Run> runs() {
         return List.copyOf(mRuns);
@@ -92,7 +98,12 @@
         }
         if ("prefill".equals(headers.get("Fuchsiaford-Stage"))) {
             mPrefills.incrementAndGet();
-            return Json.send(response, 200, Json.object().put("transferHandle", "handle-" + mId));
+            return Mono.delay(mPrefillDelay)
+                    .thenMany(
+                            Json.send(
+                                    response,
+                                    200,
+                                    Json.object().put("transferHandle", "handle-" + mId)));
         }
         return request.receive().aggregate().then().then(run(request, response));
     }
