--- a/core/src/main/java/org/fuchsiaford/order/PendingOrders.java
+++ b/core/src/main/java/org/fuchsiaford/order/PendingOrders.java
@@ -54,20 +54,31 @@
         }
     }
 
-    /** Forgets orders whose time is over, and frees engines that have changed or are gone. */
+    /**
+     * Forgets orders whose time is over or which were accepted and carried out, and frees engines
+     * that have changed or are gone.
+     */
     public synchronized void refresh(List<LiveServer> engines, long nowNanos) {
         mPending.values().removeIf(pending -> nowNanos - pending.untilNanos() >= 0);
+        Set.copyOf(mFull.keySet()).stream()
+                .filter(id -> hasChanged(id, engines))
+                .forEach(mPending::remove);
         Set.copyOf(mFull.keySet()).stream()
                 .filter(id -> !isChanging(id, engines))
                 .forEach(id -> mLoads.remove(mFull.remove(id)));
     }
 
-    private boolean isChanging(BackendServerId id, List<LiveServer> engines) {
+    private boolean hasChanged(BackendServerId id, List<LiveServer> engines) {
         Pending pending = mPending.get(id);
         return pending != null
                 && engines.stream()
                         .filter(engine -> engine.id().equals(id))
-                        .anyMatch(engine -> !engine.isStage(pending.order().stage()));
+                        .anyMatch(engine -> engine.isStage(pending.order().stage()));
+    }
+
+    private boolean isChanging(BackendServerId id, List<LiveServer> engines) {
+        return mPending.containsKey(id)
+                && engines.stream().anyMatch(engine -> engine.id().equals(id));
     }
 
     /** Returns the part of the decode engines' memory that is planned for requests, from 0. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteGate.java
@@ -26,7 +26,7 @@
  */
 public final class RouteGate {
     /** A host without a declaration reads one within this time once it reaches store or peer. */
-    private static final long NOT_READY_RETRY_MILLIS = 300;
+    private static final long NOT_READY_RETRY_MILLIS = 150;
 
     private final GatewayState mState;
     private final FleetQuota mQuota;
