--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
@@ -40,6 +40,7 @@
     private long mCalls;
     private long mForgottenRevision;
     private volatile FaultMode mFault = FaultMode.NONE;
+    private volatile Duration mDelay = Duration.ZERO;
 
     private record Item(String value, long revision, long created, long lease) {}
 
@@ -52,6 +53,11 @@
         mFault = fault;
     }
 
+    /** Sets how long every answer takes from now on. */
+    public void setDelay(Duration delay) {
+        mDelay = delay;
+    }
+
     /** Writes as an operator or a backend server does. */
     public synchronized void put(String key, String value) {
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
@@ -131,11 +137,7 @@
                                                     : counted(operation, request, body);
                                     return mFault == FaultMode.LOSE_REPLIES
                                             ? Mono.never()
-                                            : Mono.from(
-                                                    Json.send(
-                                                            response,
-                                                            reply.status(),
-                                                            reply.body()));
+                                            : send(response, reply);
                                 });
     }
 
@@ -191,7 +193,17 @@
                 .filter(reply -> reply.status() != 200 || !reply.body().path("events").isEmpty())
                 .next()
                 .timeout(wait, Mono.fromSupplier(() -> watched(prefix, after)))
-                .flatMap(reply -> Mono.from(Json.send(response, reply.status(), reply.body())));
+                .flatMap(reply -> send(response, reply));
+    }
+
+    private Mono<Void> send(HttpServerResponse response, Reply reply) {
+        return Mono.delay(mDelay)
+                .then(
+                        Mono.defer(
+                                () ->
+                                        Mono.from(
+                                                Json.send(
+                                                        response, reply.status(), reply.body()))));
     }
 
     private synchronized Reply watched(String prefix, long after) {
