--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -1,5 +1,7 @@
 package org.fuchsiaford.standin.platform;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
@@ -34,8 +36,10 @@
 
     private final String mId;
     private final List<Run> mRuns = new CopyOnWriteArrayList<>();
+    private final List<Order> mOrders = new CopyOnWriteArrayList<>();
     private final AtomicInteger mPrefills = new AtomicInteger();
     private final AtomicInteger mActive = new AtomicInteger();
+    private volatile String mStage = "";
     private volatile Duration mPrefillDelay = Duration.ZERO;
     private volatile ServerBehaviour mBehaviour = ServerBehaviour.ANSWER;
 
@@ -48,6 +52,15 @@
      */
     public record Run(String request, String uri, HttpHeaders headers) {}
 
+    /**
+     * An order that was accepted.
+     *
+     * @param stage the part that the engine shall take
+     * @param holder who gave it
+     * @param fence the holder's fencing token
+     */
+    public record Order(String stage, String holder, long fence) {}
+
     /**
      * Creates a server.
      *
@@ -72,6 +85,16 @@
         return List.copyOf(mRuns);
     }
 
+    /** Sets the part that an engine reports; orders do not change it. */
+    public void setStage(String stage) {
+        mStage = stage;
+    }
+
+    /** Returns the orders that it has accepted. */
+    public List<Order> orders() {
+        return List.copyOf(mOrders);
+    }
+
     /** Returns how many prompts it has read for other engines. */
     public int prefills() {
         return mPrefills.get();
@@ -93,6 +116,12 @@
         if (expected != null && !expected.equals(mId)) {
             return response.status(421).header("Fuchsiaford-Instance-Id", mId).send();
         }
+        if (request.uri().equals("/api/report")) {
+            return Json.send(response, 200, report());
+        }
+        if (request.uri().equals("/api/order")) {
+            return Json.body(request).flatMap(body -> order(response, body));
+        }
         if (mBehaviour == ServerBehaviour.REJECT) {
             return response.status(503).header("Fuchsiaford-Not-Executed", "1").send();
         }
@@ -108,6 +137,22 @@
         return request.receive().aggregate().then().then(run(request, response));
     }
 
+    private ObjectNode report() {
+        return Json.object().put("stage", mStage).put("busy", false).put("seq", mOrders.size());
+    }
+
+    private synchronized Mono<Void> order(HttpServerResponse response, JsonNode body) {
+        if (body.path("precondition").asInt(mOrders.size()) != mOrders.size()) {
+            return Mono.from(Json.send(response, 409, Json.object()));
+        }
+        mOrders.add(
+                new Order(
+                        body.path("stage").asText(),
+                        body.path("holder").asText(),
+                        body.path("fence").asLong()));
+        return Mono.from(Json.send(response, 202, Json.object()));
+    }
+
     private Mono<Void> run(HttpServerRequest request, HttpServerResponse response) {
         return Mono.defer(
                         () -> {
