A host knows the servers before the declaration that lets requests in

Traced by the decision log: the declaration was in force at 36.152, the request was refused at 36.166 for want of a known server, and the server was seen at 36.167: one reading of the store took the declaration in first, and a host is ready once it has one. Change: the declaration of a reading is taken in last. Test red before (order of reading).

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -99,7 +99,8 @@
     }
 
     /**
-     * Takes a whole reading in: entries that are not in it are gone, unless they are newer.
+     * Takes a whole reading in: entries that are not in it are gone, unless they are newer. The
+     * declaration comes last, since requests are let in as soon as one is known.
      *
      * @param revision the store's revision at the beginning of the reading
      */
@@ -113,7 +114,8 @@
                         .filter(key -> !present.contains(key))
                         .toList();
         gone.forEach(key -> remove(key, revision));
-        entries.forEach(this::put);
+        entries.stream().filter(entry -> !mDecoder.isTable(entry.key())).forEach(this::put);
+        entries.stream().filter(entry -> mDecoder.isTable(entry.key())).forEach(this::put);
         mRevision = Math.max(mRevision, revision);
     }
 
--- /dev/null
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
@@ -0,0 +1,83 @@
+package org.fuchsiaford.entry.gateway.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Example;
+import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.entry.gateway.log.DecisionLog;
+import org.fuchsiaford.entry.gateway.protocol.StateDecoder;
+import org.fuchsiaford.fleet.FleetView;
+import org.fuchsiaford.fleet.HostRecord;
+import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.ServerAddress;
+import org.fuchsiaford.registry.ServerRegistry;
+import org.fuchsiaford.routing.CallerLimits;
+import org.fuchsiaford.routing.RoutingTable;
+import org.fuchsiaford.store.StoreEntry;
+import org.fuchsiaford.store.StoreKey;
+
+/** In which order a host believes what it reads. */
+class GatewayStateTest {
+    private static final FailureDomainId DOMAIN = new FailureDomainId("z");
+    private static final StoreKey TABLE = new StoreKey("table");
+
+    private final List<String> mRead = new ArrayList<>();
+    private final GatewayState mState =
+            new GatewayState(
+                    new RecordingDecoder(),
+                    new ServerRegistry(),
+                    new FleetView(
+                            new HostRecord(new HostId("h"), DOMAIN, "1.1.1.1:1", "1.1.1.1:2")),
+                    new DecisionLog("h"),
+                    () -> 0,
+                    id -> {});
+
+    private final class RecordingDecoder implements StateDecoder {
+        @Override
+        public boolean isTable(StoreKey key) {
+            return key.equals(TABLE);
+        }
+
+        @Override
+        public Optional<BackendServerId> serverOf(StoreKey key) {
+            return isTable(key) ? Optional.empty() : Optional.of(new BackendServerId(key.value()));
+        }
+
+        @Override
+        public RoutingTable readTable(byte[] value) {
+            mRead.add("table");
+            return new RoutingTable(1, CallerLimits.DEFAULT, List.of(), List.of(), List.of());
+        }
+
+        @Override
+        public LiveServer readServer(BackendServerId id, byte[] value) {
+            mRead.add(id.value());
+            return new LiveServer(
+                    id,
+                    new ServiceId("app"),
+                    new ServerAddress("127.0.0.1", 1),
+                    DOMAIN,
+                    6,
+                    Optional.empty(),
+                    false,
+                    1);
+        }
+    }
+
+    /** A host is ready once it knows a declaration; a request then finds the servers known. */
+    @Example
+    void serversAreKnownBeforeTheDeclarationThatLetsRequestsIn() {
+        byte[] any = {1};
+        mState.applyAll(
+                3,
+                List.of(new StoreEntry(TABLE, any, 2), new StoreEntry(new StoreKey("a"), any, 3)));
+        assertThat(mRead).containsExactly("a", "table");
+        assertThat(mState.table()).isPresent();
+    }
+}
