A queue for each service of engines: a full service holds up no other

Cause: found by reading, for deployments with several services of engines: one queue held the requests of all; while one service was full, requests for the others joined behind it and were not let through before its head was, and starts and runs of all models went into one mean. Change: EngineQueues keeps one queue a service; pulses and reports carry what waits by service; the speed of reading is learned by service. Test red before (a request for a free service waited).

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
@@ -82,7 +82,7 @@
 
     /** Notes what a known host has under way, between two pulses. */
     public synchronized void hearLoads(
-            HostId id, List<ServerLoad> loads, long waitingTokens, long nowNanos) {
+            HostId id, List<ServerLoad> loads, List<WaitingWork> waiting, long nowNanos) {
         Peer peer = mPeers.get(id);
         if (peer != null && peer.isFresh(nowNanos)) {
             HostPulse last = peer.mPulse;
@@ -93,7 +93,7 @@
                             last.stateRevision(),
                             last.admitted(),
                             loads,
-                            waitingTokens);
+                            waiting);
         }
     }
 
--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -1,12 +1,15 @@
 package org.fuchsiaford.selection;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.stream.Stream;
 import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.EngineStage;
@@ -63,7 +66,7 @@
     private final LoadBoard mLoads;
     private final ServerHealth mHealth;
     private final DoubleSupplier mRandom;
-    private double mTokensPerMilli = FIRST_TOKENS_PER_MILLI;
+    private final Map<ServiceId, Double> mTokensPerMilli = new HashMap<>();
 
     private record Scored(LiveServer server, double score) {}
 
@@ -85,9 +88,14 @@
     }
 
     /** Learns from a prompt that a prefill engine read while nothing else waited there. */
-    public synchronized void observePrefill(long tokens, long tookNanos) {
+    public synchronized void observePrefill(ServiceId service, long tokens, long tookNanos) {
         double perMilli = tokens * 1e6 / Math.max(1, tookNanos);
-        mTokensPerMilli += (perMilli - mTokensPerMilli) * NEWEST_SPEED_WEIGHT;
+        double last = tokensPerMilli(service);
+        mTokensPerMilli.put(service, last + (perMilli - last) * NEWEST_SPEED_WEIGHT);
+    }
+
+    private double tokensPerMilli(ServiceId service) {
+        return mTokensPerMilli.getOrDefault(service, FIRST_TOKENS_PER_MILLI);
     }
 
     /**
@@ -130,7 +138,7 @@
                                 () ->
                                         mLoads.total(plan.decode().id()).unreadTokens()
                                                 * DIRECT_SLOWNESS);
-        return tokens / mTokensPerMilli;
+        return tokens / tokensPerMilli(plan.decode().service());
     }
 
     private Stream<LiveServer> decodes(
@@ -181,9 +189,10 @@
         ServerLoad load = mLoads.total(decode.id());
         boolean busy = load.tokens() > capacity.memoryTokens() * BUSY_SHARE;
         double directTokens = (load.unreadTokens() + tokens.prompt()) * DIRECT_SLOWNESS;
-        double quickTokens = targetMillis * PREFILL_TARGET_SHARE * mTokensPerMilli;
+        double perMilli = tokensPerMilli(decode.service());
+        double quickTokens = targetMillis * PREFILL_TARGET_SHARE * perMilli;
         double mostTokens = busy ? Math.max(directTokens, quickTokens) : directTokens;
-        if (!busy && directTokens / mTokensPerMilli <= targetMillis * DIRECT_TARGET_SHARE) {
+        if (!busy && directTokens / perMilli <= targetMillis * DIRECT_TARGET_SHARE) {
             return Optional.empty();
         }
         return able(servers, EngineStage.PREFILL, failed, nowNanos).stream()
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
@@ -22,7 +22,7 @@
     }
 
     private static HostPulse pulse(HostRecord host, boolean accepting) {
-        return new HostPulse(host, accepting, 0, List.of(), List.of(), 0);
+        return new HostPulse(host, accepting, 0, List.of(), List.of(), List.of());
     }
 
     @Example
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -38,7 +38,7 @@
 import org.fuchsiaford.quota.FleetQuota;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.selection.EnginePlanner;
-import org.fuchsiaford.selection.EngineQueue;
+import org.fuchsiaford.selection.EngineQueues;
 import org.fuchsiaford.selection.LoadBoard;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.selection.ServerSelector;
@@ -93,7 +93,7 @@
         mFleet = new FleetView(self(settings));
         ServerHealth health = new ServerHealth();
         LoadBoard loads = new LoadBoard();
-        EngineQueue queue = new EngineQueue();
+        EngineQueues queues = new EngineQueues();
         FleetQuota quota = new FleetQuota(mTicker.nowNanos());
         mState =
                 new GatewayState(
@@ -117,7 +117,7 @@
                         mFleet,
                         quota,
                         loads,
-                        queue,
+                        queues,
                         mState,
                         new PeerClient(),
                         settings.seedPeers(),
@@ -139,7 +139,7 @@
                 server(
                         health,
                         loads,
-                        queue,
+                        queues,
                         new RouteGate(mState, quota, mPulses::reportSoon, mTicker));
     }
 
@@ -152,7 +152,7 @@
     }
 
     private GatewayServer server(
-            ServerHealth health, LoadBoard loads, EngineQueue queue, RouteGate gate) {
+            ServerHealth health, LoadBoard loads, EngineQueues queues, RouteGate gate) {
         FailureDomainId domain = mSettings.failureDomain();
         ServerClient client = new ServerClient(mAdapter.servers());
         RetryBudgets budgets =
@@ -173,7 +173,7 @@
                         mFleet,
                         loads,
                         planner,
-                        queue,
+                        queues,
                         mPulses::reportSoon,
                         GatewayHost::draw,
                         mLog,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/PulseExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/PulseExchange.java
@@ -16,7 +16,7 @@
 import org.fuchsiaford.peer.PeerCalls;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.quota.FleetQuota;
-import org.fuchsiaford.selection.EngineQueue;
+import org.fuchsiaford.selection.EngineQueues;
 import org.fuchsiaford.selection.LoadBoard;
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
@@ -49,7 +49,7 @@
     private final FleetView mFleet;
     private final FleetQuota mQuota;
     private final LoadBoard mLoads;
-    private final EngineQueue mQueue;
+    private final EngineQueues mQueues;
     private final GatewayState mState;
     private final PeerCalls mPeers;
     private final List<PeerAddress> mSeeds;
@@ -68,7 +68,7 @@
             FleetView fleet,
             FleetQuota quota,
             LoadBoard loads,
-            EngineQueue queue,
+            EngineQueues queues,
             GatewayState state,
             PeerCalls peers,
             List<PeerAddress> seeds,
@@ -78,7 +78,7 @@
         mFleet = fleet;
         mQuota = quota;
         mLoads = loads;
-        mQueue = queue;
+        mQueues = queues;
         mState = state;
         mPeers = peers;
         mSeeds = List.copyOf(seeds);
@@ -119,7 +119,7 @@
                 new PeerMessage.Loads(
                         mFleet.self().id(),
                         mLoads.own(),
-                        mQueue.onTimeTokens(nowNanos),
+                        mQueues.waiting(nowNanos),
                         mQuota.totals());
         mFleet.others().stream()
                 .filter(peer -> mFleet.isFresh(peer.id(), nowNanos))
@@ -137,7 +137,7 @@
     /** Takes another host's loads in. */
     public PeerMessage.Done answer(PeerMessage.Loads report) {
         long nowNanos = mTicker.nowNanos();
-        mFleet.hearLoads(report.host(), report.loads(), report.waitingTokens(), nowNanos);
+        mFleet.hearLoads(report.host(), report.loads(), report.waiting(), nowNanos);
         mQuota.merge(report.host(), report.admitted(), nowNanos);
         refreshLoads(nowNanos);
         return new PeerMessage.Done();
@@ -217,7 +217,7 @@
                 mState.revision(),
                 mQuota.totals(),
                 mLoads.own(),
-                mQueue.onTimeTokens(mTicker.nowNanos()));
+                mQueues.waiting(mTicker.nowNanos()));
     }
 
     /** Takes a pulse in and answers it with this host's own. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.DoubleSupplier;
+import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
@@ -18,7 +19,6 @@
 import org.fuchsiaford.failure.RunState;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.fleet.FleetView;
-import org.fuchsiaford.fleet.HostPulse;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.request.RequestId;
@@ -27,6 +27,7 @@
 import org.fuchsiaford.selection.EnginePlan;
 import org.fuchsiaford.selection.EnginePlanner;
 import org.fuchsiaford.selection.EngineQueue;
+import org.fuchsiaford.selection.EngineQueues;
 import org.fuchsiaford.selection.LoadBoard;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.Disposable;
@@ -62,7 +63,7 @@
     private final FleetView mFleet;
     private final LoadBoard mLoads;
     private final EnginePlanner mPlanner;
-    private final EngineQueue mQueue;
+    private final EngineQueues mQueues;
     private final Runnable mLoadsChanged;
     private final DoubleSupplier mRandom;
     private final DecisionLog mLog;
@@ -87,7 +88,7 @@
             FleetView fleet,
             LoadBoard loads,
             EnginePlanner planner,
-            EngineQueue queue,
+            EngineQueues queues,
             Runnable loadsChanged,
             DoubleSupplier random,
             DecisionLog log,
@@ -96,7 +97,7 @@
         mFleet = fleet;
         mLoads = loads;
         mPlanner = planner;
-        mQueue = queue;
+        mQueues = queues;
         mLoadsChanged = loadsChanged;
         mRandom = random;
         mLog = log;
@@ -108,14 +109,14 @@
         return Mono.defer(
                 () -> {
                     Optional<EngineSeat> seat =
-                            mQueue.isEmpty() ? trySeat(context) : Optional.empty();
+                            queue(context).isEmpty() ? trySeat(context) : Optional.empty();
                     return seat.map(Mono::just).orElseGet(() -> join(context));
                 });
     }
 
     /** Learns how long it took until an engine's answer began. */
-    void started(EngineSeat seat) {
-        mQueue.observeStart(mTicker.nowNanos() - seat.grantedNanos());
+    void started(RequestContext context, EngineSeat seat) {
+        queue(context).observeStart(mTicker.nowNanos() - seat.grantedNanos());
     }
 
     /** Learns from an ended stream, and lets the next request take its room. */
@@ -123,10 +124,10 @@
         seat.room().release();
         if (mReporting) {
             mLoadsChanged.run();
-            mReporting = !mQueue.isEmpty();
+            mReporting = !mQueues.isEmpty();
         }
         if (whole) {
-            mQueue.observeRun(context.tokens(), mTicker.nowNanos() - seat.grantedNanos());
+            queue(context).observeRun(context.tokens(), mTicker.nowNanos() - seat.grantedNanos());
         }
         drain();
     }
@@ -138,7 +139,7 @@
             return Mono.error(refusal(context, NO_ENGINE_RETRY_MILLIS, "no engine is known"));
         }
         long waitNanos = estimateWaitNanos(context, engines, nowNanos);
-        if (!mQueue.isHopeful(waitNanos, giveUpNanos(context), nowNanos)) {
+        if (!queue(context).isHopeful(waitNanos, giveUpNanos(context), nowNanos)) {
             return Mono.error(
                     refusal(
                             context,
@@ -152,13 +153,13 @@
                 return Mono.error(
                         refusal(context, NO_ENGINE_RETRY_MILLIS, "this id waits already"));
             }
-            mQueue.add(waiting(context));
+            queue(context).add(waiting(context));
             mPoll.update(Flux.interval(POLL).subscribe(tick -> drain()));
         }
         mLog.write(
                 new Decision.Queued(
                         id.value(),
-                        mQueue.onTimeTokens(nowNanos),
+                        queue(context).onTimeTokens(nowNanos),
                         TimeUnit.NANOSECONDS.toMillis(waitNanos)));
         reportWaiting();
         return waiter.sink().asMono().doOnCancel(() -> abandon(waiter));
@@ -178,22 +179,26 @@
     /** Returns when the caller leaves without a first event, or the run would not end in time. */
     private long giveUpNanos(RequestContext context) {
         long patience = TimeUnit.MILLISECONDS.toNanos(context.route().eventPatienceMillis());
-        long lastStartNanos = context.deadlineNanos() - mQueue.runNanos(context.tokens());
+        long lastStartNanos = context.deadlineNanos() - queue(context).runNanos(context.tokens());
         return Math.min(lastStartNanos, context.arrivedNanos() + patience);
     }
 
     private long estimateWaitNanos(
             RequestContext context, List<LiveServer> engines, long nowNanos) {
         long ahead =
-                mQueue.onTimeTokens(nowNanos)
+                queue(context).onTimeTokens(nowNanos)
                         + context.tokens().planned()
-                        + waitingElsewhere(nowNanos);
-        return mQueue.estimateWaitNanos(ahead, memoryTokens(context, engines));
+                        + waitingElsewhere(context.service(), nowNanos);
+        return queue(context).estimateWaitNanos(ahead, memoryTokens(context.service(), nowNanos));
     }
 
-    private long memoryTokens(RequestContext context, List<LiveServer> engines) {
-        long decoding = engines.stream().filter(e -> e.isStage(EngineStage.DECODE)).count();
-        return decoding * capacity(context).memoryTokens();
+    /** Returns the memory of all decode engines of a service. */
+    private long memoryTokens(ServiceId service, long nowNanos) {
+        long decoding =
+                mState.servers().usable(service, nowNanos).stream()
+                        .filter(engine -> engine.isStage(EngineStage.DECODE))
+                        .count();
+        return decoding * capacity(service).memoryTokens();
     }
 
     /**
@@ -202,17 +207,23 @@
      */
     private long busyRetryMillis(RequestContext context, long waitNanos) {
         long spreadMillis = (long) (mRandom.getAsDouble() * RETRY_SPREAD_MILLIS);
-        long turnoverMillis = TimeUnit.NANOSECONDS.toMillis(mQueue.turnoverNanos());
+        long turnoverMillis = TimeUnit.NANOSECONDS.toMillis(queue(context).turnoverNanos());
         long waitMillis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
-        long runMillis = TimeUnit.NANOSECONDS.toMillis(mQueue.runNanos(context.tokens()));
+        long runMillis = TimeUnit.NANOSECONDS.toMillis(queue(context).runNanos(context.tokens()));
         long lastMillis = context.leftMillis(mTicker.nowNanos()) - runMillis;
         long soonestMillis = Math.max(waitMillis, turnoverMillis) + spreadMillis;
         return Math.max(NO_ENGINE_RETRY_MILLIS, Math.min(soonestMillis, lastMillis));
     }
 
     /** Returns the tokens of requests that wait at other hosts and can still be on time. */
-    private long waitingElsewhere(long nowNanos) {
-        return mFleet.freshPulses(nowNanos).stream().mapToLong(HostPulse::waitingTokens).sum();
+    private long waitingElsewhere(ServiceId service, long nowNanos) {
+        return mFleet.freshPulses(nowNanos).stream()
+                .mapToLong(pulse -> pulse.waitingTokens(service))
+                .sum();
+    }
+
+    private EngineQueue queue(RequestContext context) {
+        return mQueues.of(context.service());
     }
 
     private static RefusalException refusal(
@@ -230,7 +241,7 @@
     /** A seat that was granted as the caller went goes to the next one. */
     private void abandon(Waiter waiter) {
         synchronized (this) {
-            mQueue.remove(waiter.context().caller().id());
+            queue(waiter.context()).remove(waiter.context().caller().id());
             mWaiters.remove(waiter.context().caller().id());
         }
         drain();
@@ -241,7 +252,7 @@
         return mPlanner.plan(
                         engines(context, nowNanos),
                         context.attempts().failed(),
-                        capacity(context),
+                        capacity(context.service()),
                         context.tokens(),
                         context.route().targetMillis(),
                         nowNanos)
@@ -253,7 +264,7 @@
                 Reservation.decode(
                         mLoads, plan.decode(), context.tokens(), plan.prefill().isEmpty());
         double used = mLoads.total(plan.decode().id()).tokens();
-        if (used > capacity(context).memoryTokens() * REPORTED_SHARE) {
+        if (used > capacity(context.service()).memoryTokens() * REPORTED_SHARE) {
             mReporting = true;
             mLoadsChanged.run();
         }
@@ -264,10 +275,10 @@
         return mState.servers().usable(context.service(), nowNanos);
     }
 
-    /** Returns what each engine of a request's service can hold. */
-    EngineCapacity capacity(RequestContext context) {
+    /** Returns what each engine of a service can hold. */
+    EngineCapacity capacity(ServiceId service) {
         return mState.table()
-                .flatMap(table -> table.service(context.service()))
+                .flatMap(table -> table.service(service))
                 .flatMap(ServiceDeclaration::engine)
                 .orElse(new EngineCapacity(Integer.MAX_VALUE, Long.MAX_VALUE, 0));
     }
@@ -278,18 +289,12 @@
         List<Waiter> hopeless = new ArrayList<>();
         synchronized (this) {
             long nowNanos = mTicker.nowNanos();
-            hopeless(nowNanos).forEach(w -> take(w).ifPresent(hopeless::add));
-            boolean othersOnTime = waitingElsewhere(nowNanos) > 0;
-            Optional<EngineQueue.Waiting> next = mQueue.next(othersOnTime, nowNanos);
-            while (next.isPresent()) {
-                Optional<EngineSeat> seat = trySeat(mWaiters.get(next.get().request()).context());
-                if (seat.isEmpty()) {
-                    break;
-                }
-                take(next.get()).ifPresent(waiter -> grants.add(new Grant(waiter, seat.get())));
-                next = mQueue.next(othersOnTime, nowNanos);
-            }
-            if (mQueue.isEmpty()) {
+            mWaiters.values().stream()
+                    .map(waiter -> waiter.context().service())
+                    .distinct()
+                    .toList()
+                    .forEach(service -> drain(service, grants, hopeless, nowNanos));
+            if (mQueues.isEmpty()) {
                 mPoll.update(Disposables.disposed());
             }
         }
@@ -298,29 +303,33 @@
         reportWaiting();
     }
 
+    private void drain(
+            ServiceId service, List<Grant> grants, List<Waiter> hopeless, long nowNanos) {
+        EngineQueue queue = mQueues.of(service);
+        long elsewhereTokens = waitingElsewhere(service, nowNanos);
+        queue.hopeless(elsewhereTokens, memoryTokens(service, nowNanos), nowNanos)
+                .forEach(waiting -> take(queue, waiting).ifPresent(hopeless::add));
+        Optional<EngineQueue.Waiting> next = queue.next(elsewhereTokens > 0, nowNanos);
+        while (next.isPresent()) {
+            Optional<EngineSeat> seat = trySeat(mWaiters.get(next.get().request()).context());
+            if (seat.isEmpty()) {
+                return;
+            }
+            take(queue, next.get()).ifPresent(waiter -> grants.add(new Grant(waiter, seat.get())));
+            next = queue.next(elsewhereTokens > 0, nowNanos);
+        }
+    }
+
     /** Tells the others when requests that can be on time begin or cease to wait here. */
     private void reportWaiting() {
-        boolean onTime = mQueue.onTimeTokens(mTicker.nowNanos()) > 0;
+        boolean onTime = !mQueues.waiting(mTicker.nowNanos()).isEmpty();
         if (mReportedOnTime.getAndSet(onTime) != onTime) {
             mLoadsChanged.run();
         }
     }
 
-    private List<EngineQueue.Waiting> hopeless(long nowNanos) {
-        return mWaiters.values().stream()
-                .findAny()
-                .map(Waiter::context)
-                .map(
-                        any ->
-                                mQueue.hopeless(
-                                        waitingElsewhere(nowNanos),
-                                        memoryTokens(any, engines(any, nowNanos)),
-                                        nowNanos))
-                .orElse(List.of());
-    }
-
-    private Optional<Waiter> take(EngineQueue.Waiting waiting) {
-        mQueue.remove(waiting.request());
+    private Optional<Waiter> take(EngineQueue queue, EngineQueue.Waiting waiting) {
+        queue.remove(waiting.request());
         return Optional.ofNullable(mWaiters.remove(waiting.request()));
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillCall.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillCall.java
@@ -87,7 +87,8 @@
     private void succeeded(LiveServer engine, TokenCounts tokens, long startNanos, boolean idle) {
         mAttempts.answered(engine, startNanos);
         if (idle) {
-            mPlanner.observePrefill(tokens.prompt(), mTicker.nowNanos() - startNanos);
+            mPlanner.observePrefill(
+                    engine.service(), tokens.prompt(), mTicker.nowNanos() - startNanos);
         }
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamCourse.java
@@ -139,7 +139,7 @@
             return Mono.just(Optional.empty());
         }
         long limitMillis = (long) (context.route().targetMillis() * PREFILL_TARGET_SHARE);
-        long lifeMillis = mGate.capacity(context).promptLifeMillis();
+        long lifeMillis = mGate.capacity(context.service()).promptLifeMillis();
         return mPrefill.call(context, plan.prefill().get(), limitMillis, lifeMillis);
     }
 
@@ -213,7 +213,7 @@
             long startNanos) {
         LiveServer server = seat.plan().decode();
         mAttempts.answered(server, startNanos);
-        mGate.started(seat);
+        mGate.started(context, seat);
         Flux<AnswerPart> bytes =
                 all.skip(1)
                         .map(part -> progress.take(((AnswerPart.Bytes) part).bytes()))
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineGateTest.java
@@ -38,6 +38,7 @@
 import org.fuchsiaford.routing.WeightedService;
 import org.fuchsiaford.selection.EnginePlanner;
 import org.fuchsiaford.selection.EngineQueue;
+import org.fuchsiaford.selection.EngineQueues;
 import org.fuchsiaford.selection.LoadBoard;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.store.StoreChange;
@@ -49,12 +50,14 @@
 class EngineGateTest {
     private static final ServiceId SERVICE = new ServiceId("llm");
     private static final FailureDomainId DOMAIN = new FailureDomainId("z");
+    private static final ServiceId OTHER_SERVICE = new ServiceId("other");
     private static final BackendServerId ENGINE = new BackendServerId("e");
     private static final TokenCounts SIZE = new TokenCounts(4_000, 1_000, 1_000);
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private final LoadBoard mLoads = new LoadBoard();
-    private final EngineQueue mQueue = new EngineQueue();
+    private final EngineQueues mQueues = new EngineQueues();
+    private final EngineQueue mQueue = mQueues.of(SERVICE);
     private final AtomicInteger mChanges = new AtomicInteger();
     private final Ticker mTicker = () -> SECOND;
     private final EngineGate mGate = gate();
@@ -72,7 +75,9 @@
 
         @Override
         public Optional<BackendServerId> serverOf(StoreKey key) {
-            return key.value().equals("e") ? Optional.of(ENGINE) : Optional.empty();
+            return key.value().length() == 1
+                    ? Optional.of(new BackendServerId(key.value()))
+                    : Optional.empty();
         }
 
         @Override
@@ -82,7 +87,9 @@
                     1,
                     CallerLimits.DEFAULT,
                     List.of(route()),
-                    List.of(new ServiceDeclaration(SERVICE, Optional.of(capacity))),
+                    List.of(
+                            new ServiceDeclaration(SERVICE, Optional.of(capacity)),
+                            new ServiceDeclaration(OTHER_SERVICE, Optional.of(capacity))),
                     List.of());
         }
 
@@ -90,7 +97,7 @@
         public LiveServer readServer(BackendServerId id, byte[] value) {
             return new LiveServer(
                     id,
-                    SERVICE,
+                    id.equals(ENGINE) ? SERVICE : OTHER_SERVICE,
                     new ServerAddress("127.0.0.1", 1),
                     DOMAIN,
                     8,
@@ -127,6 +134,7 @@
         byte[] any = "any".getBytes(StandardCharsets.UTF_8);
         state.apply(new StoreChange(new StoreKey("table"), any, 1));
         state.apply(new StoreChange(new StoreKey("e"), any, 2));
+        state.apply(new StoreChange(new StoreKey("o"), any, 3));
         ServerHealth health = new ServerHealth();
         EnginePlanner planner = new EnginePlanner(DOMAIN, mLoads, health, () -> 0);
         return new EngineGate(
@@ -134,7 +142,7 @@
                 fleet,
                 mLoads,
                 planner,
-                mQueue,
+                mQueues,
                 mChanges::incrementAndGet,
                 () -> 0,
                 log,
@@ -142,6 +150,10 @@
     }
 
     private Disposable acquire(long deadlineNanos) {
+        return acquire(SERVICE, deadlineNanos);
+    }
+
+    private Disposable acquire(ServiceId service, long deadlineNanos) {
         CallerRequest caller =
                 new CallerRequest(
                         new RequestId("r" + mRequests++),
@@ -159,7 +171,7 @@
                         caller,
                         new byte[0],
                         route(),
-                        SERVICE,
+                        service,
                         Optional.empty(),
                         SECOND,
                         deadlineNanos);
@@ -255,4 +267,22 @@
         assertThat(retryMillis.get(0)).isBetween(3_500L, 4_500L);
         assertThat(retryMillis.get(retryMillis.size() - 1)).isBetween(500L, 2_100L);
     }
+
+    @Example
+    void aFullServiceHoldsUpNoOther() {
+        IntStream.range(0, 20).forEach(i -> mQueues.of(OTHER_SERVICE).observeRun(SIZE, 0));
+        acquire(15 * SECOND);
+        acquire(15 * SECOND);
+        acquire(15 * SECOND);
+        assertThat(mSeats).hasSize(2);
+
+        acquire(OTHER_SERVICE, 15 * SECOND);
+        acquire(OTHER_SERVICE, 15 * SECOND);
+        assertThat(mSeats).hasSize(4);
+
+        acquire(OTHER_SERVICE, 15 * SECOND);
+        mGate.leave(mContexts.get(2), mSeats.get(2), true);
+        assertThat(mSeats).hasSize(5);
+        assertThat(mContexts.get(4).service()).isEqualTo(OTHER_SERVICE);
+    }
 }
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -8,6 +8,7 @@
 import org.fuchsiaford.bundle.Digest;
 import org.fuchsiaford.fleet.HostPulse;
 import org.fuchsiaford.fleet.ServerLoad;
+import org.fuchsiaford.fleet.WaitingWork;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.host.Incarnation;
 import org.fuchsiaford.host.PromiseReply;
@@ -121,7 +122,10 @@
 
     /** What changes between two pulses and others must know soon; answered by {@link Done}. */
     record Loads(
-            HostId host, List<ServerLoad> loads, long waitingTokens, List<WorkspaceTotal> admitted)
+            HostId host,
+            List<ServerLoad> loads,
+            List<WaitingWork> waiting,
+            List<WorkspaceTotal> admitted)
             implements PeerMessage {}
 
     /** Asks for all store entries that the host knows; answered by {@link Entries}. */
