--- a/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
+++ b/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
@@ -16,10 +16,6 @@
  * and what the others report. Hosts that do not hear each other accrue only their part, so that the
  * parts of all islands add up to the rate.
  *
- * <p>Load pattern of a workspace that sends several times its limit for some seconds: whoever is
- * refused is told to come back after all who were refused before have had their tokens, so that
- * those who return do not compete with each other, and the last come when the rush is over.
- *
  * <p>Invariant: a bucket accrues at most the reachable share of rate and burst. What others
  * admitted while they were out of touch was accrued by their own share and is not subtracted again.
  * Thread-safe.
@@ -34,9 +30,6 @@
     /** Silence after which the other host counts as out of touch: several report intervals. */
     public static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-    /** Nobody is told to wait for longer; callers have gone by then. */
-    private static final double MOST_PROMISED_SECONDS = 10;
-
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<WorkspaceId, Bucket> mBuckets = new HashMap<>();
@@ -47,7 +40,6 @@
 
     private static final class Bucket {
         private double mLevel;
-        private double mPromisedTokens;
         private long mUpdatedNanos;
         private long mAdmittedTokens;
     }
@@ -56,10 +48,6 @@
         private final Map<WorkspaceId, Long> mTotals = new HashMap<>();
         private long mHeardNanos;
         private boolean mHeard;
-
-        private boolean isInTouch(long nowNanos) {
-            return mHeard && nowNanos - mHeardNanos <= STALE_NANOS;
-        }
     }
 
     /**
@@ -81,7 +69,7 @@
     }
 
     /**
-     * Admits a request or says when it could be, after all that this host has refused before.
+     * Admits a request or says when it could be.
      *
      * @return zero if admitted, else the wait in nanoseconds until there are enough tokens
      */
@@ -98,20 +86,7 @@
             return 0;
         }
         double perNano = quota.tokensPerSecond() * mShare / NANOS_PER_SECOND;
-        int hosts = hostsInTouch(nowNanos);
-        double missing = needed - bucket.mLevel + bucket.mPromisedTokens * hosts;
-        double most = quota.tokensPerSecond() * MOST_PROMISED_SECONDS / hosts;
-        bucket.mPromisedTokens = Math.min(bucket.mPromisedTokens + tokens, most);
-        return Math.max(1, (long) (missing / perNano));
-    }
-
-    /** Returns how many hosts share the rate here; all refuse about as much. */
-    private int hostsInTouch(long nowNanos) {
-        return 1
-                + (int)
-                        mReported.values().stream()
-                                .filter(reported -> reported.isInTouch(nowNanos))
-                                .count();
+        return Math.max(1, (long) ((needed - bucket.mLevel) / perNano));
     }
 
     /**
@@ -149,7 +124,7 @@
     /** Subtracts what another host has admitted since its last report. */
     public synchronized void merge(HostId host, List<WorkspaceTotal> totals, long nowNanos) {
         Reported reported = mReported.computeIfAbsent(host, h -> new Reported());
-        boolean inTouch = reported.isInTouch(nowNanos);
+        boolean inTouch = reported.mHeard && nowNanos - reported.mHeardNanos <= STALE_NANOS;
         totals.forEach(total -> merge(reported, total, inTouch));
         reported.mHeard = true;
         reported.mHeardNanos = nowNanos;
@@ -183,8 +158,6 @@
         double elapsedSeconds = (nowNanos - bucket.mUpdatedNanos) / NANOS_PER_SECOND;
         double cap = quota.burstTokens() * mShare;
         double level = bucket.mLevel + elapsedSeconds * quota.tokensPerSecond() * mShare;
-        double ownPart = quota.tokensPerSecond() * mShare / hostsInTouch(nowNanos);
-        bucket.mPromisedTokens = Math.max(0, bucket.mPromisedTokens - elapsedSeconds * ownPart);
         bucket.mLevel = Math.max(Math.min(level, cap), -quota.burstTokens());
         bucket.mUpdatedNanos = nowNanos;
     }
