One ranking for plain servers and engines

ServerSelector and EnginePlanner each had who is awake, what failures, failure domain and chance add, and the sorting by a score that is taken once; the same pieces stood in both. ServerRanking holds them, with each one's weights as before. Prefill engines are now scored once for a choice as well, where a comparator drew chance anew at every comparison. No other change of behaviour; tests unchanged.

--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -1,6 +1,5 @@
 package org.fuchsiaford.selection;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -58,18 +57,14 @@
     private static final double FIRST_TOKENS_PER_MILLI = 40;
 
     private static final double NEWEST_SPEED_WEIGHT = 0.2;
-    private static final double OTHER_DOMAIN_COST = 0.25;
     private static final double FAILURE_COST = 2;
     private static final double JITTER = 0.02;
 
-    private final FailureDomainId mOwnDomain;
     private final LoadBoard mLoads;
     private final ServerHealth mHealth;
-    private final DoubleSupplier mRandom;
+    private final ServerRanking mRanking;
     private final Map<ServiceId, Double> mTokensPerMilli = new HashMap<>();
 
-    private record Scored(LiveServer server, double score) {}
-
     /**
      * Creates a planner.
      *
@@ -81,10 +76,9 @@
             LoadBoard loads,
             ServerHealth health,
             DoubleSupplier random) {
-        mOwnDomain = ownDomain;
         mLoads = loads;
         mHealth = health;
-        mRandom = random;
+        mRanking = new ServerRanking(ownDomain, health, random, FAILURE_COST, JITTER);
     }
 
     /** Learns from a prompt that a prefill engine read while nothing else waited there. */
@@ -147,11 +141,11 @@
             EngineCapacity capacity,
             TokenCounts tokens,
             long nowNanos) {
-        return able(servers, EngineStage.DECODE, failed, nowNanos).stream()
-                .filter(server -> hasRoom(server, capacity, tokens))
-                .map(server -> new Scored(server, decodeScore(server, capacity, nowNanos)))
-                .sorted(Comparator.comparingDouble(Scored::score))
-                .map(Scored::server);
+        List<LiveServer> able =
+                mRanking.awake(ofStage(servers, EngineStage.DECODE, failed), nowNanos);
+        return ServerRanking.ranked(
+                able.stream().filter(server -> hasRoom(server, capacity, tokens)),
+                server -> decodeScore(server, capacity, nowNanos));
     }
 
     private boolean hasRoom(LiveServer server, EngineCapacity capacity, TokenCounts tokens) {
@@ -166,13 +160,7 @@
         ServerLoad load = mLoads.total(server.id());
         double memory = (double) load.tokens() / Math.max(1, capacity.memoryTokens());
         double unread = (double) load.unreadTokens() / Math.max(1, capacity.memoryTokens());
-        return memory + unread + commonScore(server, nowNanos);
-    }
-
-    private double commonScore(LiveServer server, long nowNanos) {
-        return mHealth.failureRate(server.id(), nowNanos) * FAILURE_COST
-                + (server.failureDomain().equals(mOwnDomain) ? 0 : OTHER_DOMAIN_COST)
-                + mRandom.getAsDouble() * JITTER;
+        return memory + unread + mRanking.cost(server, nowNanos);
     }
 
     private synchronized Optional<LiveServer> prefill(
@@ -195,9 +183,11 @@
         if (!busy && directTokens / perMilli <= targetMillis * DIRECT_TARGET_SHARE) {
             return Optional.empty();
         }
-        return able(servers, EngineStage.PREFILL, failed, nowNanos).stream()
-                .filter(server -> !mHealth.isPaused(server.id(), nowNanos))
-                .min(Comparator.comparingDouble(server -> prefillTokens(server, nowNanos)))
+        Stream<LiveServer> awake =
+                ofStage(servers, EngineStage.PREFILL, failed).stream()
+                        .filter(server -> !mHealth.isPaused(server.id(), nowNanos));
+        return ServerRanking.ranked(awake, server -> prefillTokens(server, nowNanos))
+                .findFirst()
                 .filter(
                         server ->
                                 prefillTokens(server, nowNanos) + tokens.prompt() + TRANSFER_TOKENS
@@ -206,22 +196,13 @@
 
     private double prefillTokens(LiveServer server, long nowNanos) {
         return mLoads.total(server.id()).unreadTokens()
-                + commonScore(server, nowNanos) * TRANSFER_TOKENS;
+                + mRanking.cost(server, nowNanos) * TRANSFER_TOKENS;
     }
 
-    private List<LiveServer> able(
-            List<LiveServer> servers,
-            EngineStage stage,
-            Set<BackendServerId> failed,
-            long nowNanos) {
-        List<LiveServer> ofStage =
-                servers.stream()
-                        .filter(server -> server.isStage(stage) && !failed.contains(server.id()))
-                        .toList();
-        List<LiveServer> awake =
-                ofStage.stream()
-                        .filter(server -> !mHealth.isPaused(server.id(), nowNanos))
-                        .toList();
-        return awake.isEmpty() ? ofStage : awake;
+    private static List<LiveServer> ofStage(
+            List<LiveServer> servers, EngineStage stage, Set<BackendServerId> failed) {
+        return servers.stream()
+                .filter(server -> server.isStage(stage) && !failed.contains(server.id()))
+                .toList();
     }
 }
--- a/core/src/main/java/org/fuchsiaford/selection/ServerSelector.java
+++ b/core/src/main/java/org/fuchsiaford/selection/ServerSelector.java
@@ -1,11 +1,9 @@
 package org.fuchsiaford.selection;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
-import java.util.function.Predicate;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.registry.LiveServer;
@@ -18,9 +16,6 @@
  * request only if no other is left. Thread-safe.
  */
 public final class ServerSelector {
-    /** A server in another failure domain must have this part of its seats more free. */
-    private static final double OTHER_DOMAIN_COST = 0.25;
-
     /** A server that fails always counts as this many times full. */
     private static final double FAILURE_COST = 4;
 
@@ -36,10 +31,9 @@
     /** Requests under way for each seat beyond which a server is full, its queue included. */
     private static final double FULL_AT = 3;
 
-    private final FailureDomainId mOwnDomain;
     private final LoadBoard mLoads;
     private final ServerHealth mHealth;
-    private final DoubleSupplier mRandom;
+    private final ServerRanking mRanking;
 
     /**
      * Creates a selector.
@@ -52,10 +46,9 @@
             LoadBoard loads,
             ServerHealth health,
             DoubleSupplier random) {
-        mOwnDomain = ownDomain;
         mLoads = loads;
         mHealth = health;
-        mRandom = random;
+        mRanking = new ServerRanking(ownDomain, health, random, FAILURE_COST, JITTER);
     }
 
     /**
@@ -66,23 +59,14 @@
      */
     public Optional<LiveServer> pick(
             List<LiveServer> servers, Set<BackendServerId> failed, long nowNanos) {
-        List<LiveServer> fresh = preferred(servers, server -> !failed.contains(server.id()));
-        List<LiveServer> able =
-                preferred(fresh, server -> !mHealth.isPaused(server.id(), nowNanos));
+        List<LiveServer> fresh =
+                servers.stream().filter(server -> !failed.contains(server.id())).toList();
+        List<LiveServer> able = mRanking.awake(fresh.isEmpty() ? servers : fresh, nowNanos);
         double fastest = fastestNanos(able, nowNanos);
-        return able.stream()
-                .filter(server -> load(server) < FULL_AT)
-                .map(server -> new Scored(server, score(server, fastest, nowNanos)))
-                .min(Comparator.comparingDouble(Scored::score))
-                .map(Scored::server);
-    }
-
-    private record Scored(LiveServer server, double score) {}
-
-    private static List<LiveServer> preferred(
-            List<LiveServer> servers, Predicate<LiveServer> wanted) {
-        List<LiveServer> chosen = servers.stream().filter(wanted).toList();
-        return chosen.isEmpty() ? servers : chosen;
+        return ServerRanking.ranked(
+                        able.stream().filter(server -> load(server) < FULL_AT),
+                        server -> score(server, fastest, nowNanos))
+                .findFirst();
     }
 
     private double fastestNanos(List<LiveServer> servers, long nowNanos) {
@@ -100,10 +84,6 @@
     private double score(LiveServer server, double fastestNanos, long nowNanos) {
         double latency = mHealth.latencyNanos(server.id(), nowNanos);
         double slowness = fastestNanos > 0 ? Math.max(0, latency / fastestNanos - USUAL_SPREAD) : 0;
-        return load(server)
-                + mHealth.failureRate(server.id(), nowNanos) * FAILURE_COST
-                + slowness * SLOWNESS_COST
-                + (server.failureDomain().equals(mOwnDomain) ? 0 : OTHER_DOMAIN_COST)
-                + mRandom.getAsDouble() * JITTER;
+        return load(server) + slowness * SLOWNESS_COST + mRanking.cost(server, nowNanos);
     }
 }
