Hash a caller's key once a request

A request's key was hashed, and its hash checked against a pattern, at each look-up of its workspace: before and after the body and again before every send. The caller protocol now decodes the key to its hash, and the key itself is not kept. Behaviour and tests unchanged.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteGate.java
@@ -15,7 +15,6 @@
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.routing.WorkspaceDeclaration;
 import org.fuchsiaford.time.Ticker;
-import org.fuchsiaford.workspace.KeyHash;
 
 /**
  * Decides by the declaration in force which requests may pass, and holds workspaces to their
@@ -85,8 +84,7 @@
         if (route.open() || !table.hasWorkspaces()) {
             return Optional.empty();
         }
-        Optional<WorkspaceDeclaration> workspace =
-                request.key().map(KeyHash::of).flatMap(table::workspaceOfKey);
+        Optional<WorkspaceDeclaration> workspace = request.key().flatMap(table::workspaceOfKey);
         if (workspace.isEmpty()) {
             throw RefusalException.notRun(
                     RefusalReason.UNAUTHENTICATED, Step.AUTHENTICATE, "no workspace has this key");
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/CallerRequest.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/CallerRequest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
+import org.fuchsiaford.workspace.KeyHash;
 
 /**
  * A caller's request without its body, as the caller protocol decoded it. Immutable; nobody changes
@@ -16,7 +17,7 @@
  * @param path the path alone
  * @param virtualHost the name in the {@code Host} header, without a port
  * @param headers what may go on to a backend server: no key, nothing that is ours to set
- * @param key the key, if there is one
+ * @param key the hash of the key, if there is one
  * @param deadlineNanos when the caller stops waiting
  * @param tokens the size, if the caller gave it
  * @param lastEventId the last event that the caller has, if it resumes a stream
@@ -28,7 +29,7 @@
         String path,
         String virtualHost,
         HttpHeaders headers,
-        Optional<String> key,
+        Optional<KeyHash> key,
         long deadlineNanos,
         Optional<TokenCounts> tokens,
         Optional<String> lastEventId) {}
