One refusal for want of a backend server

EngineGate and PlainCourse each built it, with the same rule: a promise only if no attempt may have run, else an unknown outcome. RequestContext.unplaced does it for both, with the texts as before. A parameter that EngineGate's estimate had kept from an earlier form is gone.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineGate.java
@@ -14,10 +14,6 @@
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.failure.RefusalException;
-import org.fuchsiaford.failure.RefusalReason;
-import org.fuchsiaford.failure.RemoteName;
-import org.fuchsiaford.failure.RunState;
-import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
@@ -134,24 +130,21 @@
 
     private Mono<EngineSeat> join(RequestContext context) {
         long nowNanos = mTicker.nowNanos();
-        List<LiveServer> engines = engines(context, nowNanos);
-        if (engines.isEmpty()) {
-            return Mono.error(refusal(context, NO_ENGINE_RETRY_MILLIS, "no engine is known"));
+        if (engines(context, nowNanos).isEmpty()) {
+            return Mono.error(context.unplaced(NO_ENGINE_RETRY_MILLIS, "no engine is known"));
         }
-        long waitNanos = estimateWaitNanos(context, engines, nowNanos);
+        long waitNanos = estimateWaitNanos(context, nowNanos);
         if (!queue(context).isHopeful(waitNanos, giveUpNanos(context), nowNanos)) {
             return Mono.error(
-                    refusal(
-                            context,
-                            busyRetryMillis(context, waitNanos),
-                            "no engine has room in time"));
+                    context.unplaced(
+                            busyRetryMillis(context, waitNanos), "no engine has room in time"));
         }
         Waiter waiter = new Waiter(context, Sinks.one());
         RequestId id = context.caller().id();
         synchronized (this) {
             if (mWaiters.putIfAbsent(id, waiter) != null) {
                 return Mono.error(
-                        refusal(context, NO_ENGINE_RETRY_MILLIS, "this id waits already"));
+                        context.unplaced(NO_ENGINE_RETRY_MILLIS, "this id waits already"));
             }
             queue(context).add(waiting(context));
             mPoll.update(Flux.interval(POLL).subscribe(tick -> drain()));
@@ -183,8 +176,7 @@
         return Math.min(lastStartNanos, context.arrivedNanos() + patience);
     }
 
-    private long estimateWaitNanos(
-            RequestContext context, List<LiveServer> engines, long nowNanos) {
+    private long estimateWaitNanos(RequestContext context, long nowNanos) {
         long ahead =
                 queue(context).onTimeTokens(nowNanos)
                         + context.tokens().planned()
@@ -226,18 +218,6 @@
         return mQueues.of(context.service());
     }
 
-    private static RefusalException refusal(
-            RequestContext context, long retryMillis, String reason) {
-        boolean mayHaveRun = context.attempts().mayHaveRun();
-        return new RefusalException(
-                mayHaveRun ? RefusalReason.BACKEND_FAILED : RefusalReason.BUSY,
-                mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN,
-                mayHaveRun ? 0 : Math.max(1, retryMillis),
-                Step.PLACE,
-                RemoteName.SELF,
-                reason);
-    }
-
     /** A seat that was granted as the caller went goes to the next one. */
     private void abandon(Waiter waiter) {
         synchronized (this) {
@@ -344,9 +324,9 @@
     private void refuse(Waiter waiter) {
         waiter.sink()
                 .tryEmitError(
-                        refusal(
-                                waiter.context(),
-                                busyRetryMillis(waiter.context(), 0),
-                                "no engine had room in time"));
+                        waiter.context()
+                                .unplaced(
+                                        busyRetryMillis(waiter.context(), 0),
+                                        "no engine had room in time"));
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PlainCourse.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PlainCourse.java
@@ -11,9 +11,7 @@
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.failure.RefusalException;
-import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.RemoteName;
-import org.fuchsiaford.failure.RunState;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.LiveServer;
@@ -81,23 +79,12 @@
     }
 
     private static RefusalException refusal(RequestContext context, boolean none) {
-        RefusalException refusal =
-                RefusalException.notRunRetry(
-                        RefusalReason.BUSY,
-                        none ? NO_SERVER_RETRY_MILLIS : FULL_RETRY_MILLIS,
-                        Step.PLACE,
-                        none ? "no backend server is known" : "all backend servers are full");
-        return context.attempts().mayHaveRun() ? unknown(refusal) : refusal;
-    }
-
-    private static RefusalException unknown(RefusalException refusal) {
-        return new RefusalException(
-                RefusalReason.BACKEND_FAILED,
-                RunState.UNKNOWN,
-                0,
-                refusal.step(),
-                refusal.remote(),
-                "an attempt failed and no other backend server is free");
+        String reason = none ? "no backend server is known" : "all backend servers are full";
+        return context.unplaced(
+                none ? NO_SERVER_RETRY_MILLIS : FULL_RETRY_MILLIS,
+                context.attempts().mayHaveRun()
+                        ? "an attempt failed and no other backend server is free"
+                        : reason);
     }
 
     private Mono<WholeAnswer> attempt(RequestContext context, LiveServer server) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -8,6 +8,11 @@
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
 import org.fuchsiaford.entry.gateway.protocol.KvSource;
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
+import org.fuchsiaford.failure.RefusalException;
+import org.fuchsiaford.failure.RefusalReason;
+import org.fuchsiaford.failure.RemoteName;
+import org.fuchsiaford.failure.RunState;
+import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.routing.TokenCounts;
@@ -109,6 +114,21 @@
         return TimeUnit.NANOSECONDS.toMillis(mDeadlineNanos - nowNanos);
     }
 
+    /**
+     * Returns the refusal for want of a backend server; it promises that nothing ran only if no
+     * earlier attempt may have.
+     */
+    RefusalException unplaced(long retryMillis, String reason) {
+        boolean mayHaveRun = mAttempts.mayHaveRun();
+        return new RefusalException(
+                mayHaveRun ? RefusalReason.BACKEND_FAILED : RefusalReason.BUSY,
+                mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN,
+                mayHaveRun ? 0 : Math.max(1, retryMillis),
+                Step.PLACE,
+                RemoteName.SELF,
+                reason);
+    }
+
     /** Returns the request as one backend server gets it. */
     ServerRequest to(
             LiveServer server,
