Note a pending order once, and say in fewer words which engines have changed

StageKeeper.give noted an order before it was sent and, as a send never yields a value, again after it; one note when the report has come covers all its cases. PendingOrders.refresh asked for each engine by searching the list twice; it walks the list once. ServiceMetrics takes its histograms from the same method as EntryMetrics. Behaviour and tests unchanged.

--- a/core/src/main/java/org/fuchsiaford/order/PendingOrders.java
+++ b/core/src/main/java/org/fuchsiaford/order/PendingOrders.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.EngineStage;
@@ -60,25 +61,19 @@
      */
     public synchronized void refresh(List<LiveServer> engines, long nowNanos) {
         mPending.values().removeIf(pending -> nowNanos - pending.untilNanos() >= 0);
+        engines.stream().filter(this::hasChanged).map(LiveServer::id).forEach(mPending::remove);
+        Set<BackendServerId> known =
+                engines.stream().map(LiveServer::id).collect(Collectors.toUnmodifiableSet());
         Set.copyOf(mFull.keySet()).stream()
-                .filter(id -> hasChanged(id, engines))
-                .forEach(mPending::remove);
-        Set.copyOf(mFull.keySet()).stream()
-                .filter(id -> !isChanging(id, engines))
+                .filter(id -> !mPending.containsKey(id) || !known.contains(id))
                 .forEach(id -> mLoads.remove(mFull.remove(id)));
     }
 
-    private boolean hasChanged(BackendServerId id, List<LiveServer> engines) {
-        Pending pending = mPending.get(id);
+    private boolean hasChanged(LiveServer engine) {
+        Pending pending = mPending.get(engine.id());
         return pending != null
-                && engines.stream()
-                        .filter(engine -> engine.id().equals(id))
-                        .anyMatch(engine -> engine.isStage(pending.order().stage()));
-    }
-
-    private boolean isChanging(BackendServerId id, List<LiveServer> engines) {
-        return mPending.containsKey(id)
-                && engines.stream().anyMatch(engine -> engine.id().equals(id));
+                && mFull.containsKey(engine.id())
+                && engine.isStage(pending.order().stage());
     }
 
     /** Returns the part of the decode engines' memory that is planned for requests, from 0. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageKeeper.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageKeeper.java
@@ -151,12 +151,12 @@
 
     private Mono<Void> give(StageOrder order, OrderTenure tenure) {
         return mClient.report(order.engine())
+                .doOnNext(report -> setPending(order))
                 .filter(
                         report ->
                                 !report.busy()
                                         && !report.stage().equals(Optional.of(order.stage())))
-                .flatMap(report -> send(order, report, tenure))
-                .switchIfEmpty(Mono.fromRunnable(() -> setPending(order)));
+                .flatMap(report -> send(order, report, tenure));
     }
 
     private Mono<Void> send(StageOrder order, EngineReport report, OrderTenure tenure) {
@@ -164,7 +164,6 @@
         if (!mLease.tenure().map(t -> t.mayOrder(mTicker.nowNanos())).orElse(false)) {
             return Mono.empty();
         }
-        setPending(order);
         return mClient.order(order, tenure.fence(), report.acceptedOrders())
                 .doOnNext(status -> logOrder(order, tenure, "status " + status))
                 .filter(status -> status == ACCEPTED)
--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/EntryMetrics.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/EntryMetrics.java
@@ -52,7 +52,8 @@
 
     /** Records a time in nanoseconds; the histogram is in microseconds. */
     public void record(Timing timing, WorkspaceId workspace, long elapsedNanos) {
-        histogram(name(timing, workspace)).update(TimeUnit.NANOSECONDS.toMicros(elapsedNanos));
+        histogram(mRegistry, name(timing, workspace))
+                .update(TimeUnit.NANOSECONDS.toMicros(elapsedNanos));
     }
 
     /** Adds to a count. */
@@ -103,8 +104,8 @@
         return histogram == null ? 0 : (long) histogram.getSnapshot().get95thPercentile();
     }
 
-    private Histogram histogram(String name) {
-        return mRegistry.histogram(name, () -> new Histogram(new HdrHistogramReservoir()));
+    static Histogram histogram(MetricRegistry registry, String name) {
+        return registry.histogram(name, () -> new Histogram(new HdrHistogramReservoir()));
     }
 
     private Counter counter(String name) {
--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/ServiceMetrics.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/ServiceMetrics.java
@@ -1,6 +1,5 @@
 package org.fuchsiaford.entry.metrics;
 
-import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Locale;
 import java.util.Set;
@@ -8,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.backend.ServiceId;
-import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramReservoir;
 
 /**
  * The metrics of a host by service of backend servers: how attempts ended, and the time to the
@@ -45,9 +43,7 @@
     /** Records the time until a server answered, in nanoseconds; the histogram is in micros. */
     public void record(ServiceId service, long elapsedNanos) {
         String name = "fuchsiaford_attempt{service=\"" + label(service) + "\"}";
-        mRegistry
-                .histogram(name, () -> new Histogram(new HdrHistogramReservoir()))
-                .update(TimeUnit.NANOSECONDS.toMicros(elapsedNanos));
+        EntryMetrics.histogram(mRegistry, name).update(TimeUnit.NANOSECONDS.toMicros(elapsedNanos));
     }
 
     private String label(ServiceId service) {
