Accept fractions for the settings that the platform fills in

Cause: retrySlack was read as a whole number, and the seconds of grace period and retry window were turned into milliseconds by appending digits in the template. The platform states its bounds as whole numbers or fractions; with a fraction no host started.

Change: JsonObjectReader.decimal; grace period and retry window are given in seconds (graceSeconds, retryWindowSeconds) and may be fractions.

Result: GatewaySettingsReaderTest.boundsMayBeFractions, which reports problems with the old reader.

--- a/core/src/main/java/org/fuchsiaford/json/JsonObjectReader.java
+++ b/core/src/main/java/org/fuchsiaford/json/JsonObjectReader.java
@@ -113,12 +113,22 @@
 
     /** Reads a required number from 0 to 1, inclusive. */
     public double fraction(String field) {
+        return decimal(field, 0, 1);
+    }
+
+    /** Reads a required number, whole or not, from min to max, inclusive. */
+    public double decimal(String field, double min, double max) {
         JsonNode value = required(field);
-        if (value.isNumber() && value.doubleValue() >= 0 && value.doubleValue() <= 1) {
+        if (value.isNumber() && value.doubleValue() >= min && value.doubleValue() <= max) {
             return value.doubleValue();
         }
-        addProblemIfPresent(field, value, "must be a number from 0 to 1");
-        return 0;
+        addProblemIfPresent(
+                field, value, "must be a number from " + shortest(min) + " to " + shortest(max));
+        return min;
+    }
+
+    private static String shortest(double number) {
+        return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
     }
 
     /** Reads an optional boolean. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -42,5 +42,5 @@
         long graceMillis,
         long retryWindowMillis,
         double retryRatio,
-        long retrySlack,
+        double retrySlack,
         long orderLeaseSeconds) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.entry.settings.SettingsDocument;
 import org.fuchsiaford.entry.settings.SettingsException;
@@ -15,9 +16,14 @@
  * Stateless, hence thread-safe.
  */
 public final class GatewaySettingsReader {
-    private static final long MAX_MILLIS = 600_000;
     private static final long MAX_SECONDS = 600;
 
+    /** Shortest span that a setting in seconds may state, in seconds. */
+    private static final double MIN_SPAN_SECONDS = 0.001;
+
+    /** More retries than any fleet can send in a window. */
+    private static final double MAX_RETRY_SLACK = 1e9;
+
     /** Returns whether a settings file names an adapter, which only this kind of settings does. */
     public static boolean isFor(String text) {
         try {
@@ -59,10 +65,15 @@
                 SettingsDocument.address(root, "storeAddress"),
                 root.number("registrationSeconds", 1, MAX_SECONDS),
                 root.number("addressLifeSeconds", 1, MAX_SECONDS),
-                root.number("graceMillis", 1, MAX_MILLIS),
-                root.number("retryWindowMillis", 1, MAX_MILLIS),
+                millis(root, "graceSeconds"),
+                millis(root, "retryWindowSeconds"),
                 root.fraction("retryRatio"),
-                root.number("retrySlack", 0, Integer.MAX_VALUE),
+                root.decimal("retrySlack", 0, MAX_RETRY_SLACK),
                 root.number("orderLeaseSeconds", 1, MAX_SECONDS));
     }
+
+    private static long millis(JsonObjectReader root, String field) {
+        double seconds = root.decimal(field, MIN_SPAN_SECONDS, MAX_SECONDS);
+        return Math.round(seconds * TimeUnit.SECONDS.toMillis(1));
+    }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/WarmUp.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/WarmUp.java
@@ -57,8 +57,8 @@
                 {"adapter":"%s","hostName":"%s","failureDomain":"warm-up","callerAddress":"%s",
                  "readinessAddress":"%s","directoryAddress":"%s","peerAddress":"%s",
                  "metricsAddress":"%s","seedPeers":[%s],"storeAddress":"%s",
-                 "registrationSeconds":3,"addressLifeSeconds":3,"graceMillis":3000,
-                 "retryWindowMillis":3000,"retryRatio":0.2,"retrySlack":10,"orderLeaseSeconds":3}
+                 "registrationSeconds":3,"addressLifeSeconds":3,"graceSeconds":3,
+                 "retryWindowSeconds":3,"retryRatio":0.2,"retrySlack":10,"orderLeaseSeconds":3}
                 """
                         .formatted(
                                 adapter.name(),
--- a/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
@@ -23,8 +23,8 @@
                 .replace("{{ip}}:{{internalPorts.0}}", "10.0.0.1:7600")
                 .replace("{{seeds|json}}", "[\"10.0.0.2:90\"]")
                 .replace("{{platform.address|json}}", "\"10.0.0.9:1\"")
-                .replace("{{bounds.graceS}}", "8")
-                .replace("{{bounds.budgetWindowS}}", "10")
+                .replace("{{bounds.graceS|json}}", "8")
+                .replace("{{bounds.budgetWindowS|json}}", "10")
                 .replace("{{bounds.budgetRatio|json}}", "0.2")
                 .replace("{{bounds.budgetSlack|json}}", "52");
     }
@@ -40,6 +40,19 @@
         assertThat(GatewaySettingsReader.isFor(renderedTemplate())).isTrue();
     }
 
+    @Example
+    void boundsMayBeFractions() throws IOException, SettingsException {
+        String fractions =
+                renderedTemplate()
+                        .replace("\"graceSeconds\": 8", "\"graceSeconds\": 7.5")
+                        .replace("\"retryWindowSeconds\": 10", "\"retryWindowSeconds\": 9.25")
+                        .replace("\"retrySlack\": 52", "\"retrySlack\": 43.7");
+        GatewaySettings settings = new GatewaySettingsReader().read(fractions);
+        assertThat(settings.graceMillis()).isEqualTo(7_500);
+        assertThat(settings.retryWindowMillis()).isEqualTo(9_250);
+        assertThat(settings.retrySlack()).isEqualTo(43.7);
+    }
+
     @Example
     void everyProblemIsReportedWithItsPath() throws IOException {
         String invalid =
