--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
@@ -0,0 +1,25 @@
+package org.fuchsiaford.fleet;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+import java.util.List;
+import org.fuchsiaford.host.HostId;
+
+/**
+ * What a coordinator answers to a heartbeat: the state of the fleet as far as it hears from it.
+ * Immutable.
+ *
+ * @param coordinator the sender
+ * @param stateRevision the store revision up to which it has seen all changes
+ * @param available the hosts that it hears from and that accept new callers, itself included
+ * @param loads the load of all hosts on each backend server
+ * @param waiting the queued work of all hosts that can still meet its target, by service
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonPropertyOrder({"coordinator", "stateRevision", "available", "loads", "waiting"})
+public record FleetSummary(
+        HostRecord coordinator,
+        long stateRevision,
+        List<HostId> available,
+        List<ServerLoad> loads,
+        List<QueuedWork> waiting) {}
--- a/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
@@ -6,13 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.host.HostId;
 
 /**
- * The other entry hosts, as known from registrations in the store and from heartbeats.
+ * The other entry hosts, as known from registrations in the store, from the heartbeats that this
+ * host receives as a coordinator, and from the summaries of coordinators.
  *
  * <p>Invariant: a host is reachable only while its latest heartbeat is no older than {@link
  * #HEARTBEAT_TIMEOUT_NANOS}, and present while it is registered or reachable. A host whose address
@@ -27,6 +29,9 @@
 
     private final HostRecord mSelf;
     private final Map<HostId, Peer> mPeers = new HashMap<>();
+    private Set<HostId> mAvailable = Set.of();
+    private long mSummaryNanos;
+    private boolean mHasSummary;
 
     private static final class Peer {
         private final HostRecord mRecord;
@@ -82,21 +87,35 @@
         return wasUnreachable;
     }
 
-    /** Updates the loads of a reachable host between two heartbeats. */
-    public synchronized void updateLoads(
-            HostId id, List<ServerLoad> loads, List<QueuedWork> waiting, long nowNanos) {
-        Peer peer = mPeers.get(id);
-        if (peer != null && peer.isReachable(nowNanos)) {
-            HostHeartbeat last = peer.mHeartbeat;
-            peer.mHeartbeat =
-                    new HostHeartbeat(
-                            last.host(),
-                            last.accepting(),
-                            last.stateRevision(),
-                            last.admitted(),
-                            loads,
-                            waiting);
+    /** Records which hosts accept callers according to a coordinator. */
+    public synchronized void recordSummary(FleetSummary summary, long nowNanos) {
+        findOrAddPeer(summary.coordinator());
+        mAvailable = Set.copyOf(summary.available());
+        mSummaryNanos = nowNanos;
+        mHasSummary = true;
+    }
+
+    /** Returns the hosts that accept new callers, as far as this host hears from them. */
+    public synchronized List<HostId> availableHosts(boolean accepting, long nowNanos) {
+        Stream<HostId> others =
+                latestHeartbeats(nowNanos).stream()
+                        .filter(HostHeartbeat::accepting)
+                        .map(heartbeat -> heartbeat.host().id());
+        return Stream.concat(accepting ? Stream.of(mSelf.id()) : Stream.of(), others).toList();
+    }
+
+    /**
+     * Returns whether a host accepts new callers: by its own heartbeat if this host receives any,
+     * otherwise by the latest summary.
+     */
+    private boolean isAvailable(Peer peer, long nowNanos) {
+        if (peer.isReachable(nowNanos)) {
+            return peer.mHeartbeat.accepting();
         }
+        return mHasSummary
+                && !peer.mStopped
+                && nowNanos - mSummaryNanos <= HEARTBEAT_TIMEOUT_NANOS
+                && mAvailable.contains(peer.mRecord.id());
     }
 
     /** Records that a host's address refuses connections. Returns whether this is a change. */
@@ -174,9 +193,9 @@
         if (accepting) {
             ready.add(mSelf);
         }
-        latestHeartbeats(nowNanos).stream()
-                .filter(HostHeartbeat::accepting)
-                .map(HostHeartbeat::host)
+        mPeers.values().stream()
+                .filter(peer -> isAvailable(peer, nowNanos))
+                .map(peer -> peer.mRecord)
                 .forEach(ready::add);
         List<HostRecord> local =
                 ready.stream().filter(host -> host.failureDomain().equals(domain)).toList();
--- a/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
@@ -5,25 +5,31 @@
 import java.util.List;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.quota.WorkspaceTotal;
+import org.fuchsiaford.request.RequestId;
 
 /**
- * The state that an entry host sends to the others several times a second. Immutable.
+ * The state that an entry host sends to a coordinator several times a second. Immutable.
+ *
+ * <p>Invariant: nothing that the receiving coordinator has granted itself is contained in {@code
+ * admitted} or {@code loads}, so it is not counted twice.
  *
  * @param host the sender
  * @param accepting whether it accepts new callers
  * @param stateRevision the store revision up to which it has seen all changes
  * @param admitted the tokens that it has admitted for each workspace
  * @param loads its load in progress on backend servers
+ * @param held its requests that hold engines granted by the receiver
  * @param waiting its requests queued for engines that can still meet their target, by service
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"host", "accepting", "stateRevision", "admitted", "loads", "waiting"})
+@JsonPropertyOrder({"host", "accepting", "stateRevision", "admitted", "loads", "held", "waiting"})
 public record HostHeartbeat(
         HostRecord host,
         boolean accepting,
         long stateRevision,
         List<WorkspaceTotal> admitted,
         List<ServerLoad> loads,
+        List<RequestId> held,
         List<QueuedWork> waiting) {
 
     /** Returns the tokens queued for a service that can still meet their target. */
--- a/core/src/main/java/org/fuchsiaford/fleet/ServerLoad.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/ServerLoad.java
@@ -16,6 +16,11 @@
 @JsonPropertyOrder({"server", "requests", "tokens", "unreadTokens"})
 public record ServerLoad(BackendServerId server, int requests, long tokens, long unreadTokens) {
 
+    /** Returns the load that cancels this one out in a sum. */
+    public ServerLoad negated() {
+        return new ServerLoad(server, -requests, -tokens, -unreadTokens);
+    }
+
     /** Returns the sum of this and another load of the same server. */
     public ServerLoad plus(ServerLoad other) {
         return new ServerLoad(
--- a/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
+++ b/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
@@ -12,10 +12,11 @@
 /**
  * Enforces the token rate limits of workspaces over all hosts together.
  *
- * <p>Each host keeps one token bucket per workspace for the whole fleet, and subtracts from it what
- * it admits itself and what the other hosts report. In a network partition, each partition refills
- * its buckets only with its share of the rate, so that the shares of all partitions add up to the
- * rate.
+ * <p>A coordinator keeps one token bucket per workspace for the whole fleet. It subtracts what it
+ * grants to any host and what the hosts report that they were granted elsewhere. A host that
+ * reaches no coordinator uses its own buckets with its part of the limits. In a network partition,
+ * each partition refills its buckets only with its share of the rate, so that the shares of all
+ * partitions add up to the rate.
  *
  * <p>Invariant: a bucket is refilled with at most the share of rate and burst of the reachable
  * hosts. Tokens that other hosts admitted while they were unreachable came out of their own share
@@ -25,24 +26,32 @@
     /** Fraction of the burst in a new bucket; other hosts may just have used the rest. */
     private static final double INITIAL_LEVEL_FRACTION = 0.125;
 
-    /** Fraction of the burst below which each admission must be reported to other hosts soon. */
-    private static final double NEAR_LIMIT_FRACTION = 0.5;
-
     /** Time without a report after which a host is unreachable: several report intervals. */
     public static final long HOST_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
     private static final double NANOS_PER_SECOND = 1e9;
 
+    /**
+     * Share of the limits below which a request must not be admitted on credit: as many hosts may
+     * be cut off at once as there are such shares, and each would give one.
+     */
+    private static final double MIN_SHARE_FOR_CREDIT = 0.25;
+
+    /** Time for which tokens are saved for a request that is larger than a bucket. */
+    private static final long SAVING_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private final Map<WorkspaceId, Bucket> mBuckets = new HashMap<>();
     private final Map<HostId, HostReport> mReports = new HashMap<>();
+    private final Map<WorkspaceId, Long> mAdmitted = new HashMap<>();
+    private final Map<HostId, Map<WorkspaceId, Long>> mGrantedBy = new HashMap<>();
     private final long mStartNanos;
     private double mShare = 1;
-    private boolean mNearLimit;
 
     private static final class Bucket {
         private double mLevel;
         private long mUpdatedNanos;
-        private long mAdmittedTokens;
+        private double mSavedForTokens;
+        private long mSavingUntilNanos;
     }
 
     private static final class HostReport {
@@ -70,23 +79,38 @@
     }
 
     /**
-     * Admits a request if the bucket holds enough tokens. A request larger than the burst is
-     * admitted on a full bucket and leaves a negative level.
+     * Admits a request of this host if the bucket holds enough tokens.
      *
      * @return zero if admitted, otherwise the time in nanoseconds until there are enough tokens
      */
     public synchronized long admit(
             WorkspaceId workspace, TokenQuota quota, long tokens, long nowNanos) {
+        long waitNanos = grant(workspace, quota, tokens, nowNanos);
+        if (waitNanos == 0) {
+            mAdmitted.merge(workspace, tokens, Long::sum);
+        }
+        return waitNanos;
+    }
+
+    /**
+     * Grants tokens to a request of another host if the bucket holds enough. A request larger than
+     * the burst is admitted on a full bucket and leaves a negative level, except at a host with a
+     * small share, which saves tokens for it.
+     *
+     * @return zero if granted, otherwise the time in nanoseconds until there are enough tokens
+     */
+    public synchronized long grant(
+            WorkspaceId workspace, TokenQuota quota, long tokens, long nowNanos) {
         Bucket bucket = bucket(workspace, quota);
         refill(bucket, quota, nowNanos);
         double cap = Math.max(1, quota.burstTokens() * mShare);
-        double needed = Math.min(tokens, cap);
+        double needed = mShare < MIN_SHARE_FOR_CREDIT ? tokens : Math.min(tokens, cap);
         if (bucket.mLevel >= needed) {
             bucket.mLevel -= tokens;
-            bucket.mAdmittedTokens += tokens;
-            mNearLimit |= bucket.mLevel < cap * NEAR_LIMIT_FRACTION;
             return 0;
         }
+        bucket.mSavedForTokens = needed;
+        bucket.mSavingUntilNanos = nowNanos + SAVING_NANOS;
         double tokensPerNano = quota.tokensPerSecond() * mShare / NANOS_PER_SECOND;
         return Math.max(1, (long) ((needed - bucket.mLevel) / tokensPerNano));
     }
@@ -100,29 +124,50 @@
         return String.format(Locale.ROOT, "level %.0f tokens, share %.2f", level, mShare);
     }
 
-    /**
-     * Returns and clears whether a bucket came near its limit since the last call, which the other
-     * hosts must learn soon.
-     */
-    public synchronized boolean pollNearLimit() {
-        boolean nearLimit = mNearLimit;
-        mNearLimit = false;
-        return nearLimit;
+    /** Refunds the tokens of a request of this host that did not run. */
+    public synchronized void refund(WorkspaceId workspace, long tokens) {
+        refundGrant(workspace, tokens);
+        mAdmitted.merge(workspace, -tokens, Long::sum);
     }
 
-    /** Refunds the tokens of a request that did not run. */
-    public synchronized void refund(WorkspaceId workspace, long tokens) {
+    /** Takes back tokens that were granted to a request of another host. */
+    public synchronized void refundGrant(WorkspaceId workspace, long tokens) {
         Bucket bucket = mBuckets.get(workspace);
         if (bucket != null) {
             bucket.mLevel += tokens;
-            bucket.mAdmittedTokens -= tokens;
         }
     }
 
+    /**
+     * Records tokens that a coordinator has granted to this host.
+     *
+     * @param tokens the tokens, negative if they were refunded
+     */
+    public synchronized void recordGranted(HostId coordinator, WorkspaceId workspace, long tokens) {
+        mGrantedBy
+                .computeIfAbsent(coordinator, id -> new HashMap<>())
+                .merge(workspace, tokens, Long::sum);
+    }
+
     /** Returns the tokens that this host has admitted for each workspace. */
-    public synchronized List<WorkspaceTotal> totals() {
-        return mBuckets.entrySet().stream()
-                .map(e -> new WorkspaceTotal(e.getKey(), e.getValue().mAdmittedTokens))
+    public List<WorkspaceTotal> totals() {
+        return totalsExcept(null);
+    }
+
+    /**
+     * Returns the tokens that this host has admitted for each workspace, without those granted by a
+     * coordinator, which knows of them.
+     */
+    public synchronized List<WorkspaceTotal> totalsExcept(HostId coordinator) {
+        Map<WorkspaceId, Long> totals = new HashMap<>(mAdmitted);
+        mGrantedBy.forEach(
+                (grantor, granted) -> {
+                    if (!grantor.equals(coordinator)) {
+                        granted.forEach((w, tokens) -> totals.merge(w, tokens, Long::sum));
+                    }
+                });
+        return totals.entrySet().stream()
+                .map(e -> new WorkspaceTotal(e.getKey(), e.getValue()))
                 .toList();
     }
 
@@ -144,9 +189,13 @@
         }
     }
 
-    /** Drops the reports of a host that has left. */
+    /** Drops the reports of a host that has left; what it granted stays in the totals. */
     public synchronized void removeHost(HostId host) {
         mReports.remove(host);
+        Map<WorkspaceId, Long> granted = mGrantedBy.remove(host);
+        if (granted != null) {
+            granted.forEach((w, tokens) -> mAdmitted.merge(w, tokens, Long::sum));
+        }
     }
 
     private Bucket bucket(WorkspaceId workspace, TokenQuota quota) {
@@ -162,7 +211,8 @@
 
     private void refill(Bucket bucket, TokenQuota quota, long nowNanos) {
         double elapsedSeconds = (nowNanos - bucket.mUpdatedNanos) / NANOS_PER_SECOND;
-        double cap = quota.burstTokens() * mShare;
+        boolean saving = nowNanos - bucket.mSavingUntilNanos < 0;
+        double cap = Math.max(quota.burstTokens() * mShare, saving ? bucket.mSavedForTokens : 0);
         double level = bucket.mLevel + elapsedSeconds * quota.tokensPerSecond() * mShare;
         bucket.mLevel = Math.max(Math.min(level, cap), -quota.burstTokens());
         bucket.mUpdatedNanos = nowNanos;
--- a/core/src/main/java/org/fuchsiaford/routing/TokenQuota.java
+++ b/core/src/main/java/org/fuchsiaford/routing/TokenQuota.java
@@ -1,5 +1,7 @@
 package org.fuchsiaford.routing;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
+
 /**
  * The rate limit of a workspace over all hosts together. Immutable.
  *
@@ -9,6 +11,7 @@
  */
 public record TokenQuota(long tokensPerSecond, long burstTokens, long defaultRequestTokens) {
     /** Returns whether the rate is limited. */
+    @JsonIgnore
     public boolean isLimited() {
         return tokensPerSecond > 0;
     }
--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -79,17 +79,12 @@
     /**
      * Creates a planner.
      *
-     * @param ownDomain the failure domain of this host
      * @param random source of uniformly distributed numbers in [0, 1)
      */
-    public EnginePlanner(
-            FailureDomainId ownDomain,
-            LoadTracker loads,
-            ServerHealth health,
-            DoubleSupplier random) {
+    public EnginePlanner(LoadTracker loads, ServerHealth health, DoubleSupplier random) {
         mLoads = loads;
         mHealth = health;
-        mRanking = new ServerRanking(ownDomain, health, random, FAILURE_PENALTY, JITTER);
+        mRanking = new ServerRanking(health, random, FAILURE_PENALTY, JITTER);
     }
 
     /**
@@ -110,31 +105,22 @@
      * Selects the engines for a request.
      *
      * @param servers the engines that accept new requests
-     * @param failed the engines that have already failed this request
-     * @param targetMillis the target for the time to the first event
      * @return the plan, or empty if no decode engine has room or the prefill backlogs are too large
      */
     public Optional<EnginePlan> plan(
             List<LiveServer> servers,
-            Set<BackendServerId> failed,
+            EngineRequest request,
             EngineCapacity capacity,
-            TokenCounts tokens,
-            long targetMillis,
             long nowNanos) {
-        return rankedDecodeEngines(servers, failed, capacity, tokens, nowNanos)
+        double maxBacklogMillis = request.targetMillis() * BACKLOG_TARGET_FRACTION;
+        return rankedDecodeEngines(servers, request, capacity, nowNanos)
                 .map(
                         decode ->
                                 new EnginePlan(
                                         decode,
                                         selectPrefill(
-                                                servers,
-                                                failed,
-                                                decode,
-                                                capacity,
-                                                tokens,
-                                                targetMillis,
-                                                nowNanos)))
-                .filter(plan -> backlogMillis(plan) <= targetMillis * BACKLOG_TARGET_FRACTION)
+                                                servers, request, decode, capacity, nowNanos)))
+                .filter(plan -> backlogMillis(plan) <= maxBacklogMillis)
                 .findFirst();
     }
 
@@ -151,15 +137,15 @@
 
     private Stream<LiveServer> rankedDecodeEngines(
             List<LiveServer> servers,
-            Set<BackendServerId> failed,
+            EngineRequest request,
             EngineCapacity capacity,
-            TokenCounts tokens,
             long nowNanos) {
         List<LiveServer> candidates =
-                mRanking.preferUnpaused(withStage(servers, EngineStage.DECODE, failed), nowNanos);
+                mRanking.preferUnpaused(
+                        withStage(servers, EngineStage.DECODE, request.failed()), nowNanos);
         return ServerRanking.sortByScore(
-                candidates.stream().filter(server -> hasRoom(server, capacity, tokens)),
-                server -> decodeScore(server, capacity, nowNanos));
+                candidates.stream().filter(server -> hasRoom(server, capacity, request.tokens())),
+                server -> decodeScore(server, request.domain(), capacity, nowNanos));
     }
 
     private boolean hasRoom(LiveServer server, EngineCapacity capacity, TokenCounts tokens) {
@@ -170,29 +156,29 @@
                         && load.tokens() + tokens.plannedKvTokens() <= capacity.kvCacheTokens();
     }
 
-    private double decodeScore(LiveServer server, EngineCapacity capacity, long nowNanos) {
+    private double decodeScore(
+            LiveServer server, FailureDomainId domain, EngineCapacity capacity, long nowNanos) {
         ServerLoad load = mLoads.total(server.id());
         double usedFraction = (double) load.tokens() / Math.max(1, capacity.kvCacheTokens());
         double unreadFraction =
                 (double) load.unreadTokens() / Math.max(1, capacity.kvCacheTokens());
-        return usedFraction + unreadFraction + mRanking.penalty(server, nowNanos);
+        return usedFraction + unreadFraction + mRanking.penalty(server, domain, nowNanos);
     }
 
     private synchronized Optional<LiveServer> selectPrefill(
             List<LiveServer> servers,
-            Set<BackendServerId> failed,
+            EngineRequest request,
             LiveServer decode,
             EngineCapacity capacity,
-            TokenCounts tokens,
-            long targetMillis,
             long nowNanos) {
+        long promptTokens = request.tokens().promptTokens();
+        long targetMillis = request.targetMillis();
         if (mHealth.failureRate(decode.id(), nowNanos) > UNRELIABLE_FAILURE_RATE) {
             return Optional.empty();
         }
         ServerLoad load = mLoads.total(decode.id());
         boolean busy = load.tokens() > capacity.kvCacheTokens() * BUSY_KV_CACHE_FRACTION;
-        double decodePrefillTokens =
-                (load.unreadTokens() + tokens.promptTokens()) * DECODE_PREFILL_SLOWDOWN;
+        double decodePrefillTokens = (load.unreadTokens() + promptTokens) * DECODE_PREFILL_SLOWDOWN;
         double speed = tokensPerMilli(decode.service());
         double withinTargetTokens = targetMillis * PREFILL_TARGET_FRACTION * speed;
         double maxPrefillTokens =
@@ -200,22 +186,26 @@
         if (!busy && decodePrefillTokens / speed <= targetMillis * DECODE_PREFILL_TARGET_FRACTION) {
             return Optional.empty();
         }
+        FailureDomainId decodeDomain = decode.failureDomain();
         Stream<LiveServer> candidates =
-                withStage(servers, EngineStage.PREFILL, failed).stream()
+                withStage(servers, EngineStage.PREFILL, request.failed()).stream()
                         .filter(server -> !mHealth.isPaused(server.id(), nowNanos));
-        return ServerRanking.sortByScore(candidates, server -> prefillCostTokens(server, nowNanos))
+        return ServerRanking.sortByScore(
+                        candidates, server -> prefillCostTokens(server, decodeDomain, nowNanos))
                 .findFirst()
                 .filter(
                         server ->
-                                prefillCostTokens(server, nowNanos)
-                                                + tokens.promptTokens()
+                                prefillCostTokens(server, decodeDomain, nowNanos)
+                                                + promptTokens
                                                 + TRANSFER_COST_TOKENS
                                         < maxPrefillTokens);
     }
 
-    private double prefillCostTokens(LiveServer server, long nowNanos) {
+    /** The transfer of the KV cache takes longer between failure domains. */
+    private double prefillCostTokens(
+            LiveServer server, FailureDomainId decodeDomain, long nowNanos) {
         return mLoads.total(server.id()).unreadTokens()
-                + mRanking.penalty(server, nowNanos) * TRANSFER_COST_TOKENS;
+                + mRanking.penalty(server, decodeDomain, nowNanos) * TRANSFER_COST_TOKENS;
     }
 
     private static List<LiveServer> withStage(
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineRequest.java
@@ -0,0 +1,38 @@
+package org.fuchsiaford.selection;
+
+import java.util.Set;
+import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.routing.TokenCounts;
+
+/**
+ * A model request that needs engines. Times are on the monotonic clock of the scheduling host.
+ * Immutable.
+ *
+ * @param host the entry host that serves the request
+ * @param domain the failure domain of that host
+ * @param request the id of the request
+ * @param service the service whose engines it needs
+ * @param tokens its token counts
+ * @param priority its priority; zero is the highest
+ * @param failed the engines that have already failed it
+ * @param targetMillis the target for the time to the first event, in milliseconds
+ * @param arrivedNanos when it arrived at its host
+ * @param eventDeadlineNanos latest first event for which the caller waits
+ * @param deadlineNanos when the caller stops waiting for the end
+ */
+public record EngineRequest(
+        HostId host,
+        FailureDomainId domain,
+        RequestId request,
+        ServiceId service,
+        TokenCounts tokens,
+        int priority,
+        Set<BackendServerId> failed,
+        long targetMillis,
+        long arrivedNanos,
+        long eventDeadlineNanos,
+        long deadlineNanos) {}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -0,0 +1,426 @@
+package org.fuchsiaford.selection;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import java.util.function.ToLongFunction;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.registry.EngineStage;
+import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.routing.EngineCapacity;
+import org.fuchsiaford.routing.TokenCounts;
+
+/**
+ * Grants places on engines to the model requests of all hosts that ask this one, in the order of
+ * {@link EngineQueue}, and refuses at once those that cannot be served in time.
+ *
+ * <p>Load pattern: bursts in which many hosts at once have requests for the last free KV cache. A
+ * single scheduler sees every grant the moment it is made, where hosts that plan by themselves from
+ * reports choose the same engine and have their requests rejected there.
+ *
+ * <p>Invariant: the capacity for a request is reserved in the same step as its engines are granted.
+ * A queued request leaves the queue in exactly one way: it is granted engines, refused or
+ * cancelled, or its host stops asking. Thread-safe.
+ */
+public final class EngineScheduler {
+    /** Retry delay for callers if no engine is known, and minimum of all retry delays. */
+    private static final long NO_ENGINE_RETRY_MILLIS = 500;
+
+    /** Range over which the retries of requests refused together are spread. */
+    private static final long RETRY_SPREAD_MILLIS = 1_000;
+
+    /**
+     * Latest start of a request that still meets its latency target, as a fraction of the target.
+     */
+    private static final double TARGET_START_FRACTION = 0.6;
+
+    /** Time without a poll after which the host of a queued request has given it up. */
+    private static final long POLL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /**
+     * Time in which the host of a granted request must have reported that it holds the grant;
+     * longer than two heartbeat intervals.
+     */
+    private static final long REPORT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_250);
+
+    private final HostId mSelf;
+    private final EnginePool mPool;
+    private final LoadTracker mLoads;
+    private final EnginePlanner mPlanner;
+    private final EngineQueues mQueues;
+    private final ToLongFunction<ServiceId> mOthersOnTimeTokens;
+    private final DoubleSupplier mRandom;
+    private final Map<RequestId, Queued> mQueued = new HashMap<>();
+    private final Map<RequestId, Held> mHeld = new HashMap<>();
+
+    private static final class Queued {
+        private final EngineRequest mRequest;
+        private long mPolledNanos;
+
+        Queued(EngineRequest request, long nowNanos) {
+            mRequest = request;
+            mPolledNanos = nowNanos;
+        }
+    }
+
+    private record Held(
+            Answer.Granted grant, EngineReservation reservation, boolean prefillWasIdle) {}
+
+    /** The answer to a request for engines. All are immutable. */
+    public sealed interface Answer {
+        /**
+         * Engines are reserved for the request until it is released.
+         *
+         * @param grantedNanos when the capacity was granted, on the monotonic clock
+         */
+        record Granted(EngineRequest request, EnginePlan plan, long grantedNanos)
+                implements Answer {}
+
+        /**
+         * The request waits for capacity.
+         *
+         * @param queuedTokens the tokens queued for its service that can still meet their target
+         * @param waitMillis the estimated wait, in milliseconds
+         */
+        record Waiting(long queuedTokens, long waitMillis) implements Answer {}
+
+        /**
+         * The request cannot be served in time.
+         *
+         * @param retryMillis the delay before a retry, in milliseconds
+         */
+        record Refused(EngineRequest request, long retryMillis, String reason) implements Answer {}
+    }
+
+    /**
+     * Creates a scheduler.
+     *
+     * @param self this host
+     * @param othersOnTimeTokens the tokens queued at other schedulers that can still meet their
+     *     target, by service
+     * @param random a source of uniformly distributed random numbers from 0 to 1
+     */
+    public EngineScheduler(
+            HostId self,
+            EnginePool pool,
+            LoadTracker loads,
+            EnginePlanner planner,
+            EngineQueues queues,
+            ToLongFunction<ServiceId> othersOnTimeTokens,
+            DoubleSupplier random) {
+        mSelf = self;
+        mPool = pool;
+        mLoads = loads;
+        mPlanner = planner;
+        mQueues = queues;
+        mOthersOnTimeTokens = othersOnTimeTokens;
+        mRandom = random;
+    }
+
+    /** Handles a new request. */
+    public synchronized Answer submit(EngineRequest request, long nowNanos) {
+        if (mQueued.containsKey(request.request()) || mHeld.containsKey(request.request())) {
+            return new Answer.Refused(
+                    request, NO_ENGINE_RETRY_MILLIS, "a request with this id is already placed");
+        }
+        Optional<Answer.Granted> grant =
+                queue(request).isEmpty() ? tryGrant(request, nowNanos) : Optional.empty();
+        return grant.isPresent() ? grant.get() : enqueue(request, nowNanos);
+    }
+
+    /**
+     * Returns the state of an earlier request of a host, which proves that the host still waits for
+     * it; empty if the request is not known.
+     */
+    public synchronized Optional<Answer> poll(HostId host, RequestId request, long nowNanos) {
+        Held held = mHeld.get(request);
+        if (held != null && held.grant().request().host().equals(host)) {
+            return Optional.of(held.grant());
+        }
+        Queued queued = mQueued.get(request);
+        if (queued == null || !queued.mRequest.host().equals(host)) {
+            return Optional.empty();
+        }
+        queued.mPolledNanos = nowNanos;
+        return Optional.of(
+                waiting(queued.mRequest, estimateWaitNanos(queued.mRequest, nowNanos), nowNanos));
+    }
+
+    /** Removes a request from the queue. Returns whether it was queued. */
+    public synchronized boolean cancel(RequestId request) {
+        Queued queued = mQueued.remove(request);
+        return queued != null && queue(queued.mRequest).remove(request);
+    }
+
+    /**
+     * Grants free capacity to queued requests and refuses those that can no longer be served in
+     * time. Returns the requests that are no longer queued, with their answers.
+     */
+    public synchronized List<Answer> dispatch(long nowNanos) {
+        List<Answer> answers = new ArrayList<>();
+        removeAbandoned(nowNanos);
+        mQueued.values().stream()
+                .map(queued -> queued.mRequest.service())
+                .distinct()
+                .toList()
+                .forEach(service -> dispatch(service, answers, nowNanos));
+        return answers;
+    }
+
+    private void removeAbandoned(long nowNanos) {
+        mQueued.values().stream()
+                .filter(queued -> !queued.mRequest.host().equals(mSelf))
+                .filter(queued -> nowNanos - queued.mPolledNanos > POLL_TIMEOUT_NANOS)
+                .map(queued -> queued.mRequest.request())
+                .toList()
+                .forEach(this::cancel);
+    }
+
+    private void dispatch(ServiceId service, List<Answer> answers, long nowNanos) {
+        EngineQueue queue = mQueues.of(service);
+        long othersTokens = mOthersOnTimeTokens.applyAsLong(service);
+        queue.unservable(othersTokens, kvCacheTokens(service, nowNanos), nowNanos)
+                .forEach(queued -> answers.add(refuseQueued(queue, queued, nowNanos)));
+        Optional<EngineQueue.QueuedRequest> next = queue.next(othersTokens > 0, nowNanos);
+        while (next.isPresent()) {
+            RequestId id = next.get().request();
+            Optional<Answer.Granted> grant = tryGrant(mQueued.get(id).mRequest, nowNanos);
+            if (grant.isEmpty()) {
+                return;
+            }
+            cancel(id);
+            answers.add(grant.get());
+            next = queue.next(othersTokens > 0, nowNanos);
+        }
+    }
+
+    private Answer refuseQueued(
+            EngineQueue queue, EngineQueue.QueuedRequest queued, long nowNanos) {
+        EngineRequest request = mQueued.remove(queued.request()).mRequest;
+        queue.remove(queued.request());
+        return new Answer.Refused(
+                request,
+                busyRetryMillis(request, 0, nowNanos),
+                "no engine had free capacity in time");
+    }
+
+    /** Returns whether no request is queued. */
+    public synchronized boolean isIdle() {
+        return mQueued.isEmpty();
+    }
+
+    /**
+     * Records that the prompt of a request has been read by its prefill engine.
+     *
+     * @param durationNanos the duration of the call
+     */
+    public synchronized void recordPrefill(RequestId request, long durationNanos) {
+        Held held = mHeld.get(request);
+        if (held == null) {
+            return;
+        }
+        held.reservation().endPrefill();
+        if (held.prefillWasIdle()) {
+            mPlanner.observePrefill(
+                    held.grant().request().service(),
+                    held.grant().request().tokens().promptTokens(),
+                    durationNanos);
+        }
+    }
+
+    /** Records that the prefill engine is not needed, since the prompt has been read before. */
+    public synchronized void recordPrefillNotNeeded(RequestId request) {
+        reservation(request)
+                .ifPresent(
+                        reservation -> {
+                            reservation.endPrefill();
+                            reservation.endPrefillBacklog();
+                        });
+    }
+
+    /** Records that the decode engine has to prefill the prompt of a request itself. */
+    public synchronized void recordPrefillFailure(RequestId request) {
+        reservation(request).ifPresent(EngineReservation::leavePromptToDecode);
+    }
+
+    /**
+     * Records that the first event of a request has arrived.
+     *
+     * @param durationNanos the time since the capacity was granted
+     */
+    public synchronized void recordFirstEvent(RequestId request, long durationNanos) {
+        Held held = mHeld.get(request);
+        if (held != null) {
+            held.reservation().endPrefillBacklog();
+            queue(held.grant().request()).observeTimeToFirstEvent(durationNanos);
+        }
+    }
+
+    /**
+     * Releases the capacity of a request whose stream was complete.
+     *
+     * @param durationNanos the time since the capacity was granted
+     */
+    public synchronized void complete(RequestId request, long durationNanos) {
+        Held held = mHeld.get(request);
+        if (held != null) {
+            EngineRequest granted = held.grant().request();
+            queue(granted).observeRunDuration(granted.tokens(), durationNanos);
+        }
+        release(request);
+    }
+
+    /** Releases the capacity of a request. Later calls have no effect. */
+    public synchronized void release(RequestId request) {
+        Held held = mHeld.remove(request);
+        if (held != null) {
+            held.reservation().release();
+        }
+    }
+
+    private Optional<EngineReservation> reservation(RequestId request) {
+        return Optional.ofNullable(mHeld.get(request)).map(Held::reservation);
+    }
+
+    /**
+     * Releases grants to another host that it does not hold, because the answer or the release was
+     * lost. Grants that the host cannot have reported yet are kept.
+     */
+    public synchronized void reconcile(HostId host, List<RequestId> held, long nowNanos) {
+        Set<RequestId> reported = new HashSet<>(held);
+        mHeld.values().stream()
+                .map(Held::grant)
+                .filter(grant -> grant.request().host().equals(host))
+                .filter(grant -> nowNanos - grant.grantedNanos() > REPORT_TIMEOUT_NANOS)
+                .map(grant -> grant.request().request())
+                .filter(request -> !reported.contains(request))
+                .toList()
+                .forEach(this::release);
+    }
+
+    /** Releases all grants to a host that no longer reports, and removes its queued requests. */
+    public synchronized void removeHost(HostId host) {
+        mHeld.values().stream()
+                .map(held -> held.grant().request())
+                .filter(request -> request.host().equals(host))
+                .map(EngineRequest::request)
+                .toList()
+                .forEach(this::release);
+        mQueued.values().stream()
+                .map(queued -> queued.mRequest)
+                .filter(request -> request.host().equals(host))
+                .map(EngineRequest::request)
+                .toList()
+                .forEach(this::cancel);
+    }
+
+    private Answer enqueue(EngineRequest request, long nowNanos) {
+        if (mPool.usable(request.service(), nowNanos).isEmpty()) {
+            return new Answer.Refused(request, NO_ENGINE_RETRY_MILLIS, "no engine is known");
+        }
+        long waitNanos = estimateWaitNanos(request, nowNanos);
+        if (!queue(request).shouldQueue(waitNanos, firstEventDeadlineNanos(request), nowNanos)) {
+            return new Answer.Refused(
+                    request,
+                    busyRetryMillis(request, waitNanos, nowNanos),
+                    "no engine will have free capacity in time");
+        }
+        queue(request).add(queuedRequest(request));
+        mQueued.put(request.request(), new Queued(request, nowNanos));
+        return waiting(request, waitNanos, nowNanos);
+    }
+
+    private Answer.Waiting waiting(EngineRequest request, long waitNanos, long nowNanos) {
+        return new Answer.Waiting(
+                queue(request).onTimeTokens(nowNanos), TimeUnit.NANOSECONDS.toMillis(waitNanos));
+    }
+
+    private EngineQueue.QueuedRequest queuedRequest(EngineRequest request) {
+        long targetStartMillis = (long) (request.targetMillis() * TARGET_START_FRACTION);
+        return new EngineQueue.QueuedRequest(
+                request.request(),
+                request.tokens(),
+                request.priority(),
+                request.arrivedNanos(),
+                request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(targetStartMillis),
+                firstEventDeadlineNanos(request));
+    }
+
+    /**
+     * Returns the latest time for the first event: afterwards the caller abandons the stream, or
+     * the run would not end before the deadline of the request.
+     */
+    private long firstEventDeadlineNanos(EngineRequest request) {
+        long latestRunStartNanos =
+                request.deadlineNanos() - queue(request).estimateRunNanos(request.tokens());
+        return Math.min(latestRunStartNanos, request.eventDeadlineNanos());
+    }
+
+    private long estimateWaitNanos(EngineRequest request, long nowNanos) {
+        ServiceId service = request.service();
+        long aheadTokens =
+                queue(request).onTimeTokens(nowNanos)
+                        + request.tokens().plannedKvTokens()
+                        + mOthersOnTimeTokens.applyAsLong(service);
+        return queue(request).estimateWaitNanos(aheadTokens, kvCacheTokens(service, nowNanos));
+    }
+
+    /** Returns the KV cache capacity of all decode engines of a service, in tokens. */
+    private long kvCacheTokens(ServiceId service, long nowNanos) {
+        long decodeEngines =
+                mPool.usable(service, nowNanos).stream()
+                        .filter(engine -> engine.hasStage(EngineStage.DECODE))
+                        .count();
+        return decodeEngines * mPool.capacity(service).kvCacheTokens();
+    }
+
+    /**
+     * Returns the retry delay for callers if the engines have no free capacity: at least one
+     * turnover of the KV cache, which takes the mean duration of a run, spread at random so that
+     * the callers do not return all at once, but short enough to leave time for the run before the
+     * deadline.
+     */
+    private long busyRetryMillis(EngineRequest request, long waitNanos, long nowNanos) {
+        TokenCounts tokens = request.tokens();
+        long spreadMillis = (long) (mRandom.getAsDouble() * RETRY_SPREAD_MILLIS);
+        long turnoverMillis = TimeUnit.NANOSECONDS.toMillis(queue(request).meanRunNanos());
+        long waitMillis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
+        long remainingNanos = request.deadlineNanos() - nowNanos;
+        long latestMillis =
+                TimeUnit.NANOSECONDS.toMillis(
+                        remainingNanos - queue(request).estimateRunNanos(tokens));
+        long preferredMillis = Math.max(waitMillis, turnoverMillis) + spreadMillis;
+        return Math.max(NO_ENGINE_RETRY_MILLIS, Math.min(preferredMillis, latestMillis));
+    }
+
+    private EngineQueue queue(EngineRequest request) {
+        return mQueues.of(request.service());
+    }
+
+    private Optional<Answer.Granted> tryGrant(EngineRequest request, long nowNanos) {
+        EngineCapacity capacity = mPool.capacity(request.service());
+        List<LiveServer> engines = mPool.usable(request.service(), nowNanos);
+        return mPlanner.plan(engines, request, capacity, nowNanos)
+                .map(plan -> grant(request, plan, nowNanos));
+    }
+
+    private Answer.Granted grant(EngineRequest request, EnginePlan plan, long nowNanos) {
+        boolean prefillWasIdle =
+                plan.prefill()
+                        .map(engine -> mLoads.total(engine.id()).requests() <= 0)
+                        .orElse(false);
+        LoadSink loads = request.host().equals(mSelf) ? mLoads : mLoads.grantedToOthers();
+        EngineReservation reservation = new EngineReservation(loads, plan, request.tokens());
+        Answer.Granted grant = new Answer.Granted(request, plan, nowNanos);
+        mHeld.put(request.request(), new Held(grant, reservation, prefillWasIdle));
+        return grant;
+    }
+}
--- a/core/src/main/java/org/fuchsiaford/selection/ServerHealth.java
+++ b/core/src/main/java/org/fuchsiaford/selection/ServerHealth.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.backend.BackendServerId;
 
 /**
@@ -24,6 +25,14 @@
      */
     private static final int MAX_DOUBLINGS = 2;
 
+    /** Initial pause of an unreachable server; a restart takes at least this long. */
+    private static final long UNREACHABLE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+    /**
+     * Initial pause after the wrong server answered; an outdated registry is updated in this time.
+     */
+    private static final long WRONG_SERVER_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     private final Map<BackendServerId, ServerStats> mStats = new HashMap<>();
 
     private static final class ServerStats {
@@ -73,6 +82,21 @@
         stats.mPaused = true;
     }
 
+    /**
+     * Records the outcome of a call.
+     *
+     * @param latencyNanos the duration of the call; only used if the server answered
+     */
+    public synchronized void recordOutcome(
+            BackendServerId server, AttemptOutcome outcome, long latencyNanos, long nowNanos) {
+        switch (outcome) {
+            case ANSWERED -> recordSuccess(server, latencyNanos, nowNanos);
+            case NOT_SENT -> pause(server, UNREACHABLE_PAUSE_NANOS, nowNanos);
+            case WRONG_SERVER -> pause(server, WRONG_SERVER_PAUSE_NANOS, nowNanos);
+            default -> recordFailure(server, nowNanos);
+        }
+    }
+
     /** Drops the statistics of a server, because it was restarted. */
     public synchronized void remove(BackendServerId server) {
         mStats.remove(server);
--- a/core/src/main/java/org/fuchsiaford/selection/ServerRanking.java
+++ b/core/src/main/java/org/fuchsiaford/selection/ServerRanking.java
@@ -16,7 +16,6 @@
     /** A server in another failure domain is chosen if its load is lower by more than this. */
     private static final double REMOTE_DOMAIN_PENALTY = 0.25;
 
-    private final FailureDomainId mOwnDomain;
     private final ServerHealth mHealth;
     private final DoubleSupplier mRandom;
     private final double mFailurePenalty;
@@ -33,12 +32,7 @@
      * @param jitter random part of the score; spreads the choices of hosts that decide at once
      */
     ServerRanking(
-            FailureDomainId ownDomain,
-            ServerHealth health,
-            DoubleSupplier random,
-            double failurePenalty,
-            double jitter) {
-        mOwnDomain = ownDomain;
+            ServerHealth health, DoubleSupplier random, double failurePenalty, double jitter) {
         mHealth = health;
         mRandom = random;
         mFailurePenalty = failurePenalty;
@@ -54,10 +48,14 @@
         return unpaused.isEmpty() ? servers : unpaused;
     }
 
-    /** Returns what failures, a remote failure domain and jitter add to a score. */
-    double penalty(LiveServer server, long nowNanos) {
+    /**
+     * Returns what failures, a remote failure domain and jitter add to a score.
+     *
+     * @param domain the failure domain from which the server is used
+     */
+    double penalty(LiveServer server, FailureDomainId domain, long nowNanos) {
         return mHealth.failureRate(server.id(), nowNanos) * mFailurePenalty
-                + (server.failureDomain().equals(mOwnDomain) ? 0 : REMOTE_DOMAIN_PENALTY)
+                + (server.failureDomain().equals(domain) ? 0 : REMOTE_DOMAIN_PENALTY)
                 + mRandom.getAsDouble() * mJitter;
     }
 
--- a/core/src/main/java/org/fuchsiaford/selection/ServerSelector.java
+++ b/core/src/main/java/org/fuchsiaford/selection/ServerSelector.java
@@ -32,6 +32,7 @@
     /** Requests in progress per seat, queued ones included, at which a server is full. */
     private static final double MAX_REQUESTS_PER_SEAT = 3;
 
+    private final FailureDomainId mOwnDomain;
     private final LoadTracker mLoads;
     private final ServerHealth mHealth;
     private final ServerRanking mRanking;
@@ -47,9 +48,10 @@
             LoadTracker loads,
             ServerHealth health,
             DoubleSupplier random) {
+        mOwnDomain = ownDomain;
         mLoads = loads;
         mHealth = health;
-        mRanking = new ServerRanking(ownDomain, health, random, FAILURE_PENALTY, JITTER);
+        mRanking = new ServerRanking(health, random, FAILURE_PENALTY, JITTER);
     }
 
     /**
@@ -90,6 +92,8 @@
                 fastestNanos > 0
                         ? Math.max(0, latency / fastestNanos - TOLERATED_LATENCY_RATIO)
                         : 0;
-        return load(server) + slowness * SLOWNESS_PENALTY + mRanking.penalty(server, nowNanos);
+        return load(server)
+                + slowness * SLOWNESS_PENALTY
+                + mRanking.penalty(server, mOwnDomain, nowNanos);
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -6,8 +6,10 @@
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.bundle.FailureDomainId;
-import org.fuchsiaford.entry.gateway.fleet.HeartbeatExchange;
+import org.fuchsiaford.entry.gateway.fleet.Coordination;
+import org.fuchsiaford.entry.gateway.fleet.CoordinatorCalls;
 import org.fuchsiaford.entry.gateway.forward.AttemptRecorder;
 import org.fuchsiaford.entry.gateway.forward.BufferedForwarder;
 import org.fuchsiaford.entry.gateway.forward.EngineAdmission;
@@ -33,12 +35,10 @@
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.order.PendingOrders;
 import org.fuchsiaford.peer.PeerServer;
-import org.fuchsiaford.peer.TcpPeerClient;
 import org.fuchsiaford.peer.message.PeerMessage;
-import org.fuchsiaford.quota.FleetQuota;
+import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerRegistry;
-import org.fuchsiaford.selection.EnginePlanner;
-import org.fuchsiaford.selection.EngineQueues;
+import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.selection.ServerSelector;
@@ -61,8 +61,11 @@
     /** Callers cache host addresses for up to three times the lifetime stated in the response. */
     private static final int CALLER_CACHE_FACTOR = 3;
 
-    /** Allowance for callers' clocks and calls beyond the lifetime of cached addresses. */
-    private static final long CALLER_MARGIN_MILLIS = 200;
+    /**
+     * Allowance beyond the lifetime of cached addresses for callers' clocks and calls, and for the
+     * time until other hosts no longer name this one.
+     */
+    private static final long CALLER_MARGIN_MILLIS = 700;
 
     /** Part of the grace period that is reserved for the exit of the process. */
     private static final long EXIT_RESERVE_MILLIS = 500;
@@ -78,7 +81,7 @@
     private final FleetView mFleet;
     private final GatewayState mState;
     private final StateFollower mFollower;
-    private final HeartbeatExchange mHeartbeats;
+    private final Coordination mCoordination;
     private final StageController mStageController;
     private final PeerServer mPeerServer;
     private final GatewayServer mGatewayServer;
@@ -93,8 +96,6 @@
         mFleet = new FleetView(createSelf(settings));
         ServerHealth health = new ServerHealth();
         LoadTracker loads = new LoadTracker();
-        EngineQueues queues = new EngineQueues();
-        FleetQuota quota = new FleetQuota(mTicker.nowNanos());
         mState =
                 new GatewayState(
                         adapter.stateDecoder(),
@@ -112,36 +113,30 @@
                         settings.registrationSeconds(),
                         mLog,
                         mTicker);
-        mHeartbeats =
-                new HeartbeatExchange(
+        mCoordination =
+                new Coordination(
                         mFleet,
-                        quota,
-                        loads,
-                        queues,
                         mState,
-                        new TcpPeerClient(),
+                        health,
+                        loads,
                         settings.seedPeers(),
+                        GatewayHost::randomFraction,
                         mLog,
                         mTicker,
                         this::isReady);
+        CoordinatorCalls calls = mCoordination.calls();
         mStageController =
                 StageControllerFactory.create(
                         mState,
                         store,
                         adapter.orderProtocol(),
-                        mFleet.self().id(),
+                        calls,
                         settings.orderLeaseSeconds(),
-                        new PendingOrders(loads, mHeartbeats::scheduleLoadUpdate),
+                        new PendingOrders(loads, mCoordination.dispatcher()::dispatch),
                         mLog,
                         mTicker);
         mPeerServer = new PeerServer(settings.peerAddress(), this::handle);
-        mGatewayServer =
-                createServer(
-                        health,
-                        loads,
-                        queues,
-                        new RouteAdmission(
-                                mState, quota, mHeartbeats::scheduleLoadUpdate, mTicker));
+        mGatewayServer = createServer(health, loads);
     }
 
     private static HostRecord createSelf(GatewaySettings settings) {
@@ -149,14 +144,21 @@
                 new HostId(settings.hostName() + "-" + UUID.randomUUID()),
                 settings.failureDomain(),
                 settings.callerAddress().toString(),
-                settings.peerAddress().toString());
+                settings.peerAddress().toString(),
+                settings.cores());
     }
 
-    private GatewayServer createServer(
-            ServerHealth health,
-            LoadTracker loads,
-            EngineQueues queues,
-            RouteAdmission routeAdmission) {
+    private GatewayServer createServer(ServerHealth health, LoadTracker loads) {
+        RouteAdmission routeAdmission = new RouteAdmission(mState, mCoordination.charging());
+        EngineAdmission engineAdmission =
+                new EngineAdmission(
+                        mState,
+                        mCoordination.calls(),
+                        mCoordination.dispatcher(),
+                        loads,
+                        mCoordination.held(),
+                        mLog,
+                        mTicker);
         FailureDomainId domain = mSettings.failureDomain();
         ServerClient client = new ServerClient(mAdapter.serverProtocol());
         RetryBudgets budgets =
@@ -168,25 +170,16 @@
                         mTicker);
         AttemptRecorder attempts =
                 new AttemptRecorder(
-                        health, budgets, new ServiceMetrics(mMetrics.registry()), mLog, mTicker);
-        EnginePlanner planner =
-                new EnginePlanner(domain, loads, health, GatewayHost::randomFraction);
-        ServerSelector selector =
-                new ServerSelector(domain, loads, health, GatewayHost::randomFraction);
-        EngineAdmission engineAdmission =
-                new EngineAdmission(
-                        mState,
-                        mFleet,
-                        loads,
-                        planner,
-                        queues,
-                        mHeartbeats::scheduleLoadUpdate,
-                        GatewayHost::randomFraction,
+                        health,
+                        budgets,
+                        new ServiceMetrics(mMetrics.registry()),
+                        this::reportFailure,
                         mLog,
                         mTicker);
+        ServerSelector selector =
+                new ServerSelector(domain, loads, health, GatewayHost::randomFraction);
         PrefillClient prefill =
-                new PrefillClient(
-                        client, mAdapter.serverProtocol(), loads, planner, attempts, mTicker);
+                new PrefillClient(client, mAdapter.serverProtocol(), attempts, mTicker);
         return new GatewayServer(
                 mSettings.callerAddress(),
                 mAdapter.callerProtocol(),
@@ -197,6 +190,7 @@
                         mState,
                         routeAdmission,
                         engineAdmission,
+                        mState,
                         loads,
                         client,
                         prefill,
@@ -208,21 +202,23 @@
                 mTicker);
     }
 
+    /** Reports failed calls of engines, which the coordinator schedules. */
+    private void reportFailure(LiveServer server, AttemptOutcome outcome) {
+        CoordinatorCalls calls = mCoordination.calls();
+        if (server.stage().isPresent()) {
+            calls.remoteCoordinator()
+                    .ifPresent(c -> calls.report(c, EngineEvent.called(server.id(), outcome, 0)));
+        }
+    }
+
     private static double randomFraction() {
         return ThreadLocalRandom.current().nextDouble();
     }
 
     private Mono<PeerMessage> handle(PeerMessage message) {
-        if (message instanceof PeerMessage.Heartbeat heartbeat) {
-            return Mono.just(mHeartbeats.handle(heartbeat));
-        }
-        if (message instanceof PeerMessage.LoadUpdate update) {
-            return Mono.just(mHeartbeats.handle(update));
-        }
-        if (message instanceof PeerMessage.FetchStoreEntries) {
-            return Mono.just(mHeartbeats.storeEntries());
-        }
-        return Mono.just(new PeerMessage.Failure("not a request"));
+        return mCoordination
+                .handle(message)
+                .orElseGet(() -> Mono.just(new PeerMessage.Failure("not a request")));
     }
 
     @Override
@@ -256,7 +252,7 @@
     }
 
     private void startBackgroundTasks() {
-        mHeartbeats.start();
+        mCoordination.heartbeats().start();
         mStageController.start();
         mLog.write(new Decision.Lifecycle("started", mSettings.callerAddress().toString()));
     }
@@ -295,13 +291,15 @@
                         + CALLER_MARGIN_MILLIS;
         long endMillis = mSettings.graceMillis() - EXIT_RESERVE_MILLIS;
         mShuttingDown = true;
-        mGatewayServer.startDraining(startNanos + TimeUnit.MILLISECONDS.toNanos(callerDrainMillis));
+        long acceptMillis = Math.min(callerDrainMillis, endMillis - EXIT_RESERVE_MILLIS);
+        mGatewayServer.startDraining(startNanos + TimeUnit.MILLISECONDS.toNanos(acceptMillis));
         mStageController.stop().timeout(STORE_TIMEOUT).onErrorComplete().subscribe();
         mLog.write(
                 new Decision.Lifecycle(
                         "leaving", mGatewayServer.inFlightRequests() + " in flight"));
-        return mHeartbeats
-                .sendToAll()
+        return mCoordination
+                .heartbeats()
+                .sendNow()
                 .onErrorResume(e -> Mono.empty())
                 .then(Mono.defer(() -> waitUntilIdle(startNanos, callerDrainMillis, endMillis)))
                 .then(Mono.defer(this::close));
@@ -323,7 +321,7 @@
 
     /** Stops at once, aborting requests in progress; completes once all ports are closed. */
     public Mono<Void> close() {
-        mHeartbeats.stop();
+        mCoordination.heartbeats().stop();
         mLog.write(
                 new Decision.Lifecycle(
                         "stopped", mGatewayServer.inFlightRequests() + " in flight"));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -10,6 +10,7 @@
  * @param adapter the name of the adapter
  * @param hostName the host name in logs
  * @param failureDomain the failure domain in which the host runs
+ * @param cores the processor capacity of the host, in cores
  * @param callerAddress the address on which the host listens for callers
  * @param readinessAddress the address of the readiness endpoint
  * @param directoryAddress the address at which callers look up the hosts to use
@@ -30,6 +31,7 @@
         String adapter,
         String hostName,
         FailureDomainId failureDomain,
+        double cores,
         PeerAddress callerAddress,
         PeerAddress readinessAddress,
         PeerAddress directoryAddress,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -21,6 +21,9 @@
     /** Shortest span that a setting in seconds may state, in seconds. */
     private static final double MIN_SPAN_SECONDS = 0.001;
 
+    private static final double MIN_CORES = 0.001;
+    private static final double MAX_CORES = 1_024;
+
     /** More retries than any fleet can send in a window. */
     private static final double MAX_RETRY_SLACK = 1e9;
 
@@ -56,6 +59,7 @@
                 root.name("adapter"),
                 root.name("hostName"),
                 new FailureDomainId(root.name("failureDomain")),
+                cores(root),
                 SettingsDocument.address(root, "callerAddress"),
                 SettingsDocument.address(root, "readinessAddress"),
                 SettingsDocument.address(root, "directoryAddress"),
@@ -72,6 +76,11 @@
                 root.number("orderLeaseSeconds", 1, MAX_SECONDS));
     }
 
+    private static double cores(JsonObjectReader root) {
+        return root.decimal("processorShare", MIN_CORES, MAX_CORES)
+                * root.decimal("processorCores", MIN_CORES, MAX_CORES);
+    }
+
     private static long millis(JsonObjectReader root, String field) {
         double seconds = root.decimal(field, MIN_SPAN_SECONDS, MAX_SECONDS);
         return Math.round(seconds * TimeUnit.SECONDS.toMillis(1));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/WarmUp.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/WarmUp.java
@@ -54,7 +54,8 @@
         String text =
                 """
                 // Settings of a warm-up host; the comment exercises the parser.
-                {"adapter":"%s","hostName":"%s","failureDomain":"warm-up","callerAddress":"%s",
+                {"adapter":"%s","hostName":"%s","failureDomain":"warm-up",
+                 "processorShare":1,"processorCores":1,"callerAddress":"%s",
                  "readinessAddress":"%s","directoryAddress":"%s","peerAddress":"%s",
                  "metricsAddress":"%s","seedPeers":[%s],"storeAddress":"%s",
                  "registrationSeconds":3,"addressLifeSeconds":3,"graceSeconds":3,
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -0,0 +1,147 @@
+package org.fuchsiaford.entry.gateway.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.entry.gateway.log.DecisionLog;
+import org.fuchsiaford.entry.gateway.state.GatewayState;
+import org.fuchsiaford.fleet.CoordinatorTracker;
+import org.fuchsiaford.fleet.FleetView;
+import org.fuchsiaford.peer.PeerAddress;
+import org.fuchsiaford.peer.PeerClient;
+import org.fuchsiaford.peer.TcpPeerClient;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.quota.FleetQuota;
+import org.fuchsiaford.selection.EnginePlanner;
+import org.fuchsiaford.selection.EngineQueues;
+import org.fuchsiaford.selection.EngineScheduler;
+import org.fuchsiaford.selection.HeldEngines;
+import org.fuchsiaford.selection.LoadTracker;
+import org.fuchsiaford.selection.ServerHealth;
+import org.fuchsiaford.time.Ticker;
+import reactor.core.publisher.Mono;
+
+/**
+ * The part of a host that acts together with the other hosts: as one that asks coordinators, and as
+ * one that may be a coordinator. Creates the components and connects them. Thread-safe.
+ */
+public final class Coordination {
+    private final FleetView mFleet;
+    private final Ticker mTicker;
+    private final HeldEngines mHeld = new HeldEngines();
+    private final CoordinatorCalls mCalls;
+    private final EngineDispatcher mDispatcher;
+    private final CoordinatorHandler mHandler;
+    private final LimitCharging mCharging;
+    private final HeartbeatExchange mHeartbeats;
+
+    /**
+     * Creates the components; they are inactive until {@link HeartbeatExchange#start}.
+     *
+     * @param random a source of uniformly distributed random numbers from 0 to 1
+     * @param isAccepting whether this host accepts new callers
+     */
+    public Coordination(
+            FleetView fleet,
+            GatewayState state,
+            ServerHealth health,
+            LoadTracker loads,
+            List<PeerAddress> seeds,
+            DoubleSupplier random,
+            DecisionLog log,
+            Ticker ticker,
+            BooleanSupplier isAccepting) {
+        mFleet = fleet;
+        mTicker = ticker;
+        long startNanos = ticker.nowNanos();
+        EngineQueues queues = new EngineQueues();
+        FleetQuota quota = new FleetQuota(startNanos);
+        PeerClient peerClient = new TcpPeerClient();
+        CoordinatorTracker tracker = new CoordinatorTracker(fleet, startNanos);
+        mCalls = new CoordinatorCalls(fleet.self(), tracker, peerClient, log, ticker);
+        EngineScheduler scheduler =
+                new EngineScheduler(
+                        fleet.self().id(),
+                        state,
+                        loads,
+                        new EnginePlanner(loads, health, random),
+                        queues,
+                        this::othersOnTimeTokens,
+                        random);
+        mDispatcher = new EngineDispatcher(scheduler, health, log, ticker);
+        mHandler = new CoordinatorHandler(mDispatcher, quota, ticker);
+        mCharging = new LimitCharging(mCalls, quota, ticker);
+        mHeartbeats =
+                new HeartbeatExchange(
+                        fleet,
+                        tracker,
+                        mCalls,
+                        mDispatcher,
+                        quota,
+                        loads,
+                        mHeld,
+                        queues,
+                        state,
+                        peerClient,
+                        seeds,
+                        log,
+                        ticker,
+                        isAccepting);
+    }
+
+    /** Returns the tokens queued at other hosts that can still meet their target. */
+    private long othersOnTimeTokens(ServiceId service) {
+        return mFleet.latestHeartbeats(mTicker.nowNanos()).stream()
+                .mapToLong(heartbeat -> heartbeat.waitingTokens(service))
+                .sum();
+    }
+
+    /** Returns the calls to the coordinators. */
+    public CoordinatorCalls calls() {
+        return mCalls;
+    }
+
+    /** Returns the scheduler of this host. */
+    public EngineDispatcher dispatcher() {
+        return mDispatcher;
+    }
+
+    /** Returns the requests of this host that hold engines granted by coordinators. */
+    public HeldEngines held() {
+        return mHeld;
+    }
+
+    /** Returns the charging of rate limits. */
+    public LimitCharging charging() {
+        return mCharging;
+    }
+
+    /** Returns the exchange of heartbeats. */
+    public HeartbeatExchange heartbeats() {
+        return mHeartbeats;
+    }
+
+    /** Answers a message of another host; empty if it is of another kind. */
+    public Optional<Mono<PeerMessage>> handle(PeerMessage message) {
+        if (message instanceof PeerMessage.Heartbeat heartbeat) {
+            return Optional.of(Mono.just(mHeartbeats.handle(heartbeat)));
+        }
+        if (message instanceof PeerMessage.FetchStoreEntries) {
+            return Optional.of(Mono.just(mHeartbeats.storeEntries()));
+        }
+        if (message instanceof PeerMessage.AcquireEngines acquire) {
+            return Optional.of(mHandler.handle(acquire));
+        }
+        if (message instanceof PeerMessage.ReportEngineEvents events) {
+            return Optional.of(Mono.just(mHandler.handle(events)));
+        }
+        if (message instanceof PeerMessage.ChargeLimit charge) {
+            return Optional.of(Mono.just(mHandler.handle(charge)));
+        }
+        return message instanceof PeerMessage.RefundLimit refund
+                ? Optional.of(Mono.just(mHandler.handle(refund)))
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -0,0 +1,102 @@
+package org.fuchsiaford.entry.gateway.fleet;
+
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.quota.FleetQuota;
+import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.selection.EngineRequest;
+import org.fuchsiaford.selection.EngineScheduler.Answer;
+import org.fuchsiaford.time.Ticker;
+import reactor.core.publisher.Mono;
+
+/**
+ * Answers what other hosts ask of this one as a coordinator: places on engines and tokens of rate
+ * limits. It answers every host that asks, whether or not this host considers itself the first
+ * coordinator. Thread-safe.
+ */
+public final class CoordinatorHandler {
+    private final EngineDispatcher mDispatcher;
+    private final FleetQuota mQuota;
+    private final Ticker mTicker;
+
+    /** Creates a handler. */
+    public CoordinatorHandler(EngineDispatcher dispatcher, FleetQuota quota, Ticker ticker) {
+        mDispatcher = dispatcher;
+        mQuota = quota;
+        mTicker = ticker;
+    }
+
+    /** Grants engines to a request of another host. */
+    public Mono<PeerMessage> handle(PeerMessage.AcquireEngines message) {
+        Mono<Answer> answer =
+                message.poll()
+                        ? mDispatcher.pollRemote(message.host(), message.request())
+                        : mDispatcher.submitRemote(toRequest(message, mTicker.nowNanos()));
+        return answer.<PeerMessage>map(CoordinatorHandler::toResponse)
+                .defaultIfEmpty(
+                        new PeerMessage.EnginesResponse(
+                                PeerMessage.EnginesResponse.State.UNKNOWN, null, null, 0, null));
+    }
+
+    private static EngineRequest toRequest(PeerMessage.AcquireEngines message, long nowNanos) {
+        return new EngineRequest(
+                message.host(),
+                message.domain(),
+                message.request(),
+                message.service(),
+                message.tokens(),
+                message.priority(),
+                Set.copyOf(message.failed()),
+                message.targetMillis(),
+                nowNanos - TimeUnit.MILLISECONDS.toNanos(message.ageMillis()),
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(message.eventLeftMillis()),
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(message.leftMillis()));
+    }
+
+    private static PeerMessage.EnginesResponse toResponse(Answer answer) {
+        if (answer instanceof Answer.Granted granted) {
+            return new PeerMessage.EnginesResponse(
+                    PeerMessage.EnginesResponse.State.GRANTED,
+                    granted.plan().decode().id(),
+                    granted.plan().prefill().map(LiveServer::id).orElse(null),
+                    0,
+                    null);
+        }
+        if (answer instanceof Answer.Refused refused) {
+            return new PeerMessage.EnginesResponse(
+                    PeerMessage.EnginesResponse.State.REFUSED,
+                    null,
+                    null,
+                    refused.retryMillis(),
+                    refused.reason());
+        }
+        return new PeerMessage.EnginesResponse(
+                PeerMessage.EnginesResponse.State.WAITING,
+                null,
+                null,
+                ((Answer.Waiting) answer).waitMillis(),
+                null);
+    }
+
+    /** Applies what another host reports about granted engines. */
+    public PeerMessage.Success handle(PeerMessage.ReportEngineEvents message) {
+        mDispatcher.apply(message.events());
+        return new PeerMessage.Success();
+    }
+
+    /** Grants tokens of a rate limit to a request of another host. */
+    public PeerMessage.LimitResponse handle(PeerMessage.ChargeLimit message) {
+        long waitNanos =
+                mQuota.grant(
+                        message.workspace(), message.quota(), message.tokens(), mTicker.nowNanos());
+        return new PeerMessage.LimitResponse(
+                waitNanos, waitNanos == 0 ? null : mQuota.describe(message.workspace()));
+    }
+
+    /** Takes back tokens of a request of another host that has not run. */
+    public PeerMessage.Success handle(PeerMessage.RefundLimit message) {
+        mQuota.refundGrant(message.workspace(), message.tokens());
+        return new PeerMessage.Success();
+    }
+}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -2,21 +2,30 @@
 
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
+import org.fuchsiaford.fleet.CoordinatorTracker;
+import org.fuchsiaford.fleet.FleetSummary;
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostHeartbeat;
 import org.fuchsiaford.fleet.HostRecord;
+import org.fuchsiaford.fleet.QueuedWork;
+import org.fuchsiaford.fleet.ServerLoad;
+import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.peer.PeerAddress;
 import org.fuchsiaford.peer.PeerClient;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.quota.FleetQuota;
 import org.fuchsiaford.selection.EngineQueues;
+import org.fuchsiaford.selection.HeldEngines;
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
@@ -27,22 +36,20 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Exchanges heartbeats with all other entry hosts several times a second.
+ * Sends heartbeats to the coordinators several times a second, and answers those of other hosts
+ * with a summary of the fleet if this host is a coordinator.
  *
- * <p>Of two hosts the one with the lower id calls; the other calls only while it receives no
- * heartbeats from the first. Invariant: the share of the rate limits is updated within one round
- * after the set of reachable or present hosts has changed. Thread-safe.
+ * <p>Invariant: the number of messages of a host that is no coordinator does not depend on the
+ * number of hosts. The share of the rate limits is updated within one round after the set of
+ * reachable or present hosts has changed. Thread-safe.
  */
 public final class HeartbeatExchange {
     /**
-     * Interval of heartbeats, and so the maximum age of what a host knows of the admissions of
-     * reachable hosts, and of their loads while these are too low for an immediate load update.
+     * Interval of heartbeats, and so the maximum age of what a coordinator knows of hosts that were
+     * granted something elsewhere.
      */
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
 
-    /** Delay that combines several changes into one load update. */
-    private static final Duration UPDATE_DELAY = Duration.ofMillis(10);
-
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
     private static final Duration COPY_TIMEOUT = Duration.ofMillis(1_000);
 
@@ -50,11 +57,15 @@
      * Time for which another host must have a later store revision before its entries are copied; a
      * working watch of the store catches up within milliseconds.
      */
-    private static final long MAX_BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    private static final long MAX_BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
     private final FleetView mFleet;
+    private final CoordinatorTracker mTracker;
+    private final CoordinatorCalls mCalls;
+    private final EngineDispatcher mDispatcher;
     private final FleetQuota mQuota;
     private final LoadTracker mLoads;
+    private final HeldEngines mHeld;
     private final EngineQueues mQueues;
     private final GatewayState mState;
     private final PeerClient mPeerClient;
@@ -63,17 +74,22 @@
     private final Ticker mTicker;
     private final BooleanSupplier mIsAccepting;
     private final AtomicBoolean mCopyInProgress = new AtomicBoolean();
-    private final AtomicBoolean mUpdateScheduled = new AtomicBoolean();
     private final Disposable.Swap mRounds = Disposables.swap();
+    private Optional<HostId> mLastPrimary = Optional.empty();
     private long mBehindSinceNanos;
+    private long mBehindRevision;
     private boolean mIsBehind;
     private double mLastShare;
 
     /** Creates an exchange; it is inactive until {@link #start} is called. */
     public HeartbeatExchange(
             FleetView fleet,
+            CoordinatorTracker tracker,
+            CoordinatorCalls calls,
+            EngineDispatcher dispatcher,
             FleetQuota quota,
             LoadTracker loads,
+            HeldEngines held,
             EngineQueues queues,
             GatewayState state,
             PeerClient peerClient,
@@ -82,8 +98,12 @@
             Ticker ticker,
             BooleanSupplier isAccepting) {
         mFleet = fleet;
+        mTracker = tracker;
+        mCalls = calls;
+        mDispatcher = dispatcher;
         mQuota = quota;
         mLoads = loads;
+        mHeld = held;
         mQueues = queues;
         mState = state;
         mPeerClient = peerClient;
@@ -104,79 +124,44 @@
         mRounds.dispose();
     }
 
-    /** Sends a heartbeat to all hosts at once, for a change that cannot wait for the next round. */
-    public Mono<Void> sendToAll() {
-        return Flux.fromIterable(mFleet.others()).flatMap(this::exchange).then();
-    }
-
     /**
-     * Schedules a report of loads and admissions to all reachable hosts, so that they neither
-     * choose the same engine nor admit requests against the same tokens.
+     * Sends a heartbeat to the coordinators at once, for a change that cannot wait for the next
+     * round.
      */
-    public void scheduleLoadUpdate() {
-        if (mUpdateScheduled.compareAndSet(false, true)) {
-            Mono.delay(UPDATE_DELAY).subscribe(tick -> sendLoadUpdate());
-        }
-    }
-
-    private void sendLoadUpdate() {
-        mUpdateScheduled.set(false);
-        long nowNanos = mTicker.nowNanos();
-        PeerMessage.LoadUpdate update =
-                new PeerMessage.LoadUpdate(
-                        mFleet.self().id(),
-                        mLoads.localLoads(),
-                        mQueues.onTimeWork(nowNanos),
-                        mQuota.totals());
-        mFleet.others().stream()
-                .filter(peer -> mFleet.isReachable(peer.id(), nowNanos))
-                .map(peer -> PeerAddress.parse(peer.peerAddress()))
-                .forEach(peer -> sendUpdate(peer, update));
-    }
-
-    private void sendUpdate(PeerAddress peer, PeerMessage.LoadUpdate update) {
-        // The next heartbeat repeats the contents of a lost update.
-        mPeerClient
-                .call(peer, update, PeerMessage.Success.class, CALL_TIMEOUT)
-                .onErrorComplete()
-                .subscribe();
-    }
-
-    /** Processes the load update of another host. */
-    public PeerMessage.Success handle(PeerMessage.LoadUpdate update) {
-        long nowNanos = mTicker.nowNanos();
-        mFleet.updateLoads(update.host(), update.loads(), update.waiting(), nowNanos);
-        mQuota.mergeReport(update.host(), update.admitted(), nowNanos);
-        refreshRemoteLoads(nowNanos);
-        return new PeerMessage.Success();
+    public Mono<Void> sendNow() {
+        return Flux.fromStream(remoteCoordinators()).flatMap(this::exchange).then();
     }
 
-    private void refreshRemoteLoads(long nowNanos) {
-        mLoads.replaceRemoteLoads(
-                mFleet.latestHeartbeats(nowNanos).stream()
-                        .flatMap(heartbeat -> heartbeat.loads().stream())
-                        .toList());
+    private Stream<HostRecord> remoteCoordinators() {
+        return mTracker.coordinators().stream()
+                .filter(host -> !host.id().equals(mFleet.self().id()));
     }
 
     private void runRound() {
         long nowNanos = mTicker.nowNanos();
         mFleet.removeExpired(nowNanos).forEach(mQuota::removeHost);
+        mTracker.retainKnown();
+        removeSilentReporters(nowNanos);
         updateShare(nowNanos);
-        refreshRemoteLoads(nowNanos);
-        List<HostRecord> others = mFleet.others();
-        others.stream()
-                .filter(this::isCalledByThisHost)
-                .forEach(peer -> exchange(peer).subscribe());
-        if (mFleet.reachableCount(nowNanos) == 1) {
+        logPrimary(nowNanos);
+        remoteCoordinators().forEach(peer -> exchange(peer).subscribe());
+        mTracker.dueForProbe(nowNanos).forEach(peer -> exchange(peer).subscribe());
+        if (mFleet.others().isEmpty()) {
             mSeeds.stream()
                     .filter(seed -> !seed.toString().equals(mFleet.self().peerAddress()))
-                    .forEach(seed -> exchange(seed).subscribe());
+                    .forEach(seed -> exchangeWithSeed(seed).subscribe());
         }
     }
 
-    private boolean isCalledByThisHost(HostRecord peer) {
-        boolean lower = mFleet.self().id().compareTo(peer.id()) < 0;
-        return lower || !mFleet.isReachable(peer.id(), mTicker.nowNanos());
+    /** Drops the reports and grants of hosts that have stopped to report to this coordinator. */
+    private void removeSilentReporters(long nowNanos) {
+        mLoads.reportingHosts().stream()
+                .filter(host -> !mFleet.isReachable(host, nowNanos))
+                .forEach(
+                        host -> {
+                            mLoads.removeReport(host);
+                            mDispatcher.removeHost(host);
+                        });
     }
 
     private void updateShare(long nowNanos) {
@@ -190,78 +175,128 @@
         }
     }
 
-    private Mono<Void> exchange(HostRecord peer) {
-        PeerAddress address = PeerAddress.parse(peer.peerAddress());
-        return exchange(address)
-                .onErrorResume(
-                        ConnectException.class, e -> Mono.fromRunnable(() -> markStopped(peer, e)));
+    private void logPrimary(long nowNanos) {
+        Optional<HostId> primary = mTracker.primary(nowNanos).map(HostRecord::id);
+        if (!primary.equals(mLastPrimary)) {
+            mLastPrimary = primary;
+            mLog.write(new Decision.Coordinator(primary.map(HostId::value).orElse(null)));
+        }
     }
 
-    private void markStopped(HostRecord peer, ConnectException cause) {
-        if (mFleet.markStopped(peer.id())) {
-            mLog.write(
-                    new Decision.PeerSeen(
-                            peer.id().value(), peer.peerAddress(), "ended: " + cause.getMessage()));
-        }
+    private Mono<Void> exchange(HostRecord peer) {
+        List<ServerLoad> ownLoads = mLoads.localLoads();
+        return mPeerClient
+                .call(
+                        PeerAddress.parse(peer.peerAddress()),
+                        new PeerMessage.Heartbeat(
+                                localHeartbeat(peer.id()), isPrimaryOrUnsettled(peer)),
+                        PeerMessage.FleetResponse.class,
+                        CALL_TIMEOUT)
+                .doOnNext(response -> receive(response.summary(), ownLoads))
+                .then()
+                .onErrorResume(e -> Mono.fromRunnable(() -> recordFailure(peer, e)));
     }
 
-    private Mono<Void> exchange(PeerAddress address) {
+    private Mono<Void> exchangeWithSeed(PeerAddress seed) {
+        List<ServerLoad> ownLoads = mLoads.localLoads();
+        // A seed may be out of date; only a response counts.
         return mPeerClient
                 .call(
-                        address,
-                        new PeerMessage.Heartbeat(localHeartbeat()),
-                        PeerMessage.Heartbeat.class,
+                        seed,
+                        new PeerMessage.Heartbeat(localHeartbeat(null), true),
+                        PeerMessage.FleetResponse.class,
                         CALL_TIMEOUT)
-                .doOnNext(response -> receive(response.pulse()))
+                .doOnNext(response -> receive(response.summary(), ownLoads))
                 .then()
-                .onErrorResume(
-                        e ->
-                                e.getCause() instanceof ConnectException refused
-                                        ? Mono.error(refused)
-                                        : Mono.empty());
+                .onErrorComplete();
     }
 
-    private HostHeartbeat localHeartbeat() {
+    private boolean isPrimaryOrUnsettled(HostRecord peer) {
+        Optional<HostRecord> primary = mTracker.primary(mTicker.nowNanos());
+        return primary.isEmpty() || primary.get().id().equals(peer.id());
+    }
+
+    private void recordFailure(HostRecord peer, Throwable cause) {
+        mCalls.recordFailure(peer, cause);
+        if (cause.getCause() instanceof ConnectException refused && mFleet.markStopped(peer.id())) {
+            mLog.write(
+                    new Decision.PeerSeen(
+                            peer.id().value(),
+                            peer.peerAddress(),
+                            "ended: " + refused.getMessage()));
+        }
+    }
+
+    private HostHeartbeat localHeartbeat(HostId receiver) {
         return new HostHeartbeat(
                 mFleet.self(),
                 mIsAccepting.getAsBoolean(),
                 mState.revision(),
-                mQuota.totals(),
-                mLoads.localLoads(),
+                mQuota.totalsExcept(receiver),
+                mLoads.localLoadsExcept(receiver),
+                mHeld.grantedBy(receiver),
                 mQueues.onTimeWork(mTicker.nowNanos()));
     }
 
-    /** Processes the heartbeat of another host and responds with that of this host. */
-    public PeerMessage.Heartbeat handle(PeerMessage.Heartbeat request) {
-        receive(request.pulse());
-        return new PeerMessage.Heartbeat(localHeartbeat());
-    }
-
-    private void receive(HostHeartbeat heartbeat) {
-        if (heartbeat.host().id().equals(mFleet.self().id())) {
+    private void receive(FleetSummary summary, List<ServerLoad> ownLoads) {
+        HostRecord coordinator = summary.coordinator();
+        if (coordinator.id().equals(mFleet.self().id())) {
             return;
         }
         long nowNanos = mTicker.nowNanos();
-        if (mFleet.recordHeartbeat(heartbeat, nowNanos)) {
-            mLog.write(
-                    new Decision.PeerSeen(
-                            heartbeat.host().id().value(),
-                            heartbeat.host().peerAddress(),
-                            "in-touch"));
+        mTracker.recordSuccess(coordinator.id(), nowNanos);
+        if (isPrimaryOrUnsettled(coordinator)) {
+            mFleet.recordSummary(summary, nowNanos);
+            mLoads.replaceFleetLoads(summary.loads(), ownLoads);
         }
-        mQuota.mergeReport(heartbeat.host().id(), heartbeat.admitted(), nowNanos);
-        if (isBehind(heartbeat, nowNanos) && mCopyInProgress.compareAndSet(false, true)) {
-            copyFrom(heartbeat.host());
+        catchUp(coordinator, summary.stateRevision(), nowNanos);
+    }
+
+    /** Processes the heartbeat of another host and responds with a summary of the fleet. */
+    public PeerMessage.FleetResponse handle(PeerMessage.Heartbeat request) {
+        HostHeartbeat heartbeat = request.pulse();
+        HostId sender = heartbeat.host().id();
+        long nowNanos = mTicker.nowNanos();
+        if (!sender.equals(mFleet.self().id())) {
+            if (mFleet.recordHeartbeat(heartbeat, nowNanos)) {
+                mLog.write(
+                        new Decision.PeerSeen(
+                                sender.value(), heartbeat.host().peerAddress(), "in-touch"));
+            }
+            mQuota.mergeReport(sender, heartbeat.admitted(), nowNanos);
+            mLoads.replaceReport(sender, heartbeat.loads());
+            mDispatcher.reconcile(sender, heartbeat.held());
+            catchUp(heartbeat.host(), heartbeat.stateRevision(), nowNanos);
+        }
+        return new PeerMessage.FleetResponse(
+                new FleetSummary(
+                        mFleet.self(),
+                        mState.revision(),
+                        mFleet.availableHosts(mIsAccepting.getAsBoolean(), nowNanos),
+                        request.wantsLoads() ? mLoads.totals() : List.of(),
+                        request.wantsLoads() ? fleetWork(nowNanos) : List.of()));
+    }
+
+    private List<QueuedWork> fleetWork(long nowNanos) {
+        List<QueuedWork> work = new ArrayList<>(mQueues.onTimeWork(nowNanos));
+        mFleet.latestHeartbeats(nowNanos).forEach(h -> work.addAll(h.waiting()));
+        return work;
+    }
+
+    private void catchUp(HostRecord peer, long revision, long nowNanos) {
+        if (isBehind(revision, nowNanos) && mCopyInProgress.compareAndSet(false, true)) {
+            copyFrom(peer);
         }
     }
 
-    private synchronized boolean isBehind(HostHeartbeat heartbeat, long nowNanos) {
-        if (heartbeat.stateRevision() <= mState.revision()) {
+    private synchronized boolean isBehind(long revision, long nowNanos) {
+        if (revision <= mState.revision()) {
             mIsBehind = false;
             return false;
         }
-        if (!mIsBehind) {
+        if (!mIsBehind || mState.revision() >= mBehindRevision) {
             mIsBehind = true;
+            mBehindRevision = revision;
             mBehindSinceNanos = nowNanos;
         }
         return mState.table().isEmpty() || nowNanos - mBehindSinceNanos >= MAX_BEHIND_NANOS;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -1,6 +1,6 @@
 package org.fuchsiaford.entry.gateway.forward;
 
-import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.attempt.NextStep;
 import org.fuchsiaford.entry.gateway.log.Decision;
@@ -23,33 +23,32 @@
     /** Time needed for a retry on another server; with less time left there is no retry. */
     private static final long MIN_RETRY_TIME_MILLIS = 30;
 
-    /** Initial pause of an unreachable server; a restart takes at least this long. */
-    private static final long UNREACHABLE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
-
-    /**
-     * Initial pause after the wrong server answered; an outdated registry is updated in this time.
-     */
-    private static final long WRONG_SERVER_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(3);
-
     /** Retry delay for callers if servers failed a request that has not run. */
     private static final long REFUSED_RETRY_MILLIS = 150;
 
     private final ServerHealth mHealth;
     private final RetryBudgets mBudgets;
     private final ServiceMetrics mMetrics;
+    private final BiConsumer<LiveServer, AttemptOutcome> mOnFailed;
     private final DecisionLog mLog;
     private final Ticker mTicker;
 
-    /** Creates a recorder. */
+    /**
+     * Creates a recorder.
+     *
+     * @param onFailed called with each server that failed a call; must not block
+     */
     public AttemptRecorder(
             ServerHealth health,
             RetryBudgets budgets,
             ServiceMetrics metrics,
+            BiConsumer<LiveServer, AttemptOutcome> onFailed,
             DecisionLog log,
             Ticker ticker) {
         mHealth = health;
         mBudgets = budgets;
         mMetrics = metrics;
+        mOnFailed = onFailed;
         mLog = log;
         mTicker = ticker;
     }
@@ -115,11 +114,8 @@
     private void recordServerFailure(LiveServer server, AttemptOutcome outcome) {
         long nowNanos = mTicker.nowNanos();
         mMetrics.count(server.service(), outcome);
-        switch (outcome) {
-            case NOT_SENT -> mHealth.pause(server.id(), UNREACHABLE_PAUSE_NANOS, nowNanos);
-            case WRONG_SERVER -> mHealth.pause(server.id(), WRONG_SERVER_PAUSE_NANOS, nowNanos);
-            default -> mHealth.recordFailure(server.id(), nowNanos);
-        }
+        mHealth.recordOutcome(server.id(), outcome, 0, nowNanos);
+        mOnFailed.accept(server, outcome);
     }
 
     private boolean mayRetry(RequestContext context, AttemptOutcome outcome) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -178,32 +179,32 @@
         return Mono.fromCallable(() -> authorize(caller, trace))
                 .flatMap(
                         authorized ->
-                                Mono.fromCallable(() -> chargeQuota(caller, authorized))
+                                chargeQuota(caller, authorized)
                                         .flatMap(
-                                                chargedTokens ->
+                                                charged ->
                                                         run(
                                                                 caller,
                                                                 body,
                                                                 authorized,
-                                                                chargedTokens,
+                                                                charged,
                                                                 response,
                                                                 trace)));
     }
 
-    private long chargeQuota(CallerRequest caller, RouteAdmission.AuthorizedRoute authorized)
-            throws RefusalException {
+    private Mono<Optional<RouteAdmission.ChargedTokens>> chargeQuota(
+            CallerRequest caller, RouteAdmission.AuthorizedRoute authorized) {
         WorkspaceId workspace = authorized.workspace().map(w -> w.id()).orElse(NO_WORKSPACE);
         mMetrics.count(Count.REQUESTS, workspace, 1);
         return authorized.workspace().isPresent()
                 ? mAdmission.chargeQuota(caller, authorized.workspace().get())
-                : 0;
+                : Mono.just(Optional.empty());
     }
 
     private Mono<Void> run(
             CallerRequest caller,
             byte[] body,
             RouteAdmission.AuthorizedRoute authorized,
-            long chargedTokens,
+            Optional<RouteAdmission.ChargedTokens> charged,
             HttpServerResponse response,
             RequestTrace trace) {
         RequestContext context =
@@ -220,7 +221,7 @@
                 authorized.route().kind().isStream()
                         ? forwardStream(context, response, trace)
                         : forwardBuffered(context, response, trace);
-        return forwarded.doFinally(signal -> refundIfNotRun(context, authorized, chargedTokens));
+        return forwarded.doFinally(signal -> refundIfNotRun(context, authorized, charged));
     }
 
     private static long deadline(
@@ -230,11 +231,13 @@
     }
 
     private void refundIfNotRun(
-            RequestContext context, RouteAdmission.AuthorizedRoute authorized, long chargedTokens) {
-        if (chargedTokens > 0
+            RequestContext context,
+            RouteAdmission.AuthorizedRoute authorized,
+            Optional<RouteAdmission.ChargedTokens> charged) {
+        if (charged.isPresent()
                 && !context.attempts().mayHaveRun()
                 && authorized.workspace().isPresent()) {
-            mAdmission.refundQuota(authorized.workspace().get(), chargedTokens);
+            mAdmission.refundQuota(authorized.workspace().get(), charged.get());
         }
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
@@ -12,9 +12,6 @@
 import org.fuchsiaford.failure.RemoteName;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.registry.LiveServer;
-import org.fuchsiaford.routing.TokenCounts;
-import org.fuchsiaford.selection.EnginePlanner;
-import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
 
@@ -31,23 +28,14 @@
 
     private final ServerClient mClient;
     private final ServerProtocol mProtocol;
-    private final LoadTracker mLoads;
-    private final EnginePlanner mPlanner;
     private final AttemptRecorder mAttempts;
     private final Ticker mTicker;
 
     /** Creates a client. */
     public PrefillClient(
-            ServerClient client,
-            ServerProtocol protocol,
-            LoadTracker loads,
-            EnginePlanner planner,
-            AttemptRecorder attempts,
-            Ticker ticker) {
+            ServerClient client, ServerProtocol protocol, AttemptRecorder attempts, Ticker ticker) {
         mClient = client;
         mProtocol = protocol;
-        mLoads = loads;
-        mPlanner = planner;
         mAttempts = attempts;
         mTicker = ticker;
     }
@@ -61,10 +49,7 @@
      */
     Mono<Optional<KvSource>> prefill(
             RequestContext context, LiveServer engine, long timeoutMillis, long ttlMillis) {
-        TokenCounts tokens = context.tokens();
         long startNanos = mTicker.nowNanos();
-        boolean idle = mLoads.total(engine.id()).requests() <= 0;
-        Reservation reservation = Reservation.prefill(mLoads, engine, tokens);
         long callMillis = Math.max(1, Math.min(timeoutMillis, context.remainingMillis(startNanos)));
         return mClient.exchange(
                         context.serverRequest(
@@ -78,24 +63,14 @@
                         Duration.ofMillis(callMillis))
                 .collectList()
                 .flatMap(parts -> readKvSource(engine, parts, ttlMillis))
-                .doOnNext(source -> recordSuccess(engine, tokens, startNanos, idle))
+                .doOnNext(source -> mAttempts.recordSuccess(engine, startNanos))
                 .map(Optional::of)
                 .onErrorResume(
                         BackendCallException.class,
                         e -> {
                             mAttempts.recordPrefillFailure(context, engine, e);
                             return Mono.just(Optional.empty());
-                        })
-                .doFinally(signal -> reservation.release());
-    }
-
-    private void recordSuccess(
-            LiveServer engine, TokenCounts tokens, long startNanos, boolean idle) {
-        mAttempts.recordSuccess(engine, startNanos);
-        if (idle) {
-            mPlanner.observePrefill(
-                    engine.service(), tokens.promptTokens(), mTicker.nowNanos() - startNanos);
-        }
+                        });
     }
 
     private Mono<KvSource> readKvSource(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteAdmission.java
@@ -2,19 +2,19 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.entry.gateway.fleet.LimitCharging;
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.Step;
-import org.fuchsiaford.quota.FleetQuota;
 import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.routing.RequestLimits;
 import org.fuchsiaford.routing.RoutingTable;
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.routing.WorkspaceDeclaration;
-import org.fuchsiaford.time.Ticker;
+import reactor.core.publisher.Mono;
 
 /**
  * Finds the route of a request, authenticates its workspace and enforces the workspace's token
@@ -31,9 +31,7 @@
     private static final long ROUTING_TABLE_RETRY_MILLIS = 150;
 
     private final GatewayState mState;
-    private final FleetQuota mQuota;
-    private final Runnable mOnNearLimit;
-    private final Ticker mTicker;
+    private final LimitCharging mCharging;
 
     /**
      * The route of an authorized request.
@@ -45,18 +43,10 @@
     record AuthorizedRoute(
             RoutingTable table, GatewayRoute route, Optional<WorkspaceDeclaration> workspace) {}
 
-    /**
-     * Creates an admission.
-     *
-     * @param onNearLimit called when admitted tokens must be reported to the other hosts soon; must
-     *     not block
-     */
-    public RouteAdmission(
-            GatewayState state, FleetQuota quota, Runnable onNearLimit, Ticker ticker) {
+    /** Creates an admission. */
+    public RouteAdmission(GatewayState state, LimitCharging charging) {
         mState = state;
-        mQuota = quota;
-        mOnNearLimit = onNearLimit;
-        mTicker = ticker;
+        mCharging = charging;
     }
 
     /** Returns the timeout for the head of a request, in milliseconds. */
@@ -131,38 +121,48 @@
     }
 
     /**
-     * Charges the token cost of a request to the limit of its workspace.
+     * The tokens that were charged for a request, and where.
+     *
+     * @param tokens the charged tokens
+     */
+    record ChargedTokens(long tokens, LimitCharging.Charge charge) {}
+
+    /**
+     * Charges the token cost of a request to the limit of its workspace. Fails with {@link
+     * RefusalException} if the limit is exceeded.
      *
-     * @return the charged tokens; zero if the workspace has no limit
-     * @throws RefusalException if the limit is exceeded
+     * @return the charged tokens; empty if the workspace has no limit
      */
-    long chargeQuota(CallerRequest request, WorkspaceDeclaration workspace)
-            throws RefusalException {
+    Mono<Optional<ChargedTokens>> chargeQuota(
+            CallerRequest request, WorkspaceDeclaration workspace) {
         TokenQuota quota = workspace.quota();
         if (!quota.isLimited()) {
-            return 0;
+            return Mono.just(Optional.empty());
         }
         long cost =
                 request.tokens().map(TokenCounts::totalTokens).orElse(quota.defaultRequestTokens());
-        long waitNanos = mQuota.admit(workspace.id(), quota, cost, mTicker.nowNanos());
-        if (mQuota.pollNearLimit()) {
-            mOnNearLimit.run();
-        }
-        if (waitNanos > 0) {
-            throw RefusalException.notRunRetry(
-                    RefusalReason.OVER_LIMIT,
-                    Math.max(1, TimeUnit.NANOSECONDS.toMillis(waitNanos)),
-                    Step.ADMIT,
-                    "the workspace is over its token limit: "
-                            + cost
-                            + " tokens requested, "
-                            + mQuota.describe(workspace.id()));
-        }
-        return cost;
+        return mCharging
+                .charge(workspace.id(), quota, cost)
+                .flatMap(
+                        charge ->
+                                charge.waitNanos() > 0
+                                        ? Mono.error(overLimit(charge, cost))
+                                        : Mono.just(Optional.of(new ChargedTokens(cost, charge))));
+    }
+
+    private static RefusalException overLimit(LimitCharging.Charge charge, long cost) {
+        return RefusalException.notRunRetry(
+                RefusalReason.OVER_LIMIT,
+                Math.max(1, TimeUnit.NANOSECONDS.toMillis(charge.waitNanos())),
+                Step.ADMIT,
+                "the workspace is over its token limit: "
+                        + cost
+                        + " tokens requested, "
+                        + charge.detail());
     }
 
     /** Refunds the tokens that were charged for a request that has not run. */
-    void refundQuota(WorkspaceDeclaration workspace, long tokens) {
-        mQuota.refund(workspace.id(), tokens);
+    void refundQuota(WorkspaceDeclaration workspace, ChargedTokens charged) {
+        mCharging.refund(charged.charge(), workspace.id(), charged.tokens());
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -17,11 +17,11 @@
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.selection.EnginePlan;
+import org.fuchsiaford.selection.EnginePool;
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.SignalType;
 
 /**
  * Forwards requests whose responses are event streams of model engines: acquires engines, calls a
@@ -54,6 +54,7 @@
     private final GatewayState mState;
     private final RouteAdmission mRouteAdmission;
     private final EngineAdmission mEngineAdmission;
+    private final EnginePool mPool;
     private final LoadTracker mLoads;
     private final ServerClient mClient;
     private final PrefillClient mPrefill;
@@ -66,6 +67,7 @@
             GatewayState state,
             RouteAdmission routeAdmission,
             EngineAdmission engineAdmission,
+            EnginePool pool,
             LoadTracker loads,
             ServerClient client,
             PrefillClient prefill,
@@ -75,6 +77,7 @@
         mState = state;
         mRouteAdmission = routeAdmission;
         mEngineAdmission = engineAdmission;
+        mPool = pool;
         mLoads = loads;
         mClient = client;
         mPrefill = prefill;
@@ -114,10 +117,12 @@
         return Mono.fromCallable(() -> checkAndRecordSend(context, assignment.plan()))
                 .flatMap(plan -> kvSource(context, assignment, kept))
                 .flatMapMany(source -> decode(context, progress, assignment, source))
-                .doFinally(
-                        signal ->
-                                mEngineAdmission.release(
-                                        context, assignment, signal == SignalType.ON_COMPLETE));
+                .doOnComplete(() -> assignment.hold().complete(sinceGrantNanos(assignment)))
+                .doFinally(signal -> assignment.hold().release());
+    }
+
+    private long sinceGrantNanos(EngineAssignment assignment) {
+        return mTicker.nowNanos() - assignment.grantedNanos();
     }
 
     /**
@@ -134,7 +139,7 @@
     private Mono<Optional<KvSource>> kvSource(
             RequestContext context, EngineAssignment assignment, Optional<KvSource> kept) {
         if (kept.filter(this::isFetchable).isPresent()) {
-            assignment.reservation().removePrefillBacklog();
+            assignment.hold().recordPrefillNotNeeded();
             return Mono.just(kept);
         }
         return releaseKvCache(kept).then(Mono.defer(() -> prefillPrompt(context, assignment)));
@@ -152,24 +157,28 @@
 
     private Mono<Optional<KvSource>> prefillPrompt(
             RequestContext context, EngineAssignment assignment) {
+        if (assignment.plan().prefill().isEmpty()) {
+            return Mono.just(Optional.empty());
+        }
+        long startNanos = mTicker.nowNanos();
         return callPrefill(context, assignment.plan())
                 .doOnNext(
                         source -> {
-                            if (source.isEmpty()) {
-                                assignment
-                                        .reservation()
-                                        .addPrefillBacklog(context.tokens().promptTokens());
+                            if (source.isPresent()) {
+                                assignment.hold().recordPrefill(mTicker.nowNanos() - startNanos);
+                            } else {
+                                assignment.hold().recordPrefillFailure();
                             }
                         });
     }
 
     private Mono<Optional<KvSource>> callPrefill(RequestContext context, EnginePlan plan) {
-        if (plan.prefill().isEmpty() || !mAttempts.allowsPrefillCall(context)) {
+        if (!mAttempts.allowsPrefillCall(context)) {
             return Mono.just(Optional.empty());
         }
         long timeoutMillis =
                 (long) (context.route().targetLatencyMillis() * PREFILL_TIMEOUT_FACTOR);
-        long ttlMillis = mEngineAdmission.capacity(context.service()).handleTtlMillis();
+        long ttlMillis = mPool.capacity(context.service()).handleTtlMillis();
         return mPrefill.prefill(context, plan.prefill().get(), timeoutMillis, ttlMillis);
     }
 
@@ -182,7 +191,7 @@
         long remainingMillis = context.remainingMillis(startNanos);
         LiveServer server = assignment.plan().decode();
         if (!mState.servers().isUsable(server, startNanos)) {
-            return handleFailure(context, progress, server, drainingFailure(server), source);
+            return handleFailure(context, progress, assignment, drainingFailure(server), source);
         }
         Flux<ResponsePart> parts =
                 mClient.exchange(
@@ -196,7 +205,6 @@
                         Step.DECODE,
                         Duration.ofMillis(Math.max(1, remainingMillis)));
         return withEventTimeouts(context, server, parts)
-                .doOnNext(part -> assignment.reservation().removePrefillBacklog())
                 .switchOnFirst(
                         (first, all) ->
                                 first.get() instanceof ResponsePart.Head head
@@ -211,7 +219,7 @@
                                         : readRejection(server, all))
                 .onErrorResume(
                         BackendCallException.class,
-                        e -> handleFailure(context, progress, server, e, source));
+                        e -> handleFailure(context, progress, assignment, e, source));
     }
 
     /**
@@ -256,7 +264,7 @@
             long startNanos) {
         LiveServer server = assignment.plan().decode();
         mAttempts.recordSuccess(server, startNanos);
-        mEngineAdmission.recordFirstEvent(context, assignment);
+        assignment.hold().recordFirstEvent(sinceGrantNanos(assignment));
         Flux<ResponsePart> body =
                 all.skip(1)
                         .map(part -> progress.append(((ResponsePart.Body) part).bytes()))
@@ -293,9 +301,11 @@
     private Flux<ResponsePart> handleFailure(
             RequestContext context,
             StreamProgress progress,
-            LiveServer server,
+            EngineAssignment assignment,
             BackendCallException failure,
             Optional<KvSource> source) {
+        LiveServer server = assignment.plan().decode();
+        assignment.hold().release();
         progress.discardPartialEvent();
         NextStep next =
                 mAttempts.recordFailure(context, server, failure.outcome(), failure.getMessage());
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -27,8 +27,8 @@
             implements Decision {}
 
     /**
-     * A request is queued for engine capacity. The tokens are those of the requests queued on this
-     * host that can still meet their latency target.
+     * A request is queued for engine capacity; written by the host that schedules it. The tokens
+     * are those of the requests queued there that can still meet their latency target.
      */
     record Queued(String request, long waitingTokens, long estimatedWaitMillis)
             implements Decision {}
@@ -83,6 +83,15 @@
     /** The share of each limit that this host and the hosts it can reach may use. */
     record LimitShare(double share, int reachableHosts, int presentHosts) implements Decision {}
 
+    /** The coordinator that this host asks; null if it reaches none. */
+    record Coordinator(String coordinator) implements Decision {}
+
+    /**
+     * A coordinator did not place a request, since it did not respond or named an engine that this
+     * host does not know; the next one is asked, or this host decides if that is null.
+     */
+    record SchedulerChanged(String request, String from, String to) implements Decision {}
+
     /** The store became unavailable or available, or a watch of it ended. */
     record StoreSeen(String state, String reason) implements Decision {}
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageController.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageController.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
@@ -24,8 +25,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Orders engines to switch to the stage that {@link StagePolicy} assigns them, unless another host
- * holds the order lease.
+ * Orders engines to switch to the stage that {@link StagePolicy} assigns them, while this host is
+ * the coordinator and no other host holds the order lease.
  *
  * <p>Invariant: an order is sent only within this host's term, names the run of the server and is
  * conditional on the number of orders that the server had accepted. An order without a response
@@ -50,6 +51,7 @@
     private final DecisionLog mLog;
     private final Ticker mTicker;
     private final PendingOrders mPending;
+    private final BooleanSupplier mIsCoordinator;
     private final Disposable.Swap mRounds = Disposables.swap();
     private Optional<StageOrder> mNextOrder = Optional.empty();
     private long mNextOrderSinceNanos;
@@ -60,12 +62,14 @@
             OrderLease lease,
             OrderClient client,
             PendingOrders pending,
+            BooleanSupplier isCoordinator,
             DecisionLog log,
             Ticker ticker) {
         mState = state;
         mLease = lease;
         mClient = client;
         mPending = pending;
+        mIsCoordinator = isCoordinator;
         mLog = log;
         mTicker = ticker;
     }
@@ -102,7 +106,11 @@
                     : term.isPresent() ? mLease.renew() : Mono.empty();
         }
         if (term.isEmpty()) {
-            return isStable(order.get(), nowNanos) && !isLeaseHeld() ? acquire() : Mono.empty();
+            return mIsCoordinator.getAsBoolean()
+                            && isStable(order.get(), nowNanos)
+                            && !isLeaseHeld()
+                    ? acquire()
+                    : Mono.empty();
         }
         return mLease.renew().then(Mono.defer(() -> sendWithinTerm(order.get())));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageControllerFactory.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageControllerFactory.java
@@ -1,9 +1,9 @@
 package org.fuchsiaford.entry.gateway.order;
 
+import org.fuchsiaford.entry.gateway.fleet.CoordinatorCalls;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.OrderProtocol;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
-import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.order.PendingOrders;
 import org.fuchsiaford.store.Store;
 import org.fuchsiaford.time.Ticker;
@@ -21,16 +21,17 @@
             GatewayState state,
             Store store,
             OrderProtocol protocol,
-            HostId self,
+            CoordinatorCalls calls,
             long leaseSeconds,
             PendingOrders pending,
             DecisionLog log,
             Ticker ticker) {
         return new StageController(
                 state,
-                new OrderLease(store, self, leaseSeconds, ticker),
-                new OrderClient(protocol, self),
+                new OrderLease(store, calls.self().id(), leaseSeconds, ticker),
+                new OrderClient(protocol, calls.self().id()),
                 pending,
+                calls::isCoordinator,
                 log,
                 ticker);
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.StateDecoder;
@@ -19,7 +20,10 @@
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerRegistry;
+import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.RoutingTable;
+import org.fuchsiaford.routing.ServiceDeclaration;
+import org.fuchsiaford.selection.EnginePool;
 import org.fuchsiaford.store.StoreChange;
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
@@ -33,7 +37,7 @@
  * <p>Invariant: an entry never reverts to an older revision, whatever its source, and the routing
  * table never reverts to a lower version. Thread-safe.
  */
-public final class GatewayState {
+public final class GatewayState implements EnginePool {
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
 
     private final StateDecoder mDecoder;
@@ -83,6 +87,18 @@
         return mServers;
     }
 
+    @Override
+    public List<LiveServer> usable(ServiceId service, long nowNanos) {
+        return mServers.usable(service, nowNanos);
+    }
+
+    @Override
+    public EngineCapacity capacity(ServiceId service) {
+        return mTable.flatMap(table -> table.service(service))
+                .flatMap(ServiceDeclaration::engine)
+                .orElse(new EngineCapacity(Integer.MAX_VALUE, Long.MAX_VALUE, 0));
+    }
+
     /** Returns all known store entries. */
     public synchronized List<StoreEntry> entries() {
         return List.copyOf(mEntries.values());
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -102,6 +102,10 @@
         add(
                 "'LimitShare','share':0.5,'reachableHosts':1,'presentHosts':2",
                 new Decision.LimitShare(0.5, 1, 2));
+        add("'Coordinator','coordinator':'c'", new Decision.Coordinator("c"));
+        add(
+                "'SchedulerChanged','request':'r','from':'a','to':'b'",
+                new Decision.SchedulerChanged("r", "a", "b"));
         add("'StoreSeen','state':'s','reason':'r'", new Decision.StoreSeen("s", "r"));
         add("'Lifecycle','state':'s','detail':'d'", new Decision.Lifecycle("s", "d"));
         add("'Lifecycle','state':'s'", new Decision.Lifecycle("s", null));
--- a/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
@@ -23,6 +23,8 @@
                 .replace("{{ip}}:{{internalPorts.0}}", "10.0.0.1:7600")
                 .replace("{{seeds|json}}", "[\"10.0.0.2:90\"]")
                 .replace("{{platform.address|json}}", "\"10.0.0.9:1\"")
+                .replace("{{limits.cpuShare|json}}", "0.75")
+                .replace("{{limits.cores|json}}", "2")
                 .replace("{{bounds.graceS|json}}", "8")
                 .replace("{{bounds.budgetWindowS|json}}", "10")
                 .replace("{{bounds.budgetRatio|json}}", "0.2")
@@ -36,6 +38,7 @@
         assertThat(settings.adapter()).isEqualTo("platform");
         assertThat(settings.graceMillis()).isEqualTo(8_000);
         assertThat(settings.retryRatio()).isEqualTo(0.2);
+        assertThat(settings.cores()).isEqualTo(1.5);
         assertThat(settings.seedPeers()).hasSize(1);
         assertThat(GatewaySettingsReader.isFor(renderedTemplate())).isTrue();
     }
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -3,12 +3,14 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.PoolId;
+import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.bundle.BundleHead;
 import org.fuchsiaford.bundle.Digest;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.fleet.FleetSummary;
 import org.fuchsiaford.fleet.HostHeartbeat;
-import org.fuchsiaford.fleet.QueuedWork;
-import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.host.Incarnation;
 import org.fuchsiaford.host.PromiseReply;
@@ -18,8 +20,10 @@
 import org.fuchsiaford.placement.PlacementDecision;
 import org.fuchsiaford.placement.PlacementEvent;
 import org.fuchsiaford.placement.PlacementRequest;
-import org.fuchsiaford.quota.WorkspaceTotal;
 import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.routing.TokenCounts;
+import org.fuchsiaford.routing.TokenQuota;
+import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.workspace.GrantId;
 import org.fuchsiaford.workspace.WorkspaceId;
 
@@ -52,7 +56,13 @@
     @JsonSubTypes.Type(value = PeerMessage.Identify.class, name = "i"),
     @JsonSubTypes.Type(value = PeerMessage.IdentityResponse.class, name = "I"),
     @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "v"),
-    @JsonSubTypes.Type(value = PeerMessage.LoadUpdate.class, name = "o"),
+    @JsonSubTypes.Type(value = PeerMessage.FleetResponse.class, name = "V"),
+    @JsonSubTypes.Type(value = PeerMessage.AcquireEngines.class, name = "g"),
+    @JsonSubTypes.Type(value = PeerMessage.EnginesResponse.class, name = "G"),
+    @JsonSubTypes.Type(value = PeerMessage.ReportEngineEvents.class, name = "n"),
+    @JsonSubTypes.Type(value = PeerMessage.ChargeLimit.class, name = "q"),
+    @JsonSubTypes.Type(value = PeerMessage.LimitResponse.class, name = "Q"),
+    @JsonSubTypes.Type(value = PeerMessage.RefundLimit.class, name = "b"),
     @JsonSubTypes.Type(value = PeerMessage.FetchStoreEntries.class, name = "e"),
     @JsonSubTypes.Type(value = PeerMessage.StoreEntriesResponse.class, name = "E"),
     @JsonSubTypes.Type(value = PeerMessage.Success.class, name = "D"),
@@ -126,17 +136,83 @@
     record IdentityResponse(HostId host, SlotId slot, Incarnation incarnation)
             implements PeerMessage {}
 
-    /** The state of a host; answered by the {@link Heartbeat} of the receiver. */
-    record Heartbeat(HostHeartbeat pulse) implements PeerMessage {}
+    /**
+     * Reports the state of a host to a coordinator; answered by {@link FleetResponse}.
+     *
+     * @param wantsLoads whether the response should contain the loads of the fleet
+     */
+    record Heartbeat(HostHeartbeat pulse, boolean wantsLoads) implements PeerMessage {}
 
-    /** Changes that cannot wait for the next {@link Heartbeat}; answered by {@link Success}. */
-    record LoadUpdate(
+    /** The state of the fleet as known to a coordinator. */
+    record FleetResponse(FleetSummary summary) implements PeerMessage {}
+
+    /**
+     * Asks a coordinator for engines; answered by {@link EnginesResponse}. Times are relative,
+     * since hosts have no common clock.
+     *
+     * @param poll whether the request was sent before and is still waiting
+     */
+    record AcquireEngines(
             HostId host,
-            List<ServerLoad> loads,
-            List<QueuedWork> waiting,
-            List<WorkspaceTotal> admitted)
+            FailureDomainId domain,
+            RequestId request,
+            ServiceId service,
+            TokenCounts tokens,
+            int priority,
+            List<BackendServerId> failed,
+            long targetMillis,
+            long ageMillis,
+            long eventLeftMillis,
+            long leftMillis,
+            boolean poll)
             implements PeerMessage {}
 
+    /**
+     * The engines granted to a request, or the reason why none are.
+     *
+     * @param decode the decode engine, null unless granted
+     * @param prefill the prefill engine, null if the decode engine reads the prompt itself
+     * @param millis the estimated wait, or the delay before a retry
+     * @param reason why the request was refused, null otherwise
+     */
+    record EnginesResponse(
+            State state,
+            BackendServerId decode,
+            BackendServerId prefill,
+            long millis,
+            String reason)
+            implements PeerMessage {
+        /** The state of a request for engines. */
+        public enum State {
+            /** The engines are reserved for the request. */
+            GRANTED,
+            /** The request waits for capacity; ask again. */
+            WAITING,
+            /** The request cannot be served in time. */
+            REFUSED,
+            /** The coordinator does not know the request; send it anew. */
+            UNKNOWN
+        }
+    }
+
+    /** Reports events to the coordinator that granted engines; answered by {@link Success}. */
+    record ReportEngineEvents(HostId host, List<EngineEvent> events) implements PeerMessage {}
+
+    /** Asks a coordinator for tokens of a rate limit; answered by {@link LimitResponse}. */
+    record ChargeLimit(HostId host, WorkspaceId workspace, TokenQuota quota, long tokens)
+            implements PeerMessage {}
+
+    /**
+     * The decision on a charge.
+     *
+     * @param waitNanos zero if charged, otherwise the time until there are enough tokens
+     * @param detail the state behind the decision
+     */
+    record LimitResponse(long waitNanos, String detail) implements PeerMessage {}
+
+    /** Returns tokens charged for a request that has not run; answered by {@link Success}. */
+    record RefundLimit(HostId host, WorkspaceId workspace, long tokens) implements PeerMessage {}
+
     /** Asks for all store entries known to the host; answered by {@link StoreEntriesResponse}. */
     record FetchStoreEntries() implements PeerMessage {}
 
