--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
@@ -26,11 +26,11 @@
  */
 public final class StateFollower {
     /** An unavailable store is detected within this time plus the timeout of a call. */
-    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(1_000);
+    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(2_000);
 
     private static final Duration MIN_REOPEN_DELAY = Duration.ofMillis(200);
 
-    /** A store that rejects reads is retried as often as the registration is renewed. */
+    /** A store that rejects reads is retried about once a second. */
     private static final Duration MAX_REOPEN_DELAY = Duration.ofMillis(1_000);
 
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
