Count rate limits in the window in which they are stated

Change: a workspace may use its rate for the length of the window and its burst in any window. What is added to the share of a host counts as used up at first and becomes free over one window, as another host may have granted it; a host that asks a coordinator has no share itself. Reports count whether or not the host was reachable in between.

--- a/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
+++ b/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
@@ -12,74 +12,69 @@
 /**
  * Enforces the token rate limits of workspaces over all hosts together.
  *
- * <p>A coordinator keeps one token bucket per workspace for the whole fleet. It subtracts what it
- * grants to any host and what the hosts report that they were granted elsewhere. A host that
- * reaches no coordinator uses its own buckets with its part of the limits. In a network partition,
- * each partition refills its buckets only with its share of the rate, so that the shares of all
- * partitions add up to the rate.
+ * <p>In any window, a workspace may use its rate for the length of the window and its burst. A
+ * coordinator counts what it grants to any host and what the hosts report that they were granted
+ * elsewhere. A host that reaches no coordinator grants from its own part of the limits. In a
+ * network partition, each partition grants only from its share, so that the shares of all
+ * partitions add up to the limit.
  *
- * <p>Invariant: a bucket is refilled with at most the share of rate and burst of the reachable
- * hosts. Tokens that other hosts admitted while they were unreachable came out of their own share
- * and are not subtracted again. Thread-safe.
+ * <p>Load pattern: bursts of a few seconds at several times the rate, which the window lets pass
+ * where a bucket of the size of the burst would refuse most of them, although the workspace stays
+ * inside its limit.
+ *
+ * <p>Invariant: whatever is added to the share of a host counts as used up at first and becomes
+ * free over one window. Thread-safe.
  */
 public final class FleetQuota {
-    /** Fraction of the burst in a new bucket; other hosts may just have used the rest. */
-    private static final double INITIAL_LEVEL_FRACTION = 0.125;
-
-    /** Time without a report after which a host is unreachable: several report intervals. */
-    public static final long HOST_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
-    private static final double NANOS_PER_SECOND = 1e9;
-
     /**
      * Share of the limits below which a request must not be admitted on credit: as many hosts may
      * be cut off at once as there are such shares, and each would give one.
      */
     private static final double MIN_SHARE_FOR_CREDIT = 0.25;
 
-    /** Time for which tokens are saved for a request that is larger than a bucket. */
-    private static final long SAVING_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /** Retry delay of a host without a share, which reaches a coordinator again by then. */
+    private static final long NO_SHARE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private static final double NANOS_PER_SECOND = 1e9;
 
-    private final Map<WorkspaceId, Bucket> mBuckets = new HashMap<>();
+    private final Map<WorkspaceId, TokenWindow> mWindows = new HashMap<>();
     private final Map<HostId, HostReport> mReports = new HashMap<>();
     private final Map<WorkspaceId, Long> mAdmitted = new HashMap<>();
     private final Map<HostId, Map<WorkspaceId, Long>> mGrantedBy = new HashMap<>();
-    private final long mStartNanos;
-    private double mShare = 1;
-
-    private static final class Bucket {
-        private double mLevel;
-        private long mUpdatedNanos;
-        private double mSavedForTokens;
-        private long mSavingUntilNanos;
-    }
+    private final long mWindowNanos;
+    private final LimitShare mShare;
 
     private static final class HostReport {
         private final Map<WorkspaceId, Long> mTotals = new HashMap<>();
-        private long mReceivedNanos;
         private boolean mReceived;
     }
 
     /**
-     * Creates the quota of a host that has admitted nothing.
+     * Creates the quota of a host that has admitted nothing and has no share.
      *
-     * @param startNanos when the host started; buckets are refilled from this time on
+     * @param windowNanos the length of the window in which the limits are counted
      */
-    public FleetQuota(long startNanos) {
-        mStartNanos = startNanos;
+    public FleetQuota(long windowNanos) {
+        mWindowNanos = windowNanos;
+        mShare = new LimitShare(windowNanos);
     }
 
     /**
-     * Sets the share of rate and burst that this host and its reachable hosts may use together.
+     * Sets the share of the limits that this host may grant.
      *
-     * @param share more than 0, at most 1
+     * @param share from 0 to 1
      */
-    public synchronized void setShare(double share) {
-        mShare = share;
+    public synchronized void setShare(double share, long nowNanos) {
+        mShare.set(share, nowNanos);
+    }
+
+    /** Returns whether this host may grant anything. */
+    public synchronized boolean hasShare() {
+        return mShare.share() > 0;
     }
 
     /**
-     * Admits a request of this host if the bucket holds enough tokens.
+     * Admits a request of this host if the limit allows it.
      *
      * @return zero if admitted, otherwise the time in nanoseconds until there are enough tokens
      */
@@ -93,49 +88,57 @@
     }
 
     /**
-     * Grants tokens to a request of another host if the bucket holds enough. A request larger than
-     * the burst is admitted on a full bucket and leaves a negative level, except at a host with a
-     * small share, which saves tokens for it.
+     * Grants tokens to a request of another host if the limit allows it. A request larger than the
+     * limit is granted if nothing else is in the window, except at a host with a small share.
      *
      * @return zero if granted, otherwise the time in nanoseconds until there are enough tokens
      */
     public synchronized long grant(
             WorkspaceId workspace, TokenQuota quota, long tokens, long nowNanos) {
-        Bucket bucket = bucket(workspace, quota);
-        refill(bucket, quota, nowNanos);
-        double cap = Math.max(1, quota.burstTokens() * mShare);
-        double needed = mShare < MIN_SHARE_FOR_CREDIT ? tokens : Math.min(tokens, cap);
-        if (bucket.mLevel >= needed) {
-            bucket.mLevel -= tokens;
+        if (mShare.share() == 0) {
+            return NO_SHARE_RETRY_NANOS;
+        }
+        TokenWindow window = window(workspace);
+        double share = mShare.share();
+        double limit = limitTokens(quota) * mShare.free(nowNanos);
+        double needed =
+                share < MIN_SHARE_FOR_CREDIT
+                        ? tokens
+                        : Math.min(tokens, limitTokens(quota) * share);
+        if (window.sum(nowNanos) + needed <= limit) {
+            window.add(tokens, nowNanos);
             return 0;
         }
-        bucket.mSavedForTokens = needed;
-        bucket.mSavingUntilNanos = nowNanos + SAVING_NANOS;
-        double tokensPerNano = quota.tokensPerSecond() * mShare / NANOS_PER_SECOND;
-        return Math.max(1, (long) ((needed - bucket.mLevel) / tokensPerNano));
+        return Math.max(1, window.nanosUntil(limit - needed, nowNanos));
     }
 
-    /**
-     * Describes the state behind a decision: the level of the workspace's bucket, and the share.
-     */
-    public synchronized String describe(WorkspaceId workspace) {
-        Bucket bucket = mBuckets.get(workspace);
-        double level = bucket == null ? 0 : bucket.mLevel;
-        return String.format(Locale.ROOT, "level %.0f tokens, share %.2f", level, mShare);
+    private double limitTokens(TokenQuota quota) {
+        return quota.tokensPerSecond() * (mWindowNanos / NANOS_PER_SECOND) + quota.burstTokens();
+    }
+
+    private TokenWindow window(WorkspaceId workspace) {
+        return mWindows.computeIfAbsent(workspace, id -> new TokenWindow(mWindowNanos));
+    }
+
+    /** Describes the state behind a decision: the tokens in the window, and the share. */
+    public synchronized String describe(WorkspaceId workspace, long nowNanos) {
+        return String.format(
+                Locale.ROOT,
+                "%d tokens in the window, share %.2f of %.2f free",
+                window(workspace).sum(nowNanos),
+                mShare.free(nowNanos),
+                mShare.share());
     }
 
     /** Refunds the tokens of a request of this host that did not run. */
-    public synchronized void refund(WorkspaceId workspace, long tokens) {
-        refundGrant(workspace, tokens);
+    public synchronized void refund(WorkspaceId workspace, long tokens, long nowNanos) {
+        refundGrant(workspace, tokens, nowNanos);
         mAdmitted.merge(workspace, -tokens, Long::sum);
     }
 
     /** Takes back tokens that were granted to a request of another host. */
-    public synchronized void refundGrant(WorkspaceId workspace, long tokens) {
-        Bucket bucket = mBuckets.get(workspace);
-        if (bucket != null) {
-            bucket.mLevel += tokens;
-        }
+    public synchronized void refundGrant(WorkspaceId workspace, long tokens, long nowNanos) {
+        window(workspace).add(-tokens, nowNanos);
     }
 
     /**
@@ -171,21 +174,17 @@
                 .toList();
     }
 
-    /** Subtracts what another host has admitted since its last report, if it was reachable. */
+    /** Counts what another host has admitted since its last report. */
     public synchronized void mergeReport(HostId host, List<WorkspaceTotal> totals, long nowNanos) {
         HostReport report = mReports.computeIfAbsent(host, h -> new HostReport());
-        boolean wasReachable =
-                report.mReceived && nowNanos - report.mReceivedNanos <= HOST_TIMEOUT_NANOS;
-        totals.forEach(total -> merge(report, total, wasReachable));
+        totals.forEach(total -> merge(report, total, nowNanos));
         report.mReceived = true;
-        report.mReceivedNanos = nowNanos;
     }
 
-    private void merge(HostReport report, WorkspaceTotal total, boolean wasReachable) {
+    private void merge(HostReport report, WorkspaceTotal total, long nowNanos) {
         Long last = report.mTotals.put(total.workspace(), total.tokens());
-        Bucket bucket = mBuckets.get(total.workspace());
-        if (bucket != null && wasReachable) {
-            bucket.mLevel -= total.tokens() - (last == null ? 0 : last);
+        if (report.mReceived) {
+            window(total.workspace()).add(total.tokens() - (last == null ? 0 : last), nowNanos);
         }
     }
 
@@ -197,24 +196,4 @@
             granted.forEach((w, tokens) -> mAdmitted.merge(w, tokens, Long::sum));
         }
     }
-
-    private Bucket bucket(WorkspaceId workspace, TokenQuota quota) {
-        return mBuckets.computeIfAbsent(
-                workspace,
-                id -> {
-                    Bucket fresh = new Bucket();
-                    fresh.mLevel = quota.burstTokens() * mShare * INITIAL_LEVEL_FRACTION;
-                    fresh.mUpdatedNanos = mStartNanos;
-                    return fresh;
-                });
-    }
-
-    private void refill(Bucket bucket, TokenQuota quota, long nowNanos) {
-        double elapsedSeconds = (nowNanos - bucket.mUpdatedNanos) / NANOS_PER_SECOND;
-        boolean saving = nowNanos - bucket.mSavingUntilNanos < 0;
-        double cap = Math.max(quota.burstTokens() * mShare, saving ? bucket.mSavedForTokens : 0);
-        double level = bucket.mLevel + elapsedSeconds * quota.tokensPerSecond() * mShare;
-        bucket.mLevel = Math.max(Math.min(level, cap), -quota.burstTokens());
-        bucket.mUpdatedNanos = nowNanos;
-    }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -119,6 +119,7 @@
                         mState,
                         health,
                         loads,
+                        TimeUnit.MILLISECONDS.toNanos(settings.limitWindowMillis()),
                         settings.seedPeers(),
                         GatewayHost::randomFraction,
                         mLog,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -25,6 +25,8 @@
  * @param retryWindowMillis the length of the window of the retry budget, in milliseconds
  * @param retryRatio the retries allowed per request in the window, over all hosts
  * @param retrySlack the additional retries allowed in the window, over all hosts
+ * @param limitWindowMillis the length of the window in which rate limits are counted, in
+ *     milliseconds
  * @param orderLeaseSeconds the duration of the lease for sending stage orders, in seconds
  */
 public record GatewaySettings(
@@ -45,4 +47,5 @@
         long retryWindowMillis,
         double retryRatio,
         double retrySlack,
+        long limitWindowMillis,
         long orderLeaseSeconds) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -21,6 +21,9 @@
     /** Shortest span that a setting in seconds may state, in seconds. */
     private static final double MIN_SPAN_SECONDS = 0.001;
 
+    /** Window of the rate limits where none is stated. */
+    private static final long DEFAULT_LIMIT_WINDOW_MILLIS = 1_000;
+
     private static final double MIN_CORES = 0.001;
     private static final double MAX_CORES = 1_024;
 
@@ -73,6 +76,9 @@
                 millis(root, "retryWindowSeconds"),
                 root.fraction("retryRatio"),
                 root.decimal("retrySlack", 0, MAX_RETRY_SLACK),
+                root.has("limitWindowSeconds")
+                        ? millis(root, "limitWindowSeconds")
+                        : DEFAULT_LIMIT_WINDOW_MILLIS,
                 root.number("orderLeaseSeconds", 1, MAX_SECONDS));
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -40,6 +40,7 @@
     /**
      * Creates the components; they are inactive until {@link HeartbeatExchange#start}.
      *
+     * @param limitWindowNanos the length of the window in which rate limits are counted
      * @param random a source of uniformly distributed random numbers from 0 to 1
      * @param isAccepting whether this host accepts new callers
      */
@@ -48,6 +49,7 @@
             GatewayState state,
             ServerHealth health,
             LoadTracker loads,
+            long limitWindowNanos,
             List<PeerAddress> seeds,
             DoubleSupplier random,
             DecisionLog log,
@@ -57,7 +59,7 @@
         mTicker = ticker;
         long startNanos = ticker.nowNanos();
         EngineQueues queues = new EngineQueues();
-        FleetQuota quota = new FleetQuota(startNanos);
+        FleetQuota quota = new FleetQuota(limitWindowNanos);
         PeerClient peerClient = new TcpPeerClient();
         CoordinatorTracker tracker = new CoordinatorTracker(fleet, startNanos);
         mCalls = new CoordinatorCalls(fleet.self(), tracker, peerClient, log, ticker);
@@ -71,8 +73,6 @@
                         this::othersOnTimeTokens,
                         random);
         mDispatcher = new EngineDispatcher(scheduler, health, log, ticker);
-        mHandler = new CoordinatorHandler(mDispatcher, quota, ticker);
-        mCharging = new LimitCharging(mCalls, quota, ticker);
         mHeartbeats =
                 new HeartbeatExchange(
                         fleet,
@@ -89,6 +89,9 @@
                         log,
                         ticker,
                         isAccepting);
+        Runnable updateShare = mHeartbeats::updateMissingShare;
+        mHandler = new CoordinatorHandler(mDispatcher, quota, updateShare, ticker);
+        mCharging = new LimitCharging(mCalls, quota, updateShare, ticker);
     }
 
     /** Returns the tokens queued at other hosts that can still meet their target. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -18,12 +18,19 @@
 public final class CoordinatorHandler {
     private final EngineDispatcher mDispatcher;
     private final FleetQuota mQuota;
+    private final Runnable mUpdateShare;
     private final Ticker mTicker;
 
-    /** Creates a handler. */
-    public CoordinatorHandler(EngineDispatcher dispatcher, FleetQuota quota, Ticker ticker) {
+    /**
+     * Creates a handler.
+     *
+     * @param updateShare updates the share of this host before it decides; must not block
+     */
+    public CoordinatorHandler(
+            EngineDispatcher dispatcher, FleetQuota quota, Runnable updateShare, Ticker ticker) {
         mDispatcher = dispatcher;
         mQuota = quota;
+        mUpdateShare = updateShare;
         mTicker = ticker;
     }
 
@@ -87,16 +94,18 @@
 
     /** Grants tokens of a rate limit to a request of another host. */
     public PeerMessage.LimitResponse handle(PeerMessage.ChargeLimit message) {
+        mUpdateShare.run();
         long waitNanos =
                 mQuota.grant(
                         message.workspace(), message.quota(), message.tokens(), mTicker.nowNanos());
         return new PeerMessage.LimitResponse(
-                waitNanos, waitNanos == 0 ? null : mQuota.describe(message.workspace()));
+                waitNanos,
+                waitNanos == 0 ? null : mQuota.describe(message.workspace(), mTicker.nowNanos()));
     }
 
     /** Takes back tokens of a request of another host that has not run. */
     public PeerMessage.Success handle(PeerMessage.RefundLimit message) {
-        mQuota.refundGrant(message.workspace(), message.tokens());
+        mQuota.refundGrant(message.workspace(), message.tokens(), mTicker.nowNanos());
         return new PeerMessage.Success();
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -164,11 +164,22 @@
                         });
     }
 
-    private void updateShare(long nowNanos) {
+    /** Updates the share of the limits if this host has none, before it is asked for tokens. */
+    void updateMissingShare() {
+        if (!mQuota.hasShare()) {
+            updateShare(mTicker.nowNanos());
+        }
+    }
+
+    private synchronized void updateShare(long nowNanos) {
         int reachable = mFleet.reachableCount(nowNanos);
         int present = mFleet.presentCount(nowNanos);
-        double share = (double) reachable / Math.max(reachable, present);
-        mQuota.setShare(share);
+        // The coordinators grant from the share of a host that asks them.
+        boolean grants =
+                mState.table().isPresent()
+                        && (reachable > 1 || mCalls.remoteCoordinator().isEmpty());
+        double share = grants ? (double) reachable / Math.max(reachable, present) : 0;
+        mQuota.setShare(share, nowNanos);
         if (share != mLastShare) {
             mLastShare = share;
             mLog.write(new Decision.LimitShare(share, reachable, present));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/LimitCharging.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/LimitCharging.java
@@ -23,6 +23,7 @@
 
     private final CoordinatorCalls mCalls;
     private final FleetQuota mQuota;
+    private final Runnable mUpdateShare;
     private final Ticker mTicker;
 
     /**
@@ -34,10 +35,16 @@
      */
     public record Charge(long waitNanos, Optional<HostRecord> coordinator, String detail) {}
 
-    /** Creates the charging of one host. */
-    public LimitCharging(CoordinatorCalls calls, FleetQuota quota, Ticker ticker) {
+    /**
+     * Creates the charging of one host.
+     *
+     * @param updateShare updates the share of this host before it decides; must not block
+     */
+    public LimitCharging(
+            CoordinatorCalls calls, FleetQuota quota, Runnable updateShare, Ticker ticker) {
         mCalls = calls;
         mQuota = quota;
+        mUpdateShare = updateShare;
         mTicker = ticker;
     }
 
@@ -75,15 +82,18 @@
     }
 
     private Charge chargeHere(WorkspaceId workspace, TokenQuota quota, long tokens) {
+        mUpdateShare.run();
         long waitNanos = mQuota.admit(workspace, quota, tokens, mTicker.nowNanos());
         return new Charge(
-                waitNanos, Optional.empty(), waitNanos == 0 ? null : mQuota.describe(workspace));
+                waitNanos,
+                Optional.empty(),
+                waitNanos == 0 ? null : mQuota.describe(workspace, mTicker.nowNanos()));
     }
 
     /** Returns the tokens of a request that has not run to where they were charged. */
     public void refund(Charge charge, WorkspaceId workspace, long tokens) {
         if (charge.coordinator().isEmpty()) {
-            mQuota.refund(workspace, tokens);
+            mQuota.refund(workspace, tokens, mTicker.nowNanos());
             return;
         }
         HostRecord coordinator = charge.coordinator().get();
