Keep a coordinator that the store cuts off, and report what hosts have used

Change: a host that answers stays known without a registration. Reports contain what a host has used in the last window, so that a new coordinator knows it at the first report. Only the part of a process that has just started, whose predecessor's use nobody knows, and the part of a host that begins to decide by itself count as used. The time until there are tokens takes this into account.

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
@@ -37,6 +37,8 @@
         private final HostRecord mRecord;
         private HostHeartbeat mHeartbeat;
         private long mReceivedNanos;
+        private long mContactNanos;
+        private boolean mContacted;
         private boolean mRegistered;
         private boolean mStopped;
 
@@ -50,6 +52,13 @@
                     && nowNanos - mReceivedNanos <= HEARTBEAT_TIMEOUT_NANOS;
         }
 
+        /** A coordinator that responds is kept although its registration has lapsed. */
+        boolean isExpired(long nowNanos) {
+            boolean responds =
+                    mContacted && !mStopped && nowNanos - mContactNanos <= HEARTBEAT_TIMEOUT_NANOS;
+            return !mRegistered && !responds && !isReachable(nowNanos);
+        }
+
         boolean isPresent(long nowNanos) {
             return !mStopped && (mRegistered || isReachable(nowNanos));
         }
@@ -87,9 +96,16 @@
         return wasUnreachable;
     }
 
+    /** Records that a host has responded to this one. */
+    public synchronized void recordContact(HostRecord host, long nowNanos) {
+        Peer peer = findOrAddPeer(host);
+        peer.mContactNanos = nowNanos;
+        peer.mContacted = true;
+        peer.mStopped = false;
+    }
+
     /** Records which hosts accept callers according to a coordinator. */
     public synchronized void recordSummary(FleetSummary summary, long nowNanos) {
-        findOrAddPeer(summary.coordinator());
         mAvailable = Set.copyOf(summary.available());
         mSummaryNanos = nowNanos;
         mHasSummary = true;
@@ -146,12 +162,14 @@
         return mPeers.computeIfAbsent(record.id(), id -> new Peer(record));
     }
 
-    /** Removes hosts that are neither registered nor reachable. Returns their IDs. */
+    /**
+     * Removes hosts that are neither registered nor reachable and do not respond to this host.
+     * Returns their IDs.
+     */
     public synchronized List<HostId> removeExpired(long nowNanos) {
         List<HostId> expired =
                 mPeers.entrySet().stream()
-                        .filter(e -> !e.getValue().mRegistered)
-                        .filter(e -> !e.getValue().isReachable(nowNanos))
+                        .filter(e -> e.getValue().isExpired(nowNanos))
                         .map(Map.Entry::getKey)
                         .toList();
         expired.forEach(mPeers::remove);
--- a/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
@@ -14,6 +14,7 @@
  * admitted} or {@code loads}, so it is not counted twice.
  *
  * @param host the sender
+ * @param ageMillis the age of its process, in milliseconds
  * @param accepting whether it accepts new callers
  * @param stateRevision the store revision up to which it has seen all changes
  * @param admitted the tokens that it has admitted for each workspace
@@ -22,9 +23,19 @@
  * @param waiting its requests queued for engines that can still meet their target, by service
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"host", "accepting", "stateRevision", "admitted", "loads", "held", "waiting"})
+@JsonPropertyOrder({
+    "host",
+    "ageMillis",
+    "accepting",
+    "stateRevision",
+    "admitted",
+    "loads",
+    "held",
+    "waiting"
+})
 public record HostHeartbeat(
         HostRecord host,
+        long ageMillis,
         boolean accepting,
         long stateRevision,
         List<WorkspaceTotal> admitted,
--- a/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
+++ b/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
@@ -22,8 +22,9 @@
  * where a bucket of the size of the burst would refuse most of them, although the workspace stays
  * inside its limit.
  *
- * <p>Invariant: whatever is added to the share of a host counts as used up at first and becomes
- * free over one window. Thread-safe.
+ * <p>Invariant: what a host or its predecessor may have used, without this host knowing, counts as
+ * used and becomes free over one window: the parts of hosts whose processes have just started, and
+ * the part of this host when it begins to decide by itself. Thread-safe.
  */
 public final class FleetQuota {
     /**
@@ -39,9 +40,11 @@
 
     private final Map<WorkspaceId, TokenWindow> mWindows = new HashMap<>();
     private final Map<HostId, HostReport> mReports = new HashMap<>();
+    private final Map<WorkspaceId, TokenWindow> mOwnWindows = new HashMap<>();
     private final Map<WorkspaceId, Long> mAdmitted = new HashMap<>();
     private final Map<HostId, Map<WorkspaceId, Long>> mGrantedBy = new HashMap<>();
     private final long mWindowNanos;
+    private final long mStartNanos;
     private final LimitShare mShare;
 
     private static final class HostReport {
@@ -53,19 +56,32 @@
      * Creates the quota of a host that has admitted nothing and has no share.
      *
      * @param windowNanos the length of the window in which the limits are counted
+     * @param startNanos when the process of the host started
      */
-    public FleetQuota(long windowNanos) {
+    public FleetQuota(long windowNanos, long startNanos) {
         mWindowNanos = windowNanos;
+        mStartNanos = startNanos;
         mShare = new LimitShare(windowNanos);
     }
 
     /**
-     * Sets the share of the limits that this host may grant.
+     * Sets the share of the limits that this host may grant: none while another host does so for
+     * it, otherwise that of the hosts that report to it and its own.
      *
-     * @param share from 0 to 1
+     * @param grantingHosts this host and those that report to it, or zero
+     * @param presentHosts the hosts that share the limits
      */
-    public synchronized void setShare(double share, long nowNanos) {
-        mShare.set(share, nowNanos);
+    public synchronized void setShare(int grantingHosts, int presentHosts, long nowNanos) {
+        mShare.removeFree(nowNanos);
+        if (mShare.share() == 0 && grantingHosts > 0) {
+            mShare.addUnknownUse(nowNanos);
+        }
+        mShare.set(grantingHosts, presentHosts);
+    }
+
+    /** Returns the age of this process. */
+    public long ageNanos(long nowNanos) {
+        return nowNanos - mStartNanos;
     }
 
     /** Returns whether this host may grant anything. */
@@ -83,6 +99,7 @@
         long waitNanos = grant(workspace, quota, tokens, nowNanos);
         if (waitNanos == 0) {
             mAdmitted.merge(workspace, tokens, Long::sum);
+            ownWindow(workspace).add(tokens, nowNanos);
         }
         return waitNanos;
     }
@@ -109,7 +126,12 @@
             window.add(tokens, nowNanos);
             return 0;
         }
-        return Math.max(1, window.nanosUntil(limit - needed, nowNanos));
+        return Math.max(
+                1,
+                window.nanosUntilAtMost(
+                        afterNanos ->
+                                limitTokens(quota) * mShare.free(nowNanos + afterNanos) - needed,
+                        nowNanos));
     }
 
     private double limitTokens(TokenQuota quota) {
@@ -120,6 +142,10 @@
         return mWindows.computeIfAbsent(workspace, id -> new TokenWindow(mWindowNanos));
     }
 
+    private TokenWindow ownWindow(WorkspaceId workspace) {
+        return mOwnWindows.computeIfAbsent(workspace, id -> new TokenWindow(mWindowNanos));
+    }
+
     /** Describes the state behind a decision: the tokens in the window, and the share. */
     public synchronized String describe(WorkspaceId workspace, long nowNanos) {
         return String.format(
@@ -133,6 +159,7 @@
     /** Refunds the tokens of a request of this host that did not run. */
     public synchronized void refund(WorkspaceId workspace, long tokens, long nowNanos) {
         refundGrant(workspace, tokens, nowNanos);
+        ownWindow(workspace).add(-tokens, nowNanos);
         mAdmitted.merge(workspace, -tokens, Long::sum);
     }
 
@@ -146,22 +173,24 @@
      *
      * @param tokens the tokens, negative if they were refunded
      */
-    public synchronized void recordGranted(HostId coordinator, WorkspaceId workspace, long tokens) {
+    public synchronized void recordGranted(
+            HostId coordinator, WorkspaceId workspace, long tokens, long nowNanos) {
+        ownWindow(workspace).add(tokens, nowNanos);
         mGrantedBy
                 .computeIfAbsent(coordinator, id -> new HashMap<>())
                 .merge(workspace, tokens, Long::sum);
     }
 
     /** Returns the tokens that this host has admitted for each workspace. */
-    public List<WorkspaceTotal> totals() {
-        return totalsExcept(null);
+    public List<WorkspaceTotal> totals(long nowNanos) {
+        return totalsExcept(null, nowNanos);
     }
 
     /**
      * Returns the tokens that this host has admitted for each workspace, without those granted by a
      * coordinator, which knows of them.
      */
-    public synchronized List<WorkspaceTotal> totalsExcept(HostId coordinator) {
+    public synchronized List<WorkspaceTotal> totalsExcept(HostId coordinator, long nowNanos) {
         Map<WorkspaceId, Long> totals = new HashMap<>(mAdmitted);
         mGrantedBy.forEach(
                 (grantor, granted) -> {
@@ -170,22 +199,38 @@
                     }
                 });
         return totals.entrySet().stream()
-                .map(e -> new WorkspaceTotal(e.getKey(), e.getValue()))
+                .map(
+                        e ->
+                                new WorkspaceTotal(
+                                        e.getKey(),
+                                        e.getValue(),
+                                        ownWindow(e.getKey()).sum(nowNanos)))
                 .toList();
     }
 
-    /** Counts what another host has admitted since its last report. */
-    public synchronized void mergeReport(HostId host, List<WorkspaceTotal> totals, long nowNanos) {
+    /**
+     * Counts what another host has admitted since its last report, or in the last window if this is
+     * the first. What the predecessor of a process that has just started had admitted is not known.
+     *
+     * @param ageNanos the age of the process of the other host
+     */
+    public synchronized void mergeReport(
+            HostId host, List<WorkspaceTotal> totals, long ageNanos, long nowNanos) {
         HostReport report = mReports.computeIfAbsent(host, h -> new HostReport());
+        if (!report.mReceived && ageNanos < mWindowNanos) {
+            mShare.addUnknownUse(nowNanos - ageNanos);
+        }
         totals.forEach(total -> merge(report, total, nowNanos));
         report.mReceived = true;
     }
 
     private void merge(HostReport report, WorkspaceTotal total, long nowNanos) {
         Long last = report.mTotals.put(total.workspace(), total.tokens());
-        if (report.mReceived) {
-            window(total.workspace()).add(total.tokens() - (last == null ? 0 : last), nowNanos);
-        }
+        long admitted =
+                report.mReceived
+                        ? total.tokens() - (last == null ? 0 : last)
+                        : total.recentTokens();
+        window(total.workspace()).add(admitted, nowNanos);
     }
 
     /** Drops the reports of a host that has left; what it granted stays in the totals. */
--- a/core/src/main/java/org/fuchsiaford/quota/LimitShare.java
+++ b/core/src/main/java/org/fuchsiaford/quota/LimitShare.java
@@ -4,65 +4,65 @@
 import java.util.Deque;
 
 /**
- * The share of the rate limits that one host may grant, and how much of it counts as used by hosts
- * that it has not heard from. Not thread-safe.
+ * The share of the rate limits that one host may grant, and how much of it counts as used by
+ * processes that this host cannot hear from any more. Not thread-safe.
  *
- * <p>Invariant: whatever is added to the share counts as used up at first, since another host may
- * have granted it, and becomes free evenly over one window. Only of the first share a small part is
- * free at once.
+ * <p>Invariant: a part that counts as used becomes free evenly until the end of the window in which
+ * it may have been used.
  */
 final class LimitShare {
     /**
-     * Part of the first share that is free at once, so that a started host can admit a request: no
+     * Part of an unknown use that is free at once, so that a started fleet can admit requests: no
      * more than the tolerance of the limits.
      */
     private static final double INITIAL_FREE_FRACTION = 0.1;
 
     private final long mWindowNanos;
-    private final Deque<Addition> mAdditions = new ArrayDeque<>();
-    private double mShare;
-    private boolean mHasShare;
-
-    private record Addition(double share, long sinceNanos) {}
+    private final Deque<Long> mUnknownUntilNanos = new ArrayDeque<>();
+    private int mGrantingHosts;
+    private int mPresentHosts = 1;
 
     LimitShare(long windowNanos) {
         mWindowNanos = windowNanos;
     }
 
-    /** Sets the share, from 0 to 1. */
-    void set(double share, long nowNanos) {
-        removeFree(nowNanos);
-        if (share > mShare) {
-            double usedFraction = mHasShare ? 1 : 1 - INITIAL_FREE_FRACTION;
-            mAdditions.addLast(new Addition((share - mShare) * usedFraction, nowNanos));
-            mHasShare = true;
-        }
-        mShare = share;
+    /**
+     * Sets the share.
+     *
+     * @param grantingHosts the hosts for which this host decides, or zero
+     * @param presentHosts the hosts that share the limits
+     */
+    void set(int grantingHosts, int presentHosts) {
+        mGrantingHosts = grantingHosts;
+        mPresentHosts = Math.max(1, Math.max(grantingHosts, presentHosts));
     }
 
+    /** Returns the share, from 0 to 1. */
     double share() {
-        return mShare;
+        return (double) mGrantingHosts / mPresentHosts;
     }
 
-    /** Returns the part of the limits that may be granted now, without what is in the window. */
-    double free(long nowNanos) {
-        removeFree(nowNanos);
-        double used =
-                mAdditions.stream()
-                        .mapToDouble(
-                                added ->
-                                        added.share()
-                                                * (1
-                                                        - (double) (nowNanos - added.sinceNanos())
-                                                                / mWindowNanos))
+    /** Counts the part of one host as used in the window that ended at the given time. */
+    void addUnknownUse(long untilNanos) {
+        mUnknownUntilNanos.addLast(untilNanos);
+    }
+
+    /** Returns the part of the limits that may be used at a time, in the window before it. */
+    double free(long timeNanos) {
+        double usedHosts =
+                mUnknownUntilNanos.stream()
+                        .mapToDouble(untilNanos -> usedFraction(untilNanos, timeNanos))
                         .sum();
-        return Math.max(0, mShare - used);
+        return Math.max(0, share() - usedHosts / mPresentHosts);
+    }
+
+    private double usedFraction(long untilNanos, long timeNanos) {
+        double age = (double) (timeNanos - untilNanos) / mWindowNanos;
+        return (1 - INITIAL_FREE_FRACTION) * Math.max(0, Math.min(1, 1 - age));
     }
 
-    private void removeFree(long nowNanos) {
-        while (!mAdditions.isEmpty()
-                && nowNanos - mAdditions.peekFirst().sinceNanos() >= mWindowNanos) {
-            mAdditions.removeFirst();
-        }
+    /** Forgets what has become free. */
+    void removeFree(long nowNanos) {
+        mUnknownUntilNanos.removeIf(untilNanos -> nowNanos - untilNanos >= mWindowNanos);
     }
 }
--- a/core/src/main/java/org/fuchsiaford/quota/TokenWindow.java
+++ b/core/src/main/java/org/fuchsiaford/quota/TokenWindow.java
@@ -1,5 +1,7 @@
 package org.fuchsiaford.quota;
 
+import java.util.function.LongToDoubleFunction;
+
 /**
  * The tokens admitted for one workspace in a sliding window, counted in slots. Not thread-safe.
  *
@@ -33,17 +35,19 @@
     }
 
     /**
-     * Returns the time until the window holds at most the given number of tokens, if none are
-     * added; the length of the window if it never does.
+     * Returns the time until the window holds at most the number of tokens that is allowed then, if
+     * none are added; about the length of the window if it never does.
+     *
+     * @param maxTokens the tokens allowed after a time in nanoseconds
      */
-    long nanosUntil(double maxTokens, long nowNanos) {
+    long nanosUntilAtMost(LongToDoubleFunction maxTokens, long nowNanos) {
         advance(nowNanos);
         long remaining = mSum;
-        for (int age = SLOTS; age >= 0; age--) {
-            if (remaining <= maxTokens) {
-                return (SLOTS - age) * mSlotNanos;
+        for (int slot = 0; slot <= SLOTS; slot++) {
+            if (remaining <= maxTokens.applyAsDouble(slot * mSlotNanos)) {
+                return slot * mSlotNanos;
             }
-            remaining -= mSlots[index(mLatestSlot - age)];
+            remaining -= mSlots[index(mLatestSlot - SLOTS + slot)];
         }
         return (SLOTS + 1) * mSlotNanos;
     }
--- a/core/src/main/java/org/fuchsiaford/quota/WorkspaceTotal.java
+++ b/core/src/main/java/org/fuchsiaford/quota/WorkspaceTotal.java
@@ -8,8 +8,9 @@
  * The tokens that a host has admitted for a workspace since it started. Immutable.
  *
  * @param workspace the workspace
- * @param tokens the tokens admitted, less those refunded
+ * @param tokens the tokens admitted, less those refunded and those that the receiver granted
+ * @param recentTokens the tokens admitted in the last window, whoever granted them
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"workspace", "tokens"})
-public record WorkspaceTotal(WorkspaceId workspace, long tokens) {}
+@JsonPropertyOrder({"workspace", "tokens", "recentTokens"})
+public record WorkspaceTotal(WorkspaceId workspace, long tokens, long recentTokens) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -59,7 +59,7 @@
         mTicker = ticker;
         long startNanos = ticker.nowNanos();
         EngineQueues queues = new EngineQueues();
-        FleetQuota quota = new FleetQuota(limitWindowNanos);
+        FleetQuota quota = new FleetQuota(limitWindowNanos, startNanos);
         PeerClient peerClient = new TcpPeerClient();
         CoordinatorTracker tracker = new CoordinatorTracker(fleet, startNanos);
         mCalls = new CoordinatorCalls(fleet.self(), tracker, peerClient, log, ticker);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -178,8 +178,8 @@
         boolean grants =
                 mState.table().isPresent()
                         && (reachable > 1 || mCalls.remoteCoordinator().isEmpty());
+        mQuota.setShare(grants ? reachable : 0, present, nowNanos);
         double share = grants ? (double) reachable / Math.max(reachable, present) : 0;
-        mQuota.setShare(share, nowNanos);
         if (share != mLastShare) {
             mLastShare = share;
             mLog.write(new Decision.LimitShare(share, reachable, present));
@@ -239,14 +239,16 @@
     }
 
     private HostHeartbeat localHeartbeat(HostId receiver) {
+        long nowNanos = mTicker.nowNanos();
         return new HostHeartbeat(
                 mFleet.self(),
+                TimeUnit.NANOSECONDS.toMillis(mQuota.ageNanos(nowNanos)),
                 mIsAccepting.getAsBoolean(),
                 mState.revision(),
-                mQuota.totalsExcept(receiver),
+                mQuota.totalsExcept(receiver, nowNanos),
                 mLoads.localLoadsExcept(receiver),
                 mHeld.grantedBy(receiver),
-                mQueues.onTimeWork(mTicker.nowNanos()));
+                mQueues.onTimeWork(nowNanos));
     }
 
     private void receive(FleetSummary summary, List<ServerLoad> ownLoads) {
@@ -255,6 +257,7 @@
             return;
         }
         long nowNanos = mTicker.nowNanos();
+        mFleet.recordContact(coordinator, nowNanos);
         mTracker.recordSuccess(coordinator.id(), nowNanos);
         if (isPrimaryOrUnsettled(coordinator)) {
             mFleet.recordSummary(summary, nowNanos);
@@ -274,7 +277,11 @@
                         new Decision.PeerSeen(
                                 sender.value(), heartbeat.host().peerAddress(), "in-touch"));
             }
-            mQuota.mergeReport(sender, heartbeat.admitted(), nowNanos);
+            mQuota.mergeReport(
+                    sender,
+                    heartbeat.admitted(),
+                    TimeUnit.MILLISECONDS.toNanos(heartbeat.ageMillis()),
+                    nowNanos);
             mLoads.replaceReport(sender, heartbeat.loads());
             mDispatcher.reconcile(sender, heartbeat.held());
             catchUp(heartbeat.host(), heartbeat.stateRevision(), nowNanos);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/LimitCharging.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/LimitCharging.java
@@ -77,7 +77,7 @@
     private void recordGranted(
             Charge charge, HostRecord coordinator, WorkspaceId workspace, long tokens) {
         if (charge.waitNanos() == 0) {
-            mQuota.recordGranted(coordinator.id(), workspace, tokens);
+            mQuota.recordGranted(coordinator.id(), workspace, tokens, mTicker.nowNanos());
         }
     }
 
@@ -97,7 +97,7 @@
             return;
         }
         HostRecord coordinator = charge.coordinator().get();
-        mQuota.recordGranted(coordinator.id(), workspace, -tokens);
+        mQuota.recordGranted(coordinator.id(), workspace, -tokens, mTicker.nowNanos());
         // A lost refund only delays the workspace by the time in which the tokens accrue.
         mCalls.call(
                         coordinator,
