Bound the calls of a fleet to the store, and refuse at once what no engine can hold

A prompt larger than the memory of any engine was sent and rejected. A coordinator that hears a host for the first time counted its unknown use before its part of the limits.

Change: the least time between two calls of a watch grows with the number of hosts, up to 0.5 s. EngineScheduler refuses a prompt that no engine can hold. The share is updated before the report of a new host is counted.

Tests: CoordinatorRankingTest, CoordinatorTrackerTest (fleets of up to 1,000 hosts in virtual time), EngineSchedulerTest, there aPromptLargerThanAnyEngineIsRefusedAtOnce was red before; PlatformHostTest.aHostWithoutAccessToTheStoreGetsStateFromPeers was red before for the share.

--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -131,6 +131,10 @@
             return new Answer.Refused(
                     request, NO_ENGINE_RETRY_MILLIS, "a request with this id is already placed");
         }
+        if (request.tokens().promptTokens() > mPool.capacity(request.service()).kvCacheTokens()) {
+            long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
+            return new Answer.Refused(request, leftMillis, "no engine can hold the prompt");
+        }
         Optional<Answer.Granted> grant =
                 queue(request).isEmpty() ? tryGrant(request, nowNanos) : Optional.empty();
         return grant.isPresent() ? grant.get() : enqueue(request, nowNanos);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -70,6 +70,12 @@
     /** Part of the grace period that is reserved for the exit of the process. */
     private static final long EXIT_RESERVE_MILLIS = 500;
 
+    /** With this, the watches of a fleet make at most 200 calls a second together. */
+    private static final long WATCH_INTERVAL_NANOS_PER_HOST = TimeUnit.MILLISECONDS.toNanos(5);
+
+    /** A small part of the time in which a change must be in force. */
+    private static final long MAX_WATCH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(200);
 
@@ -104,7 +110,7 @@
                         mLog,
                         mTicker,
                         health::remove);
-        Store store = adapter.store(settings);
+        Store store = adapter.store(settings, this::watchIntervalNanos);
         mFollower =
                 new StateFollower(
                         store,
@@ -140,6 +146,13 @@
         mGatewayServer = createServer(health, loads);
     }
 
+    /** The calls of all hosts to the store add up, so each makes fewer in a larger fleet. */
+    private long watchIntervalNanos() {
+        return Math.min(
+                MAX_WATCH_INTERVAL_NANOS,
+                mFleet.presentCount(mTicker.nowNanos()) * WATCH_INTERVAL_NANOS_PER_HOST);
+    }
+
     private static HostRecord createSelf(GatewaySettings settings) {
         return new HostRecord(
                 new HostId(settings.hostName() + "-" + UUID.randomUUID()),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -273,6 +273,7 @@
         long nowNanos = mTicker.nowNanos();
         if (!sender.equals(mFleet.self().id())) {
             if (mFleet.recordHeartbeat(heartbeat, nowNanos)) {
+                updateShare(nowNanos);
                 mLog.write(
                         new Decision.PeerSeen(
                                 sender.value(), heartbeat.host().peerAddress(), "in-touch"));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/Adapter.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/Adapter.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.gateway.protocol;
 
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.fuchsiaford.entry.gateway.GatewaySettings;
 import org.fuchsiaford.store.Store;
 import reactor.core.publisher.Mono;
@@ -14,8 +15,12 @@
     /** Returns the name by which the settings select this adapter. */
     String name();
 
-    /** Creates a client of the store. */
-    Store store(GatewaySettings settings);
+    /**
+     * Creates a client of the store.
+     *
+     * @param watchIntervalNanos the least time between two calls of a watch, if it makes several
+     */
+    Store store(GatewaySettings settings, LongSupplier watchIntervalNanos);
 
     /** Returns the protocol between callers and this host. */
     CallerProtocol callerProtocol();
