Share what hosts see of failing servers

Change: hosts report the outcomes of their calls with each heartbeat to the coordinator; its answer names the servers that fail a notable part, and hosts rank servers by the higher of their own and the fleet's failure rate.

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
@@ -13,13 +13,15 @@
  * @param stateRevision the store revision up to which it has seen all changes
  * @param available the hosts that it hears from and that accept new callers, itself included
  * @param loads the load of all hosts on each backend server
+ * @param failing the servers that fail a notable part of their calls
  * @param waiting the queued work of all hosts that can still meet its target, by service
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"coordinator", "stateRevision", "available", "loads", "waiting"})
+@JsonPropertyOrder({"coordinator", "stateRevision", "available", "loads", "failing", "waiting"})
 public record FleetSummary(
         HostRecord coordinator,
         long stateRevision,
         List<HostId> available,
         List<ServerLoad> loads,
+        List<FailureRate> failing,
         List<QueuedWork> waiting) {}
--- a/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
@@ -20,6 +20,8 @@
  * @param admitted the tokens that it has admitted for each workspace
  * @param loads its load in progress on backend servers
  * @param held its requests that hold engines granted by the receiver
+ * @param outcomes the outcomes of its calls since the last report, if the receiver is the one it
+ *     asks
  * @param waiting its requests queued for engines that can still meet their target, by service
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -31,6 +33,7 @@
     "admitted",
     "loads",
     "held",
+    "outcomes",
     "waiting"
 })
 public record HostHeartbeat(
@@ -41,6 +44,7 @@
         List<WorkspaceTotal> admitted,
         List<ServerLoad> loads,
         List<RequestId> held,
+        List<ServerOutcomes> outcomes,
         List<QueuedWork> waiting) {
 
     /** Returns the tokens queued for a service that can still meet their target. */
--- a/core/src/main/java/org/fuchsiaford/selection/ServerHealth.java
+++ b/core/src/main/java/org/fuchsiaford/selection/ServerHealth.java
@@ -1,14 +1,17 @@
 package org.fuchsiaford.selection;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.fleet.FailureRate;
 
 /**
- * Recent failure rate and latency of each backend server, measured on the requests of this host.
- * Status checks are not used, since they give false results in both directions.
+ * Recent failure rate and latency of each backend server, measured on the requests of this host;
+ * the failure rate also on those of all hosts, as far as a coordinator reports it. Status checks
+ * are not used, since they give false results in both directions.
  *
  * <p>Invariant: a failure rate lies between 0 and 1 and decays with time, so that a server which
  * gets no requests is tried again. Thread-safe.
@@ -33,7 +36,12 @@
      */
     private static final long WRONG_SERVER_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+    /** Age at which the rates of the fleet are out of date: a coordinator has sent none since. */
+    private static final long FLEET_RATES_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final Map<BackendServerId, ServerStats> mStats = new HashMap<>();
+    private final Map<BackendServerId, Double> mFleetRates = new HashMap<>();
+    private long mFleetRatesNanos;
 
     private static final class ServerStats {
         private double mFailureRate;
@@ -100,6 +108,7 @@
     /** Drops the statistics of a server, because it was restarted. */
     public synchronized void remove(BackendServerId server) {
         mStats.remove(server);
+        mFleetRates.remove(server);
     }
 
     /** Returns whether the server is paused, that is, not to be used if there is an alternative. */
@@ -108,9 +117,20 @@
         return stats != null && stats.mPaused && nowNanos - stats.mPausedUntilNanos < 0;
     }
 
-    /** Returns the recent failure rate, from 0 to 1. */
+    /** Replaces the failure rates over all hosts, as a coordinator states them. */
+    public synchronized void replaceFleetRates(List<FailureRate> rates, long nowNanos) {
+        mFleetRates.clear();
+        rates.forEach(failing -> mFleetRates.put(failing.server(), failing.rate()));
+        mFleetRatesNanos = nowNanos;
+    }
+
+    /**
+     * Returns the recent failure rate, from 0 to 1: the higher one of this host's and the fleet's.
+     */
     public synchronized double failureRate(BackendServerId server, long nowNanos) {
-        return mStats.containsKey(server) ? decayed(server, nowNanos).mFailureRate : 0;
+        double own = mStats.containsKey(server) ? decayed(server, nowNanos).mFailureRate : 0;
+        boolean current = nowNanos - mFleetRatesNanos <= FLEET_RATES_TIMEOUT_NANOS;
+        return Math.max(own, current ? mFleetRates.getOrDefault(server, 0.0) : 0);
     }
 
     /** Returns the recent latency of answers in nanoseconds, or zero if unknown. */
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
@@ -115,6 +115,7 @@
                                 List.of(),
                                 List.of(),
                                 List.of(),
+                                List.of(),
                                 List.of()),
                         mNowNanos);
         host.view().recordContact(coordinator, mNowNanos);
@@ -128,6 +129,7 @@
                                     0,
                                     receiver.view().availableHosts(true, mNowNanos),
                                     List.of(),
+                                    List.of(),
                                     List.of()),
                             mNowNanos);
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -186,6 +186,7 @@
                 new AttemptRecorder(
                         health,
                         budgets,
+                        mCoordination.tally(),
                         new ServiceMetrics(mMetrics.registry()),
                         this::reportFailure,
                         mLog,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -19,6 +19,7 @@
 import org.fuchsiaford.selection.EngineScheduler;
 import org.fuchsiaford.selection.HeldEngines;
 import org.fuchsiaford.selection.LoadTracker;
+import org.fuchsiaford.selection.OutcomeTally;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
@@ -31,6 +32,7 @@
     private final FleetView mFleet;
     private final Ticker mTicker;
     private final HeldEngines mHeld = new HeldEngines();
+    private final OutcomeTally mTally = new OutcomeTally();
     private final CoordinatorCalls mCalls;
     private final EngineDispatcher mDispatcher;
     private final CoordinatorHandler mHandler;
@@ -82,6 +84,8 @@
                         quota,
                         loads,
                         mHeld,
+                        health,
+                        mTally,
                         queues,
                         state,
                         peerClient,
@@ -116,6 +120,11 @@
         return mHeld;
     }
 
+    /** Returns where to count the outcomes of calls. */
+    public OutcomeTally tally() {
+        return mTally;
+    }
+
     /** Returns the charging of rate limits. */
     public LimitCharging charging() {
         return mCharging;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -25,8 +25,11 @@
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.quota.FleetQuota;
 import org.fuchsiaford.selection.EngineQueues;
+import org.fuchsiaford.selection.FleetHealth;
 import org.fuchsiaford.selection.HeldEngines;
 import org.fuchsiaford.selection.LoadTracker;
+import org.fuchsiaford.selection.OutcomeTally;
+import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
 import org.fuchsiaford.time.Ticker;
@@ -66,6 +69,9 @@
     private final FleetQuota mQuota;
     private final LoadTracker mLoads;
     private final HeldEngines mHeld;
+    private final ServerHealth mHealth;
+    private final OutcomeTally mTally;
+    private final FleetHealth mFleetHealth = new FleetHealth();
     private final EngineQueues mQueues;
     private final GatewayState mState;
     private final PeerClient mPeerClient;
@@ -90,6 +96,8 @@
             FleetQuota quota,
             LoadTracker loads,
             HeldEngines held,
+            ServerHealth health,
+            OutcomeTally tally,
             EngineQueues queues,
             GatewayState state,
             PeerClient peerClient,
@@ -104,6 +112,8 @@
         mQuota = quota;
         mLoads = loads;
         mHeld = held;
+        mHealth = health;
+        mTally = tally;
         mQueues = queues;
         mState = state;
         mPeerClient = peerClient;
@@ -144,6 +154,10 @@
         removeSilentReporters(nowNanos);
         updateShare(nowNanos);
         logPrimary(nowNanos);
+        if (mCalls.isCoordinator()) {
+            mFleetHealth.add(mTally.drain(), nowNanos);
+            mHealth.replaceFleetRates(mFleetHealth.failing(nowNanos), nowNanos);
+        }
         remoteCoordinators().forEach(peer -> exchange(peer).subscribe());
         mTracker.dueForProbe(nowNanos).forEach(peer -> exchange(peer).subscribe());
         if (mFleet.others().isEmpty()) {
@@ -196,11 +210,11 @@
 
     private Mono<Void> exchange(HostRecord peer) {
         List<ServerLoad> ownLoads = mLoads.localLoads();
+        boolean isPrimary = isPrimaryOrUnsettled(peer);
         return mPeerClient
                 .call(
                         PeerAddress.parse(peer.peerAddress()),
-                        new PeerMessage.Heartbeat(
-                                localHeartbeat(peer.id()), isPrimaryOrUnsettled(peer)),
+                        new PeerMessage.Heartbeat(localHeartbeat(peer.id(), isPrimary), isPrimary),
                         PeerMessage.FleetResponse.class,
                         CALL_TIMEOUT)
                 .doOnNext(response -> receive(response.summary(), ownLoads))
@@ -214,7 +228,7 @@
         return mPeerClient
                 .call(
                         seed,
-                        new PeerMessage.Heartbeat(localHeartbeat(null), true),
+                        new PeerMessage.Heartbeat(localHeartbeat(null, false), true),
                         PeerMessage.FleetResponse.class,
                         CALL_TIMEOUT)
                 .doOnNext(response -> receive(response.summary(), ownLoads))
@@ -238,7 +252,7 @@
         }
     }
 
-    private HostHeartbeat localHeartbeat(HostId receiver) {
+    private HostHeartbeat localHeartbeat(HostId receiver, boolean withOutcomes) {
         long nowNanos = mTicker.nowNanos();
         return new HostHeartbeat(
                 mFleet.self(),
@@ -248,6 +262,7 @@
                 mQuota.totalsExcept(receiver, nowNanos),
                 mLoads.localLoadsExcept(receiver),
                 mHeld.grantedBy(receiver),
+                withOutcomes ? mTally.drain() : List.of(),
                 mQueues.onTimeWork(nowNanos));
     }
 
@@ -262,6 +277,7 @@
         if (isPrimaryOrUnsettled(coordinator)) {
             mFleet.recordSummary(summary, nowNanos);
             mLoads.replaceFleetLoads(summary.loads(), ownLoads);
+            mHealth.replaceFleetRates(summary.failing(), nowNanos);
         }
         catchUp(coordinator, summary.stateRevision(), nowNanos);
     }
@@ -285,6 +301,7 @@
                     nowNanos);
             mLoads.replaceReport(sender, heartbeat.loads());
             mDispatcher.reconcile(sender, heartbeat.held());
+            mFleetHealth.add(heartbeat.outcomes(), nowNanos);
             catchUp(heartbeat.host(), heartbeat.stateRevision(), nowNanos);
         }
         return new PeerMessage.FleetResponse(
@@ -293,6 +310,7 @@
                         mState.revision(),
                         mFleet.availableHosts(mIsAccepting.getAsBoolean(), nowNanos),
                         request.wantsLoads() ? mLoads.totals() : List.of(),
+                        mFleetHealth.failing(nowNanos),
                         request.wantsLoads() ? fleetWork(nowNanos) : List.of()));
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -12,6 +12,7 @@
 import org.fuchsiaford.failure.RunState;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.selection.OutcomeTally;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.time.Ticker;
 
@@ -28,6 +29,7 @@
 
     private final ServerHealth mHealth;
     private final RetryBudgets mBudgets;
+    private final OutcomeTally mTally;
     private final ServiceMetrics mMetrics;
     private final BiConsumer<LiveServer, AttemptOutcome> mOnFailed;
     private final DecisionLog mLog;
@@ -41,12 +43,14 @@
     public AttemptRecorder(
             ServerHealth health,
             RetryBudgets budgets,
+            OutcomeTally tally,
             ServiceMetrics metrics,
             BiConsumer<LiveServer, AttemptOutcome> onFailed,
             DecisionLog log,
             Ticker ticker) {
         mHealth = health;
         mBudgets = budgets;
+        mTally = tally;
         mMetrics = metrics;
         mOnFailed = onFailed;
         mLog = log;
@@ -70,6 +74,7 @@
     void recordSuccess(LiveServer server, long sentNanos) {
         long nowNanos = mTicker.nowNanos();
         mHealth.recordSuccess(server.id(), nowNanos - sentNanos, nowNanos);
+        mTally.record(server.id(), AttemptOutcome.ANSWERED);
         mMetrics.count(server.service(), AttemptOutcome.ANSWERED);
         mMetrics.record(server.service(), nowNanos - sentNanos);
     }
@@ -114,6 +119,7 @@
     private void recordServerFailure(LiveServer server, AttemptOutcome outcome) {
         long nowNanos = mTicker.nowNanos();
         mMetrics.count(server.service(), outcome);
+        mTally.record(server.id(), outcome);
         mHealth.recordOutcome(server.id(), outcome, 0, nowNanos);
         mOnFailed.accept(server, outcome);
     }
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -23,11 +23,13 @@
 import org.fuchsiaford.bundle.Digest;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.bundle.Generation;
+import org.fuchsiaford.fleet.FailureRate;
 import org.fuchsiaford.fleet.FleetSummary;
 import org.fuchsiaford.fleet.HostHeartbeat;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.fleet.QueuedWork;
 import org.fuchsiaford.fleet.ServerLoad;
+import org.fuchsiaford.fleet.ServerOutcomes;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.host.HostProcess;
 import org.fuchsiaford.host.Incarnation;
@@ -197,21 +199,24 @@
         var waiting = List.of(new QueuedWork(new ServiceId("v1"), 6));
         var record = new HostRecord(host(), new FailureDomainId("f1"), "c:2", "p:1", 1.5);
         var held = List.of(new RequestId("r1"));
+        var outcomes = List.of(new ServerOutcomes(new BackendServerId("e1"), 8, 2));
+        var failing = List.of(new FailureRate(new BackendServerId("e1"), 0.25));
         add(
                 "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[['w1',2,3]],[['e1',3,4,5]],"
-                        + "['r1'],[['v1',6]]],'wantsLoads':true}]",
+                        + "['r1'],[['e1',8,2]],[['v1',6]]],'wantsLoads':true}]",
                 new PeerMessage.Heartbeat(
-                        new HostHeartbeat(record, 7, true, 9, admitted, loads, held, waiting),
+                        new HostHeartbeat(
+                                record, 7, true, 9, admitted, loads, held, outcomes, waiting),
                         true));
         add(
-                "['v',{'pulse':[null,0,false,0,null,null,null,null],'wantsLoads':false}]",
+                "['v',{'pulse':[null,0,false,0,null,null,null,null,null],'wantsLoads':false}]",
                 new PeerMessage.Heartbeat(
-                        new HostHeartbeat(null, 0, false, 0, null, null, null, null), false));
+                        new HostHeartbeat(null, 0, false, 0, null, null, null, null, null), false));
         add(
                 "['V',{'summary':[['h1','f1','c:2','p:1',1.5],9,['h1'],[['e1',3,4,5]],"
-                        + "[['v1',6]]]}]",
+                        + "[['e1',0.25]],[['v1',6]]]}]",
                 new PeerMessage.FleetResponse(
-                        new FleetSummary(record, 9, List.of(host()), loads, waiting)));
+                        new FleetSummary(record, 9, List.of(host()), loads, failing, waiting)));
         addCoordination();
         add("['e',{}]", new PeerMessage.FetchStoreEntries());
         add(
