Place a request once that its host sends again, and drop an unused field

Cause, found by reading: a host that asked a second coordinator and came back to the first sent the request under the same id, which the first still held or had queued, and was refused. The summary carried queued work that no host read.

Change: a request of another host that is known is answered with its state. FleetSummary has no queued work.

Test: EngineSchedulerTest.aRequestThatAnotherHostSendsAgainIsNotPlacedTwice, red before.

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
@@ -14,14 +14,12 @@
  * @param available the hosts that it hears from and that accept new callers, itself included
  * @param loads the load of all hosts on each backend server
  * @param failing the servers that fail a notable part of their calls
- * @param waiting the queued work of all hosts that can still meet its target, by service
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"coordinator", "stateRevision", "available", "loads", "failing", "waiting"})
+@JsonPropertyOrder({"coordinator", "stateRevision", "available", "loads", "failing"})
 public record FleetSummary(
         HostRecord coordinator,
         long stateRevision,
         List<HostId> available,
         List<ServerLoad> loads,
-        List<FailureRate> failing,
-        List<QueuedWork> waiting) {}
+        List<FailureRate> failing) {}
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -125,8 +125,18 @@
         mRandom = random;
     }
 
-    /** Handles a new request. */
+    /**
+     * Handles a new request, or one that another host sends again because an answer was lost or a
+     * scheduler that it asked in between did not respond.
+     */
     public synchronized Answer submit(EngineRequest request, long nowNanos) {
+        Optional<Answer> earlier =
+                request.host().equals(mSelf)
+                        ? Optional.empty()
+                        : poll(request.host(), request.request(), nowNanos);
+        if (earlier.isPresent()) {
+            return earlier.get();
+        }
         if (mQueued.containsKey(request.request()) || mHeld.containsKey(request.request())) {
             return new Answer.Refused(
                     request, NO_ENGINE_RETRY_MILLIS, "a request with this id is already placed");
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
@@ -129,7 +129,6 @@
                                     0,
                                     receiver.view().availableHosts(true, mNowNanos),
                                     List.of(),
-                                    List.of(),
                                     List.of()),
                             mNowNanos);
         }
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
@@ -79,12 +79,7 @@
         mFleet.register(host("c", HERE, 3));
         FleetSummary summary =
                 new FleetSummary(
-                        host("c", HERE, 3),
-                        0,
-                        List.of(new HostId("b")),
-                        List.of(),
-                        List.of(),
-                        List.of());
+                        host("c", HERE, 3), 0, List.of(new HostId("b")), List.of(), List.of());
         mFleet.recordSummary(summary, 0);
         assertThat(mFleet.callerAddresses(HERE, false, SECOND)).containsExactly("10.0.0.2:80");
         assertThat(mFleet.callerAddresses(HERE, false, 2 * SECOND)).isEmpty();
--- a/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
@@ -181,6 +181,17 @@
         assertThat(mLoads.totals()).extracting(ServerLoad::requests).containsOnly(1);
     }
 
+    @Example
+    void aRequestThatAnotherHostSendsAgainIsNotPlacedTwice() {
+        EngineRequest request = request("r", OTHER, new TokenCounts(4_000, 100), SECOND);
+        Answer granted = mScheduler.submit(request, SECOND);
+        assertThat(mScheduler.submit(request, SECOND)).isEqualTo(granted);
+        assertThat(mLoads.totals()).extracting(ServerLoad::requests).containsOnly(1);
+        EngineRequest own = request("own", SELF, new TokenCounts(4_000, 100), SECOND);
+        mScheduler.submit(own, SECOND);
+        assertThat(mScheduler.submit(own, SECOND)).isInstanceOf(Answer.Refused.class);
+    }
+
     @Example
     void aGrantThatItsHostDoesNotReportIsReleased() {
         EngineRequest request = request("r", OTHER, new TokenCounts(4_000, 100), SECOND);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -2,7 +2,6 @@
 
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -17,7 +16,6 @@
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostHeartbeat;
 import org.fuchsiaford.fleet.HostRecord;
-import org.fuchsiaford.fleet.QueuedWork;
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.peer.PeerAddress;
@@ -310,14 +308,7 @@
                         mState.revision(),
                         mFleet.availableHosts(mIsAccepting.getAsBoolean(), nowNanos),
                         request.wantsLoads() ? mLoads.totals() : List.of(),
-                        mFleetHealth.failing(nowNanos),
-                        request.wantsLoads() ? fleetWork(nowNanos) : List.of()));
-    }
-
-    private List<QueuedWork> fleetWork(long nowNanos) {
-        List<QueuedWork> work = new ArrayList<>(mQueues.onTimeWork(nowNanos));
-        mFleet.latestHeartbeats(nowNanos).forEach(h -> work.addAll(h.waiting()));
-        return work;
+                        mFleetHealth.failing(nowNanos)));
     }
 
     private void catchUp(HostRecord peer, long revision, long nowNanos) {
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -214,9 +214,9 @@
                         new HostHeartbeat(null, 0, false, 0, null, null, null, null, null), false));
         add(
                 "['V',{'summary':[['h1','f1','c:2','p:1',1.5],9,['h1'],[['e1',3,4,5]],"
-                        + "[['e1',0.25]],[['v1',6]]]}]",
+                        + "[['e1',0.25]]]}]",
                 new PeerMessage.FleetResponse(
-                        new FleetSummary(record, 9, List.of(host()), loads, failing, waiting)));
+                        new FleetSummary(record, 9, List.of(host()), loads, failing)));
         addCoordination();
         add("['e',{}]", new PeerMessage.FetchStoreEntries());
         add(
