Log how a server framed its answer and whether a stream ended inside an event

Cause: the logs of the incident of truncated streams cannot tell a response that ended with its connection from one whose early end was lost on the way.

Change: Ended has the fields framing and insideEvent. SseEventScanner finds event boundaries in constant memory; SseEventBuffer uses it in place of its own search and no longer copies all pending bytes for each piece.

What callers get is unchanged.

--- a/core/src/main/java/org/fuchsiaford/request/SseEventBuffer.java
+++ b/core/src/main/java/org/fuchsiaford/request/SseEventBuffer.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -16,19 +15,20 @@
     private static final String ID_FIELD = "id:";
 
     private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
+    private SseEventScanner mScanner = new SseEventScanner();
     private String mLastEventId;
 
     /** Appends bytes and returns the events that are now complete; empty if there are none. */
     public byte[] add(byte[] bytes) {
-        mPending.writeBytes(bytes);
-        byte[] all = mPending.toByteArray();
-        int end = endOfLastEvent(all);
+        int end = mScanner.scan(bytes);
         if (end == 0) {
+            mPending.writeBytes(bytes);
             return new byte[0];
         }
-        byte[] complete = Arrays.copyOf(all, end);
+        mPending.write(bytes, 0, end);
+        byte[] complete = mPending.toByteArray();
         mPending.reset();
-        mPending.write(all, end, all.length - end);
+        mPending.write(bytes, end, bytes.length - end);
         updateLastEventId(complete);
         return complete;
     }
@@ -36,6 +36,12 @@
     /** Discards a partial event; the stream from the next server starts with a complete one. */
     public void discardPartialEvent() {
         mPending.reset();
+        mScanner = new SseEventScanner();
+    }
+
+    /** Returns whether the bytes appended so far end with an incomplete event. */
+    public boolean isInsideEvent() {
+        return mScanner.isInsideEvent();
     }
 
     /** Returns the bytes after the last complete event, which a finished stream may end with. */
@@ -48,19 +54,6 @@
         return Optional.ofNullable(mLastEventId);
     }
 
-    private static int endOfLastEvent(byte[] bytes) {
-        for (int i = bytes.length - 1; i > 0; i--) {
-            if (bytes[i] != '\n') {
-                continue;
-            }
-            boolean emptyCrLfLine = bytes[i - 1] == '\r' && i > 1 && bytes[i - 2] == '\n';
-            if (bytes[i - 1] == '\n' || emptyCrLfLine) {
-                return i + 1;
-            }
-        }
-        return 0;
-    }
-
     private void updateLastEventId(byte[] events) {
         new String(events, StandardCharsets.UTF_8)
                 .lines()
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -11,6 +11,7 @@
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.CallerProtocol;
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
+import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.entry.http.RequestBody;
 import org.fuchsiaford.entry.metrics.EntryMetrics;
 import org.fuchsiaford.entry.metrics.EntryMetrics.Count;
@@ -252,8 +253,7 @@
                             response.header(
                                     HttpHeaderNames.CONTENT_LENGTH,
                                     Integer.toString(complete.body().length));
-                            recordHead(
-                                    Timing.SERVICE_CALL, context, complete.head().status(), trace);
+                            recordHead(Timing.SERVICE_CALL, context, complete.head(), trace);
                             return response.sendByteArray(Mono.just(complete.body())).then();
                         })
                 .doOnSuccess(done -> trace.recordAnswered());
@@ -269,7 +269,7 @@
                                 return all.then(Mono.<Void>error(noResponse())).flux();
                             }
                             mProtocol.writeHead(response, head.head());
-                            recordHead(Timing.FIRST_TOKEN, context, head.head().status(), trace);
+                            recordHead(Timing.FIRST_TOKEN, context, head.head(), trace);
                             return response.send(
                                             all.skip(1)
                                                     .cast(ResponsePart.Body.class)
@@ -288,8 +288,9 @@
         return new IllegalStateException("the forwarder completed without a response");
     }
 
-    private void recordHead(Timing timing, RequestContext context, int status, RequestTrace trace) {
-        trace.recordHead(status, mTicker.nowNanos());
+    private void recordHead(
+            Timing timing, RequestContext context, ResponseHead head, RequestTrace trace) {
+        trace.recordHead(head, mTicker.nowNanos());
         WorkspaceId workspace = context.workspaceId().orElse(NO_WORKSPACE);
         mMetrics.record(timing, workspace, trace.timeToFirstByteNanos());
         mMetrics.count(Count.ANSWERS, workspace, 1);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -20,8 +20,9 @@
 import org.fuchsiaford.workspace.WorkspaceId;
 
 /**
- * An admitted request with its route, deadline and attempts. Only the attempts and the send count
- * change. Not thread-safe; the signals of one request arrive sequentially.
+ * An admitted request with its route, deadline and attempts. Only the attempts, the progress of the
+ * stream and the send count change. Not thread-safe; the signals of one request arrive
+ * sequentially.
  */
 final class RequestContext {
     /** The token counts assumed for a model request that states none. */
@@ -35,6 +36,7 @@
     private final long mArrivedNanos;
     private final long mDeadlineNanos;
     private final RequestAttempts mAttempts;
+    private final StreamProgress mStreamProgress;
     private int mSendCount;
 
     RequestContext(
@@ -53,6 +55,7 @@
         mArrivedNanos = arrivedNanos;
         mDeadlineNanos = deadlineNanos;
         mAttempts = new RequestAttempts(route.kind(), route.maxServers());
+        mStreamProgress = new StreamProgress(route.kind().isRepeatable(), caller.lastEventId());
     }
 
     CallerRequest caller() {
@@ -101,6 +104,11 @@
         return mAttempts;
     }
 
+    /** Returns how much of the response was forwarded; used only if it is a stream. */
+    StreamProgress streamProgress() {
+        return mStreamProgress;
+    }
+
     /** Increments the number of sends and returns the previous number. */
     int incrementSendCount() {
         return mSendCount++;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.entry.gateway.log.Decision;
+import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.routing.WorkspaceDeclaration;
@@ -22,6 +23,7 @@
     private String mOutcome = CANCELLED;
     private String mReason;
     private int mStatus;
+    private String mFraming;
     private long mRetryAfterMillis;
     private long mTableVersion;
     private long mFirstByteNanos = NO_FIRST_BYTE;
@@ -56,8 +58,9 @@
     }
 
     /** Records that the head was sent. The response counts as broken off until it is complete. */
-    void recordHead(int status, long nowNanos) {
-        mStatus = status;
+    void recordHead(ResponseHead head, long nowNanos) {
+        mStatus = head.status();
+        mFraming = head.framing().name();
         mFirstByteNanos = nowNanos;
         mOutcome = "broken-off";
     }
@@ -110,6 +113,12 @@
                         ? TimeUnit.NANOSECONDS.toMillis(timeToFirstByteNanos())
                         : NO_FIRST_BYTE,
                 mRetryAfterMillis,
-                mTableVersion);
+                mTableVersion,
+                mFraming,
+                endsInsideEvent() ? true : null);
+    }
+
+    private boolean endsInsideEvent() {
+        return mContext != null && mContext.streamProgress().isInsideEvent();
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -91,9 +91,7 @@
      * before the head, and with any exception after it.
      */
     Flux<ResponsePart> run(RequestContext context) {
-        boolean resumable = context.route().kind().isRepeatable();
-        StreamProgress progress = new StreamProgress(resumable, context.caller().lastEventId());
-        return attempt(context, progress, Optional.empty());
+        return attempt(context, context.streamProgress(), Optional.empty());
     }
 
     /**
@@ -272,6 +270,7 @@
                         .filter(ready -> ready.length > 0)
                         .map(ResponsePart.Body::new);
         context.attempts().record(server.id(), AttemptOutcome.ANSWERED);
+        progress.beginResponse(head.head());
         if (progress.isHeadForwarded()) {
             return body;
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamProgress.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamProgress.java
@@ -1,7 +1,9 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import java.util.Optional;
+import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.request.SseEventBuffer;
+import org.fuchsiaford.request.SseEventScanner;
 
 /**
  * Tracks how much of a stream has been forwarded to the caller, over all attempts. Of a resumable
@@ -10,8 +12,10 @@
  */
 final class StreamProgress {
     private final SseEventBuffer mBuffer = new SseEventBuffer();
+    private final SseEventScanner mScanner = new SseEventScanner();
     private final boolean mResumable;
     private final Optional<String> mCallerLastEventId;
+    private boolean mHasEvents;
     private boolean mHeadForwarded;
 
     StreamProgress(boolean resumable, Optional<String> callerLastEventId) {
@@ -19,6 +23,11 @@
         mCallerLastEventId = callerLastEventId;
     }
 
+    /** Prepares for the body of a response; it may consist of events, or be an error report. */
+    void beginResponse(ResponseHead head) {
+        mHasEvents = head.isEventStream();
+    }
+
     boolean isHeadForwarded() {
         return mHeadForwarded;
     }
@@ -29,7 +38,16 @@
 
     /** Appends received bytes and returns the bytes that can be forwarded now. */
     byte[] append(byte[] bytes) {
-        return mResumable ? mBuffer.add(bytes) : bytes;
+        if (mResumable) {
+            return mBuffer.add(bytes);
+        }
+        mScanner.scan(bytes);
+        return bytes;
+    }
+
+    /** Returns whether the bytes appended so far end with an incomplete event. */
+    boolean isInsideEvent() {
+        return mHasEvents && (mResumable ? mBuffer.isInsideEvent() : mScanner.isInsideEvent());
     }
 
     /** Returns the bytes that are left to forward at the end of a complete stream. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -46,7 +46,12 @@
     /** A stream is resumed at another server after the given event. */
     record Resumed(String request, String afterEvent) implements Decision {}
 
-    /** A request has received its final response, or its caller has disconnected. */
+    /**
+     * A request has received its final response, or its caller has disconnected.
+     *
+     * @param framing how the backend server marked the end of the response
+     * @param insideEvent true if the response is a stream that ended inside an event; else null
+     */
     record Ended(
             String request,
             String route,
@@ -58,7 +63,9 @@
             long elapsedMillis,
             long firstByteMillis,
             long retryAfterMillis,
-            long tableVersion)
+            long tableVersion,
+            String framing,
+            Boolean insideEvent)
             implements Decision {}
 
     /** This host applied a new version of the routing table. */
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -78,8 +78,8 @@
         add(
                 "'Ended','request':'r','route':'t','workspace':'w','outcome':'o','status':1,"
                         + "'reason':'y','sends':2,'elapsedMillis':3,'firstByteMillis':4,"
-                        + "'retryAfterMillis':5,'tableVersion':6",
-                new Decision.Ended("r", "t", "w", "o", 1, "y", 2, 3, 4, 5, 6));
+                        + "'retryAfterMillis':5,'tableVersion':6,'framing':'f','insideEvent':true",
+                new Decision.Ended("r", "t", "w", "o", 1, "y", 2, 3, 4, 5, 6, "f", true));
     }
 
     private void addBeliefs() {
