Treat a stream that ends inside an event as broken off

Cause: a response with neither a length nor chunks ends with its connection. The decoder reports the close as the end of the body, so the stream counted as complete however it ended, and the host marked the end of its own, chunked response. Only a reset was noticed. The class of fault: the end of the transport is taken for the end of the content. A body whose length or chunks end inside an event was passed on as complete in the same way.

Evidence: Ended says answered without an AttemptFailed for each of them that our logs cover; of the same kind of run, one whose connection was reset is AttemptFailed and broken-off.

Change: at the end of a body of events, a partial event, or no event at all if only the close marked the end, fails the attempt with the outcome UNKNOWN. A stream that may be resumed goes on at another engine after its last whole event; any other ends without the mark of a complete response. Server health counts it as a failure.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -266,7 +266,7 @@
         Flux<ResponsePart> body =
                 all.skip(1)
                         .map(part -> progress.append(((ResponsePart.Body) part).bytes()))
-                        .concatWith(Mono.fromSupplier(progress::remainingBytes))
+                        .concatWith(Mono.defer(() -> endOfStream(server, progress)))
                         .filter(ready -> ready.length > 0)
                         .map(ResponsePart.Body::new);
         context.attempts().record(server.id(), AttemptOutcome.ANSWERED);
@@ -278,6 +278,19 @@
         return Flux.concat(Mono.just(head), body);
     }
 
+    /** Returns the bytes left to forward; fails if the engine has broken the stream off. */
+    private static Mono<byte[]> endOfStream(LiveServer server, StreamProgress progress) {
+        return progress.isTruncated()
+                ? Mono.error(
+                        new BackendCallException(
+                                Step.DECODE,
+                                new RemoteName(server.id().value()),
+                                AttemptOutcome.UNKNOWN,
+                                "the stream ended without a complete last event, framed by "
+                                        + progress.framing()))
+                : Mono.fromSupplier(progress::remainingBytes);
+    }
+
     /** Reads a rejection completely and fails with an exception that contains its parts. */
     private static Flux<ResponsePart> readRejection(LiveServer server, Flux<ResponsePart> all) {
         return all.collectList()
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamProgress.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamProgress.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import java.util.Optional;
+import org.fuchsiaford.entry.gateway.protocol.BodyFraming;
 import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.request.SseEventBuffer;
 import org.fuchsiaford.request.SseEventScanner;
@@ -15,7 +16,9 @@
     private final SseEventScanner mScanner = new SseEventScanner();
     private final boolean mResumable;
     private final Optional<String> mCallerLastEventId;
+    private BodyFraming mFraming = BodyFraming.CHUNKED;
     private boolean mHasEvents;
+    private boolean mIsEmpty;
     private boolean mHeadForwarded;
 
     StreamProgress(boolean resumable, Optional<String> callerLastEventId) {
@@ -23,9 +26,16 @@
         mCallerLastEventId = callerLastEventId;
     }
 
-    /** Prepares for the body of a response; it may consist of events, or be an error report. */
+    /** Prepares for the body of a server's response: events, or the report of an error. */
     void beginResponse(ResponseHead head) {
         mHasEvents = head.isEventStream();
+        mFraming = head.framing();
+        mIsEmpty = true;
+    }
+
+    /** Returns how the current response marks its end. */
+    BodyFraming framing() {
+        return mFraming;
     }
 
     boolean isHeadForwarded() {
@@ -38,6 +48,7 @@
 
     /** Appends received bytes and returns the bytes that can be forwarded now. */
     byte[] append(byte[] bytes) {
+        mIsEmpty = false;
         if (mResumable) {
             return mBuffer.add(bytes);
         }
@@ -50,6 +61,16 @@
         return mHasEvents && (mResumable ? mBuffer.isInsideEvent() : mScanner.isInsideEvent());
     }
 
+    /**
+     * Returns whether the response that has just ended was broken off. The end of a connection does
+     * not prove that an empty stream is complete.
+     */
+    boolean isTruncated() {
+        boolean endedBeforeEvents =
+                mHasEvents && mIsEmpty && mFraming == BodyFraming.CONNECTION_CLOSE;
+        return endedBeforeEvents || isInsideEvent();
+    }
+
     /** Returns the bytes that are left to forward at the end of a complete stream. */
     byte[] remainingBytes() {
         return mBuffer.pendingBytes();
