--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.entry.gateway.forward;
 
+import java.util.List;
 import java.util.function.BiConsumer;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.attempt.NextStep;
@@ -11,6 +12,7 @@
 import org.fuchsiaford.failure.RemoteName;
 import org.fuchsiaford.failure.RunState;
 import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.selection.OutcomeTally;
 import org.fuchsiaford.selection.ServerHealth;
@@ -97,12 +99,33 @@
                         server.id().value(),
                         failure.outcome().name(),
                         failure.getMessage(),
+                        null,
                         counted ? "decode-reads-prompt" : "decode-reads-prompt, budget used up"));
     }
 
     /** Records an attempt without a response to forward, and returns how to proceed. */
     NextStep recordFailure(
             RequestContext context, LiveServer server, AttemptOutcome outcome, String reason) {
+        return recordFailure(context, server, outcome, reason, null);
+    }
+
+    /** Records a failed attempt of a stream, and returns how to proceed. */
+    NextStep recordStreamFailure(
+            RequestContext context, LiveServer server, BackendCallException failure) {
+        return recordFailure(
+                context,
+                server,
+                failure.outcome(),
+                failure.getMessage(),
+                failure.isBrokenOff() ? context.caller().promptParts() : null);
+    }
+
+    private NextStep recordFailure(
+            RequestContext context,
+            LiveServer server,
+            AttemptOutcome outcome,
+            String reason,
+            List<PromptPartId> promptParts) {
         recordServerFailure(server, outcome);
         context.attempts().record(server.id(), outcome);
         NextStep next = context.attempts().nextStep(outcome, mayRetry(context, outcome));
@@ -112,6 +135,7 @@
                         server.id().value(),
                         outcome.name(),
                         reason,
+                        promptParts,
                         next.name()));
         return next;
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BackendCallException.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BackendCallException.java
@@ -11,10 +11,17 @@
     private static final long serialVersionUID = 1L;
 
     private final AttemptOutcome mOutcome;
+    private final boolean mBrokenOff;
     private final transient List<ResponsePart> mResponseParts;
 
     BackendCallException(Step step, RemoteName server, AttemptOutcome outcome, String message) {
-        this(step, server, outcome, message, List.of());
+        this(step, server, outcome, message, false, List.of());
+    }
+
+    /** Returns an exception for a server that broke a call off that it had received. */
+    static BackendCallException brokenOff(Step step, RemoteName server, String message) {
+        return new BackendCallException(
+                step, server, AttemptOutcome.UNKNOWN, message, true, List.of());
     }
 
     /** Creates an exception for an error response of the server. */
@@ -24,8 +31,19 @@
             AttemptOutcome outcome,
             String message,
             List<ResponsePart> responseParts) {
+        this(step, server, outcome, message, false, responseParts);
+    }
+
+    private BackendCallException(
+            Step step,
+            RemoteName server,
+            AttemptOutcome outcome,
+            String message,
+            boolean brokenOff,
+            List<ResponsePart> responseParts) {
         super(step, server, message);
         mOutcome = outcome;
+        mBrokenOff = brokenOff;
         mResponseParts = List.copyOf(responseParts);
     }
 
@@ -34,6 +52,14 @@
         return mResponseParts;
     }
 
+    /**
+     * Returns whether the connection or the response ended too early, as after a crash, rather than
+     * by a timeout or a complete response of another status.
+     */
+    boolean isBrokenOff() {
+        return mBrokenOff;
+    }
+
     /** Returns the outcome of the attempt, as far as the failure proves it. */
     AttemptOutcome outcome() {
         return mOutcome;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -111,11 +112,13 @@
         if (cause instanceof BackendCallException callException) {
             return callException;
         }
+        RemoteName server = new RemoteName(request.server().id().value());
+        String message = cause.getClass().getSimpleName() + ": " + cause.getMessage();
+        if (sent && cause instanceof IOException) {
+            return BackendCallException.brokenOff(step, server, message);
+        }
         return new BackendCallException(
-                step,
-                new RemoteName(request.server().id().value()),
-                sent ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_SENT,
-                cause.getClass().getSimpleName() + ": " + cause.getMessage());
+                step, server, sent ? AttemptOutcome.UNKNOWN : AttemptOutcome.NOT_SENT, message);
     }
 
     /**
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -282,10 +282,9 @@
     private static Mono<byte[]> endOfStream(LiveServer server, StreamProgress progress) {
         return progress.isTruncated()
                 ? Mono.error(
-                        new BackendCallException(
+                        BackendCallException.brokenOff(
                                 Step.DECODE,
                                 new RemoteName(server.id().value()),
-                                AttemptOutcome.UNKNOWN,
                                 "the stream ended without a complete last event, framed by "
                                         + progress.framing()))
                 : Mono.fromSupplier(progress::remainingBytes);
@@ -319,8 +318,7 @@
         LiveServer server = assignment.plan().decode();
         assignment.hold().release();
         progress.discardPartialEvent();
-        NextStep next =
-                mAttempts.recordFailure(context, server, failure.outcome(), failure.getMessage());
+        NextStep next = mAttempts.recordStreamFailure(context, server, failure);
         Optional<KvSource> unused = source.filter(s -> isUnfetched(failure.outcome()));
         return switch (next) {
             case ANSWER ->
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.gateway.log;
 
 import java.util.List;
+import org.fuchsiaford.prompt.PromptPartId;
 
 /**
  * An event of the decision log: a decision of this host, or a change of the state that decisions
@@ -39,8 +40,19 @@
     /** This host acquired or released the order lease, or a check for needed orders failed. */
     record OrderHolder(String state, long fence, String reason) implements Decision {}
 
-    /** An attempt failed; {@code next} is the step that follows. */
-    record AttemptFailed(String request, String server, String outcome, String reason, String next)
+    /**
+     * An attempt failed.
+     *
+     * @param promptParts the parts of the prompt if the server broke the stream off; else null
+     * @param next the step that follows
+     */
+    record AttemptFailed(
+            String request,
+            String server,
+            String outcome,
+            String reason,
+            List<PromptPartId> promptParts,
+            String next)
             implements Decision {}
 
     /** A stream is resumed at another server after the given event. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/CallerRequest.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/CallerRequest.java
@@ -2,7 +2,9 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.List;
 import java.util.Optional;
+import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.workspace.KeyHash;
@@ -21,6 +23,7 @@
  * @param key the hash of the API key, if the request has one
  * @param deadlineNanos when the caller stops waiting, on the monotonic clock
  * @param tokens the token counts, if the caller stated them
+ * @param promptParts the parts of its prompt in order, if the caller stated them; else empty
  * @param lastEventId the id of the last event that the caller received, if it resumes a stream
  */
 public record CallerRequest(
@@ -33,4 +36,5 @@
         Optional<KeyHash> key,
         long deadlineNanos,
         Optional<TokenCounts> tokens,
+        List<PromptPartId> promptParts,
         Optional<String> lastEventId) {}
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
@@ -179,6 +179,7 @@
                         Optional.empty(),
                         deadlineNanos,
                         Optional.of(SIZE),
+                        List.of(),
                         Optional.empty());
         RequestContext context =
                 new RequestContext(
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.fuchsiaford.prompt.PromptPartId;
 
 /**
  * Pins the exact form of each line of the decision log. Operators' tools match event names and
@@ -72,8 +73,10 @@
                 "'OrderHolder','state':'s','fence':1,'reason':'r'",
                 new Decision.OrderHolder("s", 1, "r"));
         add(
-                "'AttemptFailed','request':'r','server':'s','outcome':'o','reason':'w','next':'n'",
-                new Decision.AttemptFailed("r", "s", "o", "w", "n"));
+                "'AttemptFailed','request':'r','server':'s','outcome':'o','reason':'w',"
+                        + "'promptParts':['p'],'next':'n'",
+                new Decision.AttemptFailed(
+                        "r", "s", "o", "w", List.of(new PromptPartId("p")), "n"));
         add("'Resumed','request':'r','afterEvent':'e'", new Decision.Resumed("r", "e"));
         add(
                 "'Ended','request':'r','route':'t','workspace':'w','outcome':'o','status':1,"
