--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
@@ -15,6 +17,7 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -42,6 +45,9 @@
     private volatile String mStage = "";
     private volatile Duration mPrefillDelay = Duration.ZERO;
     private volatile ServerBehaviour mBehaviour = ServerBehaviour.ANSWER;
+    private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
+    private volatile String mCrashingPart = "";
+    private volatile DisposableServer mServer;
 
     /**
      * An execution of a request.
@@ -80,6 +86,11 @@
         mPrefillDelay = delay;
     }
 
+    /** Sets the part of a prompt that crashes this server once it sends the first event for it. */
+    public void setCrashingPart(String part) {
+        mCrashingPart = part;
+    }
+
     /** Returns the executions so far, in order. */
     public List<Execution> executions() {
         return List.copyOf(mExecutions);
@@ -107,7 +118,28 @@
 
     @Override
     public DisposableServer start(int port) {
-        return HttpServer.create().host("127.0.0.1").port(port).handle(this::handle).bindNow();
+        mServer =
+                HttpServer.create()
+                        .host("127.0.0.1")
+                        .port(port)
+                        .doOnConnection(this::addConnection)
+                        .handle(this::handle)
+                        .bindNow();
+        return mServer;
+    }
+
+    private void addConnection(Connection connection) {
+        mConnections.add(connection);
+        connection.onDispose(() -> mConnections.remove(connection));
+    }
+
+    /** Stops to listen and closes all connections, as the end of the process would. */
+    private Mono<Void> crash() {
+        return Mono.fromRunnable(
+                () -> {
+                    mServer.dispose();
+                    mConnections.forEach(connection -> connection.channel().close());
+                });
     }
 
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
@@ -201,6 +233,9 @@
                         .map(PlatformServerStandin::event)
                         .delayElements(EVENT_GAP);
         response.header("Content-Type", "text/event-stream");
+        if (hasCrashingPart(request)) {
+            return send(response, events.take(1)).then(crash());
+        }
         if (behaviour == ServerBehaviour.STALL) {
             return send(response, events.take(EVENTS_BEFORE_BREAK).concatWith(Flux.never()));
         }
@@ -211,6 +246,11 @@
                 : send(response, events);
     }
 
+    private boolean hasCrashingPart(HttpServerRequest request) {
+        String parts = request.requestHeaders().get("Fuchsiaford-Prompt-Prefix", "");
+        return !mCrashingPart.isEmpty() && parts.contains(mCrashingPart + ":");
+    }
+
     private static Mono<Void> send(HttpServerResponse response, Flux<byte[]> events) {
         return response.send(events.map(Unpooled::wrappedBuffer), buffer -> true).then();
     }
