Keep prompts that crash engines from the others

Cause: nothing related the crash of an engine to the prompts that ran there, so each new request with the part was placed on the best engine that was left. The class of fault: a failure is charged to the server that showed it, never to the request that caused it.

Evidence: with the parts in the log, each of 20 crashes has exactly one request with the same two leading parts; 83 of the 96 streams were sent once, so repeats did not spread them.

Change: hosts tell the scheduler the parts of a prompt with the request for engines, and which streams an engine broke off. The scheduler keeps what crashes have in common and which answers survived: a part that is in the crashes of two engines under two prompts, and in no answer since, is kept from engines, together with the other parts if the crashes cannot tell them apart. A part in common use needs four separate crashes, so that engines which fail together blame no prompt. Streams that broke off beside the cause are not held against their prompts. Requests with the parts are refused at once, queued ones too, with the time to come back; after 20 s one of them is admitted, and each further period is twice as long. Heartbeats carry the quarantine, so that the next coordinator knows it. The decision log has PromptQuarantined.

--- a/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import java.util.List;
 import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.prompt.QuarantinedPrompt;
 import org.fuchsiaford.quota.WorkspaceTotal;
 import org.fuchsiaford.request.RequestId;
 
@@ -23,6 +24,7 @@
  * @param outcomes the outcomes of its calls since the last report, if the receiver is the one it
  *     asks
  * @param waiting its requests queued for engines that can still meet their target, by service
+ * @param quarantined the parts of prompts that it refuses, since they crash engines
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -34,7 +36,8 @@
     "loads",
     "held",
     "outcomes",
-    "waiting"
+    "waiting",
+    "quarantined"
 })
 public record HostHeartbeat(
         HostRecord host,
@@ -45,7 +48,8 @@
         List<ServerLoad> loads,
         List<RequestId> held,
         List<ServerOutcomes> outcomes,
-        List<QueuedWork> waiting) {
+        List<QueuedWork> waiting,
+        List<QuarantinedPrompt> quarantined) {
 
     /** Returns the tokens queued for a service that can still meet their target. */
     public long waitingTokens(ServiceId service) {
--- a/core/src/main/java/org/fuchsiaford/selection/EngineEvent.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineEvent.java
@@ -40,6 +40,8 @@
         COMPLETED,
         /** The engines are released without a complete stream. */
         RELEASED,
+        /** The decode engine has broken the stream off, maybe by a crash; both are released. */
+        BROKEN_OFF,
         /** The request no longer waits for engines. */
         CANCELLED,
         /** A server was called for any request. */
--- a/core/src/main/java/org/fuchsiaford/selection/EngineRequest.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineRequest.java
@@ -1,10 +1,12 @@
 package org.fuchsiaford.selection;
 
+import java.util.List;
 import java.util.Set;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
 
@@ -17,6 +19,7 @@
  * @param request the id of the request
  * @param service the service whose engines it needs
  * @param tokens its token counts
+ * @param promptParts the parts of its prompt, as far as they are known
  * @param priority its priority; zero is the highest
  * @param failed the engines that have already failed it
  * @param targetMillis the target for the time to the first event, in milliseconds
@@ -30,6 +33,7 @@
         RequestId request,
         ServiceId service,
         TokenCounts tokens,
+        List<PromptPartId> promptParts,
         int priority,
         Set<BackendServerId> failed,
         long targetMillis,
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.selection;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,8 @@
 import java.util.function.ToLongFunction;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.prompt.PromptPartId;
+import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.request.RequestId;
@@ -57,9 +60,10 @@
     private final EnginePlanner mPlanner;
     private final EngineQueues mQueues;
     private final ToLongFunction<ServiceId> mOthersOnTimeTokens;
+    private final PromptQuarantine mQuarantine;
     private final DoubleSupplier mRandom;
     private final Map<RequestId, Queued> mQueued = new HashMap<>();
-    private final Map<RequestId, Held> mHeld = new HashMap<>();
+    private final Map<RequestId, HeldGrant> mHeld = new HashMap<>();
 
     private static final class Queued {
         private final EngineRequest mRequest;
@@ -71,9 +75,6 @@
         }
     }
 
-    private record Held(
-            Answer.Granted grant, EngineReservation reservation, boolean prefillWasIdle) {}
-
     /** The answer to a request for engines. All are immutable. */
     public sealed interface Answer {
         /**
@@ -106,6 +107,7 @@
      * @param self this host
      * @param othersOnTimeTokens the tokens queued at other schedulers that can still meet their
      *     target, by service
+     * @param quarantine the prompts that must not be placed
      * @param random a source of uniformly distributed random numbers from 0 to 1
      */
     public EngineScheduler(
@@ -115,6 +117,7 @@
             EnginePlanner planner,
             EngineQueues queues,
             ToLongFunction<ServiceId> othersOnTimeTokens,
+            PromptQuarantine quarantine,
             DoubleSupplier random) {
         mSelf = self;
         mPool = pool;
@@ -122,6 +125,7 @@
         mPlanner = planner;
         mQueues = queues;
         mOthersOnTimeTokens = othersOnTimeTokens;
+        mQuarantine = quarantine;
         mRandom = random;
     }
 
@@ -145,18 +149,30 @@
             long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
             return new Answer.Refused(request, leftMillis, "no engine can hold the prompt");
         }
+        long quarantineNanos = mQuarantine.admit(request.promptParts(), nowNanos);
+        if (quarantineNanos > 0) {
+            return refuseQuarantined(request, quarantineNanos);
+        }
         Optional<Answer.Granted> grant =
                 queue(request).isEmpty() ? tryGrant(request, nowNanos) : Optional.empty();
         return grant.isPresent() ? grant.get() : enqueue(request, nowNanos);
     }
 
+    private static Answer.Refused refuseQuarantined(EngineRequest request, long quarantineNanos) {
+        long millis = TimeUnit.NANOSECONDS.toMillis(quarantineNanos);
+        return new Answer.Refused(
+                request,
+                Math.max(NO_ENGINE_RETRY_MILLIS, millis),
+                "a part of the prompt has crashed engines");
+    }
+
     /**
      * Returns the state of an earlier request of a host, which proves that the host still waits for
      * it; empty if the request is not known.
      */
     public synchronized Optional<Answer> poll(HostId host, RequestId request, long nowNanos) {
-        Held held = mHeld.get(request);
-        if (held != null && held.grant().request().host().equals(host)) {
+        HeldGrant held = mHeld.get(request);
+        if (held != null && held.request().host().equals(host)) {
             return Optional.of(held.grant());
         }
         Queued queued = mQueued.get(request);
@@ -181,6 +197,7 @@
     public synchronized List<Answer> dispatch(long nowNanos) {
         List<Answer> answers = new ArrayList<>();
         removeAbandoned(nowNanos);
+        refuseQuarantined(answers, nowNanos);
         mQueued.values().stream()
                 .map(queued -> queued.mRequest.service())
                 .distinct()
@@ -198,6 +215,22 @@
                 .forEach(this::cancel);
     }
 
+    /** Refuses queued requests whose prompts have been found to crash engines meanwhile. */
+    private void refuseQuarantined(List<Answer> answers, long nowNanos) {
+        mQueued.values().stream()
+                .map(queued -> queued.mRequest)
+                .toList()
+                .forEach(
+                        request -> {
+                            long nanos =
+                                    mQuarantine.remainingNanos(request.promptParts(), nowNanos);
+                            if (nanos > 0) {
+                                cancel(request.request());
+                                answers.add(refuseQuarantined(request, nanos));
+                            }
+                        });
+    }
+
     private void dispatch(ServiceId service, List<Answer> answers, long nowNanos) {
         EngineQueue queue = mQueues.of(service);
         long othersTokens = mOthersOnTimeTokens.applyAsLong(service);
@@ -237,15 +270,15 @@
      * @param durationNanos the duration of the call
      */
     public synchronized void recordPrefill(RequestId request, long durationNanos) {
-        Held held = mHeld.get(request);
+        HeldGrant held = mHeld.get(request);
         if (held == null) {
             return;
         }
         held.reservation().endPrefill();
         if (held.prefillWasIdle()) {
             mPlanner.observePrefill(
-                    held.grant().request().service(),
-                    held.grant().request().tokens().promptTokens(),
+                    held.request().service(),
+                    held.request().tokens().promptTokens(),
                     durationNanos);
         }
     }
@@ -270,11 +303,13 @@
      *
      * @param durationNanos the time since the capacity was granted
      */
-    public synchronized void recordFirstEvent(RequestId request, long durationNanos) {
-        Held held = mHeld.get(request);
+    public synchronized void recordFirstEvent(
+            RequestId request, long durationNanos, long nowNanos) {
+        HeldGrant held = mHeld.get(request);
         if (held != null) {
             held.reservation().endPrefillBacklog();
-            queue(held.grant().request()).observeTimeToFirstEvent(durationNanos);
+            held.recordFirstEvent(nowNanos);
+            queue(held.request()).observeTimeToFirstEvent(durationNanos);
         }
     }
 
@@ -283,25 +318,49 @@
      *
      * @param durationNanos the time since the capacity was granted
      */
-    public synchronized void complete(RequestId request, long durationNanos) {
-        Held held = mHeld.get(request);
+    public synchronized void complete(RequestId request, long durationNanos, long nowNanos) {
+        HeldGrant held = mHeld.get(request);
         if (held != null) {
-            EngineRequest granted = held.grant().request();
+            EngineRequest granted = held.request();
             queue(granted).observeRunDuration(granted.tokens(), durationNanos);
+            mQuarantine.recordSurvival(held.prompt(), held.beganNanos(), nowNanos);
+        }
+        release(request);
+    }
+
+    /** Releases the capacity of a request whose stream its decode engine has broken off. */
+    public synchronized void breakOff(RequestId request, long nowNanos) {
+        HeldGrant held = mHeld.get(request);
+        if (held != null) {
+            recordSurvivors(held.prompt(), nowNanos);
+            if (!held.hasSurvived(nowNanos)) {
+                mQuarantine.recordBreak(held.decodeEngine(), held.prompt(), nowNanos);
+            }
         }
         release(request);
     }
 
+    /** Records the running requests that share parts with a prompt and have survived. */
+    private void recordSurvivors(List<PromptPartId> prompt, long nowNanos) {
+        mHeld.values().stream()
+                .filter(held -> held.hasSurvived(nowNanos))
+                .filter(held -> !Collections.disjoint(held.prompt(), prompt))
+                .forEach(
+                        held ->
+                                mQuarantine.recordSurvival(
+                                        held.prompt(), held.beganNanos(), nowNanos));
+    }
+
     /** Releases the capacity of a request. Later calls have no effect. */
     public synchronized void release(RequestId request) {
-        Held held = mHeld.remove(request);
+        HeldGrant held = mHeld.remove(request);
         if (held != null) {
             held.reservation().release();
         }
     }
 
     private Optional<EngineReservation> reservation(RequestId request) {
-        return Optional.ofNullable(mHeld.get(request)).map(Held::reservation);
+        return Optional.ofNullable(mHeld.get(request)).map(HeldGrant::reservation);
     }
 
     /**
@@ -311,7 +370,7 @@
     public synchronized void reconcile(HostId host, List<RequestId> held, long nowNanos) {
         Set<RequestId> reported = new HashSet<>(held);
         mHeld.values().stream()
-                .map(Held::grant)
+                .map(HeldGrant::grant)
                 .filter(grant -> grant.request().host().equals(host))
                 .filter(grant -> nowNanos - grant.grantedNanos() > REPORT_TIMEOUT_NANOS)
                 .map(grant -> grant.request().request())
@@ -323,7 +382,7 @@
     /** Releases all grants to a host that no longer reports, and removes its queued requests. */
     public synchronized void removeHost(HostId host) {
         mHeld.values().stream()
-                .map(held -> held.grant().request())
+                .map(HeldGrant::request)
                 .filter(request -> request.host().equals(host))
                 .map(EngineRequest::request)
                 .toList()
@@ -434,7 +493,8 @@
         LoadSink loads = request.host().equals(mSelf) ? mLoads : mLoads.grantedToOthers();
         EngineReservation reservation = new EngineReservation(loads, plan, request.tokens());
         Answer.Granted grant = new Answer.Granted(request, plan, nowNanos);
-        mHeld.put(request.request(), new Held(grant, reservation, prefillWasIdle));
+        mQuarantine.recordPlaced(nowNanos);
+        mHeld.put(request.request(), new HeldGrant(grant, reservation, prefillWasIdle));
         return grant;
     }
 }
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
@@ -116,6 +116,7 @@
                                 List.of(),
                                 List.of(),
                                 List.of(),
+                                List.of(),
                                 List.of()),
                         mNowNanos);
         host.view().recordContact(coordinator, mNowNanos);
@@ -129,6 +130,7 @@
                                     0,
                                     receiver.view().availableHosts(true, mNowNanos),
                                     List.of(),
+                                    List.of(),
                                     List.of()),
                             mNowNanos);
         }
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
@@ -23,7 +23,8 @@
 
     private static HostHeartbeat heartbeat(HostRecord host, boolean accepting) {
         return new HostHeartbeat(
-                host, 0, accepting, 0, List.of(), List.of(), List.of(), List.of(), List.of());
+                host, 0, accepting, 0, List.of(), List.of(), List.of(), List.of(), List.of(),
+                List.of());
     }
 
     @Example
@@ -79,7 +80,12 @@
         mFleet.register(host("c", HERE, 3));
         FleetSummary summary =
                 new FleetSummary(
-                        host("c", HERE, 3), 0, List.of(new HostId("b")), List.of(), List.of());
+                        host("c", HERE, 3),
+                        0,
+                        List.of(new HostId("b")),
+                        List.of(),
+                        List.of(),
+                        List.of());
         mFleet.recordSummary(summary, 0);
         assertThat(mFleet.callerAddresses(HERE, false, SECOND)).containsExactly("10.0.0.2:80");
         assertThat(mFleet.callerAddresses(HERE, false, 2 * SECOND)).isEmpty();
--- a/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
@@ -21,6 +21,7 @@
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.request.RequestId;
@@ -84,6 +85,7 @@
                 new EnginePlanner(loads, new ServerHealth(), random::nextDouble),
                 queues,
                 service -> 0,
+                new PromptQuarantine(),
                 random::nextDouble);
     }
 
@@ -94,6 +96,7 @@
                 new RequestId(id),
                 mEngines.get(0).service(),
                 tokens,
+                List.of(),
                 1,
                 Set.of(),
                 TARGET_MILLIS,
@@ -147,7 +150,8 @@
         int granted = 0;
         for (int i = 0; i < BURST_REQUESTS; i++) {
             long nowNanos = SECOND + i * (BURST_NANOS / BURST_REQUESTS);
-            engines.end(nowNanos).forEach(run -> mScheduler.complete(run.request(), 2 * SECOND));
+            engines.end(nowNanos)
+                    .forEach(run -> mScheduler.complete(run.request(), 2 * SECOND, nowNanos));
             List<Answer> answers = new ArrayList<>(mScheduler.dispatch(nowNanos));
             HostId host = new HostId("h" + random.nextInt(HOSTS));
             answers.add(
--- a/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
@@ -84,6 +84,7 @@
                         new RequestId("r"),
                         engines[0].service(),
                         new TokenCounts(promptTokens, 100),
+                        List.of(),
                         1,
                         Set.of(),
                         TARGET_MILLIS,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -13,6 +13,7 @@
 import org.fuchsiaford.peer.PeerClient;
 import org.fuchsiaford.peer.TcpPeerClient;
 import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.quota.FleetQuota;
 import org.fuchsiaford.selection.EnginePlanner;
 import org.fuchsiaford.selection.EngineQueues;
@@ -33,6 +34,7 @@
     private final Ticker mTicker;
     private final HeldEngines mHeld = new HeldEngines();
     private final OutcomeTally mTally = new OutcomeTally();
+    private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final CoordinatorCalls mCalls;
     private final EngineDispatcher mDispatcher;
     private final CoordinatorHandler mHandler;
@@ -73,8 +75,9 @@
                         new EnginePlanner(loads, health, random),
                         queues,
                         this::othersOnTimeTokens,
+                        mQuarantine,
                         random);
-        mDispatcher = new EngineDispatcher(scheduler, health, log, ticker);
+        mDispatcher = new EngineDispatcher(scheduler, mQuarantine, health, log, ticker);
         mHeartbeats =
                 new HeartbeatExchange(
                         fleet,
@@ -86,6 +89,7 @@
                         mHeld,
                         health,
                         mTally,
+                        mQuarantine,
                         queues,
                         state,
                         peerClient,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -53,6 +53,7 @@
                 message.request(),
                 message.service(),
                 message.tokens(),
+                message.promptParts(),
                 message.priority(),
                 Set.copyOf(message.failed()),
                 message.targetMillis(),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/EngineDispatcher.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/EngineDispatcher.java
@@ -2,12 +2,14 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.EngineRequest;
@@ -39,6 +41,7 @@
     private static final Duration MAX_REMOTE_WAIT = Duration.ofMillis(250);
 
     private final EngineScheduler mScheduler;
+    private final PromptQuarantine mQuarantine;
     private final ServerHealth mHealth;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -47,8 +50,13 @@
 
     /** Creates a dispatcher. */
     public EngineDispatcher(
-            EngineScheduler scheduler, ServerHealth health, DecisionLog log, Ticker ticker) {
+            EngineScheduler scheduler,
+            PromptQuarantine quarantine,
+            ServerHealth health,
+            DecisionLog log,
+            Ticker ticker) {
         mScheduler = scheduler;
+        mQuarantine = quarantine;
         mHealth = health;
         mLog = log;
         mTicker = ticker;
@@ -162,6 +170,21 @@
     public void apply(List<EngineEvent> events) {
         events.forEach(this::apply);
         dispatch();
+        logQuarantine();
+    }
+
+    /** Logs what has changed in the quarantine of prompts. */
+    void logQuarantine() {
+        mQuarantine
+                .drainChanges()
+                .forEach(
+                        change ->
+                                mLog.write(
+                                        new Decision.PromptQuarantined(
+                                                change.kind().name().toLowerCase(Locale.ROOT),
+                                                List.copyOf(change.parts()),
+                                                change.strikes(),
+                                                change.millis())));
     }
 
     private void apply(EngineEvent event) {
@@ -170,8 +193,11 @@
             case PREFILLED -> mScheduler.recordPrefill(request, event.durationNanos());
             case PREFILL_NOT_NEEDED -> mScheduler.recordPrefillNotNeeded(request);
             case PREFILL_FAILED -> mScheduler.recordPrefillFailure(request);
-            case FIRST_EVENT -> mScheduler.recordFirstEvent(request, event.durationNanos());
-            case COMPLETED -> mScheduler.complete(request, event.durationNanos());
+            case FIRST_EVENT ->
+                    mScheduler.recordFirstEvent(request, event.durationNanos(), mTicker.nowNanos());
+            case COMPLETED ->
+                    mScheduler.complete(request, event.durationNanos(), mTicker.nowNanos());
+            case BROKEN_OFF -> mScheduler.breakOff(request, mTicker.nowNanos());
             case RELEASED -> mScheduler.release(request);
             case CANCELLED -> cancel(request);
             case CALLED ->
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -21,6 +21,8 @@
 import org.fuchsiaford.peer.PeerAddress;
 import org.fuchsiaford.peer.PeerClient;
 import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.prompt.PromptQuarantine;
+import org.fuchsiaford.prompt.QuarantinedPrompt;
 import org.fuchsiaford.quota.FleetQuota;
 import org.fuchsiaford.selection.EngineQueues;
 import org.fuchsiaford.selection.FleetHealth;
@@ -70,6 +72,7 @@
     private final ServerHealth mHealth;
     private final OutcomeTally mTally;
     private final FleetHealth mFleetHealth = new FleetHealth();
+    private final PromptQuarantine mQuarantine;
     private final EngineQueues mQueues;
     private final GatewayState mState;
     private final PeerClient mPeerClient;
@@ -96,6 +99,7 @@
             HeldEngines held,
             ServerHealth health,
             OutcomeTally tally,
+            PromptQuarantine quarantine,
             EngineQueues queues,
             GatewayState state,
             PeerClient peerClient,
@@ -112,6 +116,7 @@
         mHeld = held;
         mHealth = health;
         mTally = tally;
+        mQuarantine = quarantine;
         mQueues = queues;
         mState = state;
         mPeerClient = peerClient;
@@ -261,7 +266,8 @@
                 mLoads.localLoadsExcept(receiver),
                 mHeld.grantedBy(receiver),
                 withOutcomes ? mTally.drain() : List.of(),
-                mQueues.onTimeWork(nowNanos));
+                mQueues.onTimeWork(nowNanos),
+                mQuarantine.list(nowNanos));
     }
 
     private void receive(FleetSummary summary, List<ServerLoad> ownLoads) {
@@ -272,6 +278,7 @@
         long nowNanos = mTicker.nowNanos();
         mFleet.recordContact(coordinator, nowNanos);
         mTracker.recordSuccess(coordinator.id(), nowNanos);
+        mergeQuarantine(summary.quarantined(), nowNanos);
         if (isPrimaryOrUnsettled(coordinator)) {
             mFleet.recordSummary(summary, nowNanos);
             mLoads.replaceFleetLoads(summary.loads(), ownLoads);
@@ -300,6 +307,7 @@
             mLoads.replaceReport(sender, heartbeat.loads());
             mDispatcher.reconcile(sender, heartbeat.held());
             mFleetHealth.add(heartbeat.outcomes(), nowNanos);
+            mergeQuarantine(heartbeat.quarantined(), nowNanos);
             catchUp(heartbeat.host(), heartbeat.stateRevision(), nowNanos);
         }
         return new PeerMessage.FleetResponse(
@@ -308,7 +316,15 @@
                         mState.revision(),
                         mFleet.availableHosts(mIsAccepting.getAsBoolean(), nowNanos),
                         request.wantsLoads() ? mLoads.totals() : List.of(),
-                        mFleetHealth.failing(nowNanos)));
+                        mFleetHealth.failing(nowNanos),
+                        mQuarantine.list(nowNanos)));
+    }
+
+    private void mergeQuarantine(List<QuarantinedPrompt> reported, long nowNanos) {
+        if (!reported.isEmpty()) {
+            mQuarantine.merge(reported, nowNanos);
+            mDispatcher.logQuarantine();
+        }
     }
 
     private void catchUp(HostRecord peer, long revision, long nowNanos) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineHold.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineHold.java
@@ -28,6 +28,9 @@
      */
     void complete(long sinceGrantNanos);
 
+    /** Releases the engines after the decode engine has broken the stream off. */
+    void breakOff();
+
     /** Releases the engines. Has no effect after a release. */
     void release();
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/LocalEngineHold.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/LocalEngineHold.java
@@ -44,6 +44,11 @@
         apply(EngineEvent.Kind.COMPLETED, sinceGrantNanos);
     }
 
+    @Override
+    public void breakOff() {
+        apply(EngineEvent.Kind.BROKEN_OFF, 0);
+    }
+
     @Override
     public void release() {
         apply(EngineEvent.Kind.RELEASED, 0);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RemoteEngineHold.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RemoteEngineHold.java
@@ -66,6 +66,11 @@
         release(EngineEvent.Kind.COMPLETED, sinceGrantNanos);
     }
 
+    @Override
+    public void breakOff() {
+        release(EngineEvent.Kind.BROKEN_OFF, 0);
+    }
+
     @Override
     public void release() {
         release(EngineEvent.Kind.RELEASED, 0);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -316,7 +316,11 @@
             BackendCallException failure,
             Optional<KvSource> source) {
         LiveServer server = assignment.plan().decode();
-        assignment.hold().release();
+        if (failure.isBrokenOff()) {
+            assignment.hold().breakOff();
+        } else {
+            assignment.hold().release();
+        }
         progress.discardPartialEvent();
         NextStep next = mAttempts.recordStreamFailure(context, server, failure);
         Optional<KvSource> unused = source.filter(s -> isUnfetched(failure.outcome()));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -80,6 +80,17 @@
             Boolean insideEvent)
             implements Decision {}
 
+    /**
+     * The quarantine of prompts that crash engines has changed.
+     *
+     * @param state started, adopted from another host, trial of one request, or ended
+     * @param strikes how often requests with the parts have been admitted again and crashed an
+     *     engine
+     * @param millis how long requests with all of the parts are refused
+     */
+    record PromptQuarantined(String state, List<PromptPartId> promptParts, int strikes, long millis)
+            implements Decision {}
+
     /** This host applied a new version of the routing table. */
     record TableInForce(long version, long revision) implements Decision {}
 
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
@@ -25,6 +25,7 @@
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerAddress;
@@ -140,6 +141,7 @@
         state.apply(new StoreChange(new StoreKey("e"), anyValue, 2));
         state.apply(new StoreChange(new StoreKey("o"), anyValue, 3));
         ServerHealth health = new ServerHealth();
+        PromptQuarantine quarantine = new PromptQuarantine();
         EngineScheduler scheduler =
                 new EngineScheduler(
                         fleet.self().id(),
@@ -148,6 +150,7 @@
                         new EnginePlanner(mLoads, health, () -> 0),
                         mQueues,
                         service -> 0,
+                        quarantine,
                         () -> 0);
         // The host knows no other, so it coordinates itself.
         CoordinatorCalls calls =
@@ -156,7 +159,7 @@
         return new EngineAdmission(
                 state,
                 calls,
-                new EngineDispatcher(scheduler, health, log, mTicker),
+                new EngineDispatcher(scheduler, quarantine, health, log, mTicker),
                 mLoads,
                 new HeldEngines(),
                 log,
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -86,6 +86,9 @@
     }
 
     private void addBeliefs() {
+        add(
+                "'PromptQuarantined','state':'s','promptParts':['p'],'strikes':1,'millis':2",
+                new Decision.PromptQuarantined("s", List.of(new PromptPartId("p")), 1, 2));
         add("'TableInForce','version':1,'revision':2", new Decision.TableInForce(1, 2));
         add(
                 "'ServerSeen','server':'s','service':'v','state':'t','stage':'g','revision':1",
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -20,6 +20,7 @@
 import org.fuchsiaford.placement.PlacementDecision;
 import org.fuchsiaford.placement.PlacementEvent;
 import org.fuchsiaford.placement.PlacementRequest;
+import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.TokenQuota;
@@ -158,6 +159,7 @@
             RequestId request,
             ServiceId service,
             TokenCounts tokens,
+            List<PromptPartId> promptParts,
             int priority,
             List<BackendServerId> failed,
             long targetMillis,
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import net.jqwik.api.Example;
@@ -42,6 +43,8 @@
 import org.fuchsiaford.placement.PlacementDecision;
 import org.fuchsiaford.placement.PlacementEvent;
 import org.fuchsiaford.placement.PlacementRequest;
+import org.fuchsiaford.prompt.PromptPartId;
+import org.fuchsiaford.prompt.QuarantinedPrompt;
 import org.fuchsiaford.quota.WorkspaceTotal;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
@@ -200,23 +203,35 @@
         var record = new HostRecord(host(), new FailureDomainId("f1"), "c:2", "p:1", 1.5);
         var held = List.of(new RequestId("r1"));
         var outcomes = List.of(new ServerOutcomes(new BackendServerId("e1"), 8, 2));
+        var quarantined = List.of(new QuarantinedPrompt(Set.of(new PromptPartId("p1")), 1, 8));
         var failing = List.of(new FailureRate(new BackendServerId("e1"), 0.25));
         add(
                 "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[['w1',2,3]],[['e1',3,4,5]],"
-                        + "['r1'],[['e1',8,2]],[['v1',6]]],'wantsLoads':true}]",
+                        + "['r1'],[['e1',8,2]],[['v1',6]],[[['p1'],1,8]]],"
+                        + "'wantsLoads':true}]",
                 new PeerMessage.Heartbeat(
                         new HostHeartbeat(
-                                record, 7, true, 9, admitted, loads, held, outcomes, waiting),
+                                record,
+                                7,
+                                true,
+                                9,
+                                admitted,
+                                loads,
+                                held,
+                                outcomes,
+                                waiting,
+                                quarantined),
                         true));
         add(
-                "['v',{'pulse':[null,0,false,0,null,null,null,null,null],'wantsLoads':false}]",
+                "['v',{'pulse':[null,0,false,0,null,null,null,null,null,null],'wantsLoads':false}]",
                 new PeerMessage.Heartbeat(
-                        new HostHeartbeat(null, 0, false, 0, null, null, null, null, null), false));
+                        new HostHeartbeat(null, 0, false, 0, null, null, null, null, null, null),
+                        false));
         add(
                 "['V',{'summary':[['h1','f1','c:2','p:1',1.5],9,['h1'],[['e1',3,4,5]],"
-                        + "[['e1',0.25]]]}]",
+                        + "[['e1',0.25]],[[['p1'],1,8]]]}]",
                 new PeerMessage.FleetResponse(
-                        new FleetSummary(record, 9, List.of(host()), loads, failing)));
+                        new FleetSummary(record, 9, List.of(host()), loads, failing, quarantined)));
         addCoordination();
         add("['e',{}]", new PeerMessage.FetchStoreEntries());
         add(
@@ -233,16 +248,17 @@
         var engine = new BackendServerId("e1");
         add(
                 "['g',{'host':'h1','domain':'f1','request':'r1','service':'v1',"
-                        + "'tokens':{'promptTokens':7,'maxOutputTokens':8,"
-                        + "'declaredOutputTokens':9},'priority':1,'failed':['e1'],"
-                        + "'targetMillis':2,'ageMillis':3,'eventLeftMillis':4,'leftMillis':5,"
-                        + "'poll':true}]",
+                    + "'tokens':{'promptTokens':7,'maxOutputTokens':8,"
+                    + "'declaredOutputTokens':9},'promptParts':['p1'],'priority':1,'failed':['e1'],"
+                    + "'targetMillis':2,'ageMillis':3,'eventLeftMillis':4,'leftMillis':5,"
+                    + "'poll':true}]",
                 new PeerMessage.AcquireEngines(
                         host(),
                         new FailureDomainId("f1"),
                         new RequestId("r1"),
                         new ServiceId("v1"),
                         new TokenCounts(7, 8, 9),
+                        List.of(new PromptPartId("p1")),
                         1,
                         List.of(engine),
                         2,
