Name a server's wish for no requests a backoff, and the streams of a crash for what they are

Cause: read as a newcomer, the pause of a server that states a Retry-After was mixed up with the pause of an unreachable one in ServerHealth, and a Break of a stream said neither what broke nor which of them are only bystanders of a crash.

Change: ServerBackoff, BrokenStream, isBystander, forgetBystanders; the notice in the log is retry-after.

--- a/core/src/main/java/org/fuchsiaford/prompt/CrashEvidence.java
+++ b/core/src/main/java/org/fuchsiaford/prompt/CrashEvidence.java
@@ -23,7 +23,7 @@
  */
 final class CrashEvidence {
     private static final long MEMORY_NANOS = TimeUnit.SECONDS.toNanos(60);
-    private static final int MAX_BREAKS = 256;
+    private static final int MAX_BROKEN_STREAMS = 256;
     private static final int MAX_PARTS = 4_096;
 
     /** Streams of one crash are broken off within this time at all hosts. */
@@ -46,7 +46,7 @@
     /** A pause in the traffic after which it is not known any more which parts are in use. */
     private static final long MAX_GAP_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    private final Deque<Break> mBreaks = new ArrayDeque<>();
+    private final Deque<BrokenStream> mBrokenStreams = new ArrayDeque<>();
     private final Map<PromptPartId, Long> mSurvivedNanos =
             new LinkedHashMap<>(16, 0.75f, true) {
                 @Override
@@ -59,8 +59,8 @@
     private long mLastTrafficNanos;
 
     /** A stream that was broken off when its answer had just begun or was about to. */
-    private record Break(BackendServerId engine, Set<PromptPartId> prompt, long atNanos) {
-        boolean isOfSameCrash(Break other) {
+    private record BrokenStream(BackendServerId engine, Set<PromptPartId> prompt, long atNanos) {
+        boolean isOfSameCrash(BrokenStream other) {
             return engine.equals(other.engine)
                     && Math.abs(atNanos - other.atNanos) <= CRASH_SPREAD_NANOS;
         }
@@ -90,95 +90,101 @@
      *
      * @param known the sets of parts that are known to crash engines
      */
-    Optional<Set<PromptPartId>> recordBreak(
+    Optional<Set<PromptPartId>> recordBrokenStream(
             BackendServerId engine,
             List<PromptPartId> prompt,
             Set<Set<PromptPartId>> known,
             long nowNanos) {
-        Break latest = new Break(engine, new LinkedHashSet<>(prompt), nowNanos);
-        mBreaks.removeIf(old -> nowNanos - old.atNanos() > MEMORY_NANOS);
-        if (isExplained(latest, known)) {
+        BrokenStream latest = new BrokenStream(engine, new LinkedHashSet<>(prompt), nowNanos);
+        mBrokenStreams.removeIf(old -> nowNanos - old.atNanos() > MEMORY_NANOS);
+        if (isBystander(latest, known)) {
             return Optional.empty();
         }
-        mBreaks.addLast(latest);
-        if (mBreaks.size() > MAX_BREAKS) {
-            mBreaks.removeFirst();
+        mBrokenStreams.addLast(latest);
+        if (mBrokenStreams.size() > MAX_BROKEN_STREAMS) {
+            mBrokenStreams.removeFirst();
         }
         return prompt.stream()
-                .map(this::unclearedBreaks)
-                .filter(breaks -> !breaks.isEmpty())
+                .map(this::unclearedStreams)
+                .filter(streams -> !streams.isEmpty())
                 .filter(this::isSufficient)
                 .max(Comparator.comparingInt(List::size))
                 .map(this::commonParts);
     }
 
     /** Returns whether another prompt at the same engine is known to have crashed it. */
-    private boolean isExplained(Break latest, Set<Set<PromptPartId>> known) {
+    private boolean isBystander(BrokenStream latest, Set<Set<PromptPartId>> known) {
         return known.stream().noneMatch(latest.prompt()::containsAll)
-                && mBreaks.stream()
+                && mBrokenStreams.stream()
                         .filter(latest::isOfSameCrash)
                         .anyMatch(other -> known.stream().anyMatch(other.prompt()::containsAll));
     }
 
     /** Forgets the streams that crashes by the given parts have broken off besides. */
-    void explain(Set<PromptPartId> parts) {
-        List<Break> causes = mBreaks.stream().filter(b -> b.prompt().containsAll(parts)).toList();
-        mBreaks.removeIf(
-                b -> !b.prompt().containsAll(parts) && causes.stream().anyMatch(b::isOfSameCrash));
+    void forgetBystanders(Set<PromptPartId> parts) {
+        List<BrokenStream> causes =
+                mBrokenStreams.stream()
+                        .filter(broken -> broken.prompt().containsAll(parts))
+                        .toList();
+        mBrokenStreams.removeIf(
+                broken ->
+                        !broken.prompt().containsAll(parts)
+                                && causes.stream().anyMatch(broken::isOfSameCrash));
     }
 
-    /** Returns the breaks of prompts with a part since an answer with it last survived. */
-    private List<Break> unclearedBreaks(PromptPartId part) {
+    /** Returns the streams of prompts with a part since an answer with it last survived. */
+    private List<BrokenStream> unclearedStreams(PromptPartId part) {
         Long survivedNanos = mSurvivedNanos.get(part);
-        return mBreaks.stream()
-                .filter(b -> b.prompt().contains(part))
-                .filter(b -> survivedNanos == null || b.atNanos() - survivedNanos > 0)
+        return mBrokenStreams.stream()
+                .filter(broken -> broken.prompt().contains(part))
+                .filter(broken -> survivedNanos == null || broken.atNanos() - survivedNanos > 0)
                 .toList();
     }
 
-    private boolean isSufficient(List<Break> breaks) {
-        long engines = breaks.stream().map(Break::engine).distinct().count();
-        long prompts = breaks.stream().map(Break::prompt).distinct().count();
+    private boolean isSufficient(List<BrokenStream> streams) {
+        long engines = streams.stream().map(BrokenStream::engine).distinct().count();
+        long prompts = streams.stream().map(BrokenStream::prompt).distinct().count();
         boolean many = engines >= (prompts > 1 ? MIN_ENGINES : MIN_ENGINES_OF_ONE_PROMPT);
-        return many && (hasPartOutOfUse(breaks) || separateCrashes(breaks) >= MIN_SEPARATE_CRASHES);
+        return many
+                && (hasPartOutOfUse(streams) || separateCrashes(streams) >= MIN_SEPARATE_CRASHES);
     }
 
-    private boolean hasPartOutOfUse(List<Break> breaks) {
-        return suspects(breaks).stream().anyMatch(part -> !isInCommonUse(part, breaks));
+    private boolean hasPartOutOfUse(List<BrokenStream> streams) {
+        return suspects(streams).stream().anyMatch(part -> !isInCommonUse(part, streams));
     }
 
     /** Returns the parts that all of the prompts contain and that no answer since has cleared. */
-    private Set<PromptPartId> suspects(List<Break> breaks) {
-        Set<PromptPartId> suspects = new LinkedHashSet<>(breaks.get(0).prompt());
-        breaks.forEach(b -> suspects.retainAll(b.prompt()));
-        suspects.removeIf(part -> unclearedBreaks(part).size() < breaks.size());
+    private Set<PromptPartId> suspects(List<BrokenStream> streams) {
+        Set<PromptPartId> suspects = new LinkedHashSet<>(streams.get(0).prompt());
+        streams.forEach(broken -> suspects.retainAll(broken.prompt()));
+        suspects.removeIf(part -> unclearedStreams(part).size() < streams.size());
         return suspects;
     }
 
     /** Returns the suspects, without those in common use if there are others. */
-    private Set<PromptPartId> commonParts(List<Break> breaks) {
-        Set<PromptPartId> parts = suspects(breaks);
-        if (hasPartOutOfUse(breaks)) {
-            parts.removeIf(part -> isInCommonUse(part, breaks));
+    private Set<PromptPartId> commonParts(List<BrokenStream> streams) {
+        Set<PromptPartId> parts = suspects(streams);
+        if (hasPartOutOfUse(streams)) {
+            parts.removeIf(part -> isInCommonUse(part, streams));
         }
         return parts;
     }
 
     /** Returns whether answers with a part survived shortly before; true if that is not known. */
-    private boolean isInCommonUse(PromptPartId part, List<Break> breaks) {
-        long sinceNanos = breaks.get(0).atNanos() - COMMON_USE_NANOS;
+    private boolean isInCommonUse(PromptPartId part, List<BrokenStream> streams) {
+        long sinceNanos = streams.get(0).atNanos() - COMMON_USE_NANOS;
         Long survivedNanos = mSurvivedNanos.get(part);
         boolean unknown = !mHasTraffic || mTrafficSinceNanos - sinceNanos > 0;
         return unknown || survivedNanos != null && survivedNanos - sinceNanos > 0;
     }
 
-    private static int separateCrashes(List<Break> breaks) {
+    private static int separateCrashes(List<BrokenStream> streams) {
         int count = 0;
         long lastNanos = 0;
-        for (Break b : breaks) {
-            if (count == 0 || b.atNanos() - lastNanos > CRASH_SPREAD_NANOS) {
+        for (BrokenStream broken : streams) {
+            if (count == 0 || broken.atNanos() - lastNanos > CRASH_SPREAD_NANOS) {
                 count++;
-                lastNanos = b.atNanos();
+                lastNanos = broken.atNanos();
             }
         }
         return count;
--- a/core/src/main/java/org/fuchsiaford/prompt/PromptQuarantine.java
+++ b/core/src/main/java/org/fuchsiaford/prompt/PromptQuarantine.java
@@ -145,13 +145,13 @@
     }
 
     /** Records a stream that its engine has broken off before it counts as survived. */
-    public synchronized void recordBreak(
+    public synchronized void recordBrokenStream(
             BackendServerId engine, List<PromptPartId> prompt, long nowNanos) {
         containedIn(prompt).stream()
                 .filter(parts -> mEntries.get(parts).mUntilNanos - nowNanos <= 0)
                 .forEach(parts -> startNextPeriod(parts, nowNanos));
         mEvidence
-                .recordBreak(engine, prompt, Set.copyOf(mEntries.keySet()), nowNanos)
+                .recordBrokenStream(engine, prompt, Set.copyOf(mEntries.keySet()), nowNanos)
                 .filter(parts -> mEntries.keySet().stream().noneMatch(parts::containsAll))
                 .ifPresent(parts -> start(parts, nowNanos));
     }
@@ -173,7 +173,7 @@
         mEntries.keySet().removeIf(larger -> larger.containsAll(parts));
         Entry entry = new Entry(0, nowNanos + periodNanos(0), nowNanos);
         add(parts, entry);
-        mEvidence.explain(parts);
+        mEvidence.forgetBystanders(parts);
         recordChange(Change.Kind.STARTED, parts, entry, nowNanos);
     }
 
--- a/core/src/main/java/org/fuchsiaford/registry/ServerPauses.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerBackoff.java
@@ -10,54 +10,54 @@
  * The backend servers that want no requests from this host for a while. Other hosts may still send
  * them requests.
  *
- * <p>Invariant: a pause ends with the run of its server, and at the latest after {@link
- * #MAX_PAUSE_MILLIS}. Thread-safe.
+ * <p>Invariant: a backoff ends with the run of its server, and at the latest after {@link
+ * #MAX_BACKOFF_MILLIS}. Thread-safe.
  */
-public final class ServerPauses {
+public final class ServerBackoff {
     /** The longest time for which a server can keep requests away. */
-    public static final long MAX_PAUSE_MILLIS = TimeUnit.MINUTES.toMillis(10);
+    public static final long MAX_BACKOFF_MILLIS = TimeUnit.MINUTES.toMillis(10);
 
-    private final Map<BackendServerId, Pause> mPauses = new HashMap<>();
+    private final Map<BackendServerId, Backoff> mBackoffs = new HashMap<>();
 
-    private record Pause(long startedMillis, long untilNanos) {
+    private record Backoff(long startedMillis, long untilNanos) {
         boolean concerns(LiveServer server, long nowNanos) {
             return startedMillis == server.startedMillis() && untilNanos - nowNanos > 0;
         }
     }
 
-    /** Records that a server wants no requests for a while; a later end of a pause prevails. */
-    public synchronized void pause(LiveServer server, long pauseMillis, long nowNanos) {
-        mPauses.values().removeIf(pause -> pause.untilNanos() - nowNanos <= 0);
-        long millis = Math.min(pauseMillis, MAX_PAUSE_MILLIS);
+    /** Records that a server wants no requests for a while; the later of two ends prevails. */
+    public synchronized void start(LiveServer server, long retryAfterMillis, long nowNanos) {
+        mBackoffs.values().removeIf(backoff -> backoff.untilNanos() - nowNanos <= 0);
+        long millis = Math.min(retryAfterMillis, MAX_BACKOFF_MILLIS);
         if (millis > 0) {
             long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis);
-            Pause last = mPauses.get(server.id());
+            Backoff last = mBackoffs.get(server.id());
             boolean isLonger =
                     last == null
                             || !last.concerns(server, nowNanos)
                             || untilNanos - last.untilNanos() > 0;
             if (isLonger) {
-                mPauses.put(server.id(), new Pause(server.startedMillis(), untilNanos));
+                mBackoffs.put(server.id(), new Backoff(server.startedMillis(), untilNanos));
             }
         }
     }
 
     /** Returns whether a server wants no requests now. */
-    public synchronized boolean isPaused(LiveServer server, long nowNanos) {
-        Pause pause = mPauses.get(server.id());
-        return pause != null && pause.concerns(server, nowNanos);
+    public synchronized boolean isActive(LiveServer server, long nowNanos) {
+        Backoff backoff = mBackoffs.get(server.id());
+        return backoff != null && backoff.concerns(server, nowNanos);
     }
 
     /** Returns the servers that accept requests from this host now. */
-    public synchronized List<LiveServer> withoutPaused(List<LiveServer> servers, long nowNanos) {
-        return mPauses.isEmpty()
+    public synchronized List<LiveServer> acceptingNow(List<LiveServer> servers, long nowNanos) {
+        return mBackoffs.isEmpty()
                 ? servers
-                : servers.stream().filter(server -> !isPaused(server, nowNanos)).toList();
+                : servers.stream().filter(server -> !isActive(server, nowNanos)).toList();
     }
 
     /**
-     * Returns the time until the first of the paused servers accepts requests again, in
-     * milliseconds, rounded up; zero if one of them is not paused or there is none.
+     * Returns the time until the first of the servers accepts requests again, in milliseconds,
+     * rounded up; zero if one of them is not backed off or there is none.
      */
     public synchronized long millisUntilFirstEnds(List<LiveServer> servers, long nowNanos) {
         long nanos =
@@ -69,6 +69,6 @@
     }
 
     private long remainingNanos(LiveServer server, long nowNanos) {
-        return isPaused(server, nowNanos) ? mPauses.get(server.id()).untilNanos() - nowNanos : 0;
+        return isActive(server, nowNanos) ? mBackoffs.get(server.id()).untilNanos() - nowNanos : 0;
     }
 }
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -334,7 +334,7 @@
         if (held != null) {
             recordSurvivors(held.prompt(), nowNanos);
             if (!held.hasSurvived(nowNanos)) {
-                mQuarantine.recordBreak(held.decodeEngine(), held.prompt(), nowNanos);
+                mQuarantine.recordBrokenStream(held.decodeEngine(), held.prompt(), nowNanos);
             }
         }
         release(request);
--- a/core/src/test/java/org/fuchsiaford/prompt/PromptQuarantineTest.java
+++ b/core/src/test/java/org/fuchsiaford/prompt/PromptQuarantineTest.java
@@ -61,7 +61,7 @@
     }
 
     private void crash(int engine, String... sharedParts) {
-        mQuarantine.recordBreak(engine(engine), withOwnPart(sharedParts), mNowNanos);
+        mQuarantine.recordBrokenStream(engine(engine), withOwnPart(sharedParts), mNowNanos);
     }
 
     private void serveForAWhile(String... sharedParts) {
@@ -163,7 +163,7 @@
         serveForAWhile("shared");
         List<PromptPartId> victim = prompt("victim", "own");
         for (int engine = 1; engine <= 3; engine++) {
-            mQuarantine.recordBreak(engine(engine), victim, mNowNanos);
+            mQuarantine.recordBrokenStream(engine(engine), victim, mNowNanos);
             crash(engine, "shared", "bad");
             mNowNanos += 200 * MILLI;
         }
@@ -178,7 +178,7 @@
         List<PromptPartId> bad = prompt("shared", "own");
         for (int engine = 1; engine <= 3; engine++) {
             assertThat(isAdmitted(bad)).isTrue();
-            mQuarantine.recordBreak(engine(engine), bad, mNowNanos);
+            mQuarantine.recordBrokenStream(engine(engine), bad, mNowNanos);
             mNowNanos += 200 * MILLI;
         }
         assertThat(isAdmitted(bad)).isFalse();
@@ -257,7 +257,7 @@
     void requestsWithoutPartsAreNeverRefused() {
         serveForAWhile("shared");
         IntStream.range(0, 9)
-                .forEach(i -> mQuarantine.recordBreak(engine(i), List.of(), mNowNanos));
+                .forEach(i -> mQuarantine.recordBrokenStream(engine(i), List.of(), mNowNanos));
         assertThat(isAdmitted(List.of())).isTrue();
         mQuarantine.merge(List.of(new QuarantinedPrompt(Set.of(), 1, 1_000)), mNowNanos);
         assertThat(isAdmitted(List.of())).isTrue();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -38,7 +38,7 @@
 import org.fuchsiaford.peer.PeerServer;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.registry.LiveServer;
-import org.fuchsiaford.registry.ServerPauses;
+import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.LoadTracker;
@@ -166,11 +166,11 @@
 
     private GatewayServer createServer(ServerHealth health, LoadTracker loads) {
         RouteAdmission routeAdmission = new RouteAdmission(mState, mCoordination.charging());
-        ServerPauses pauses = new ServerPauses();
-        EngineAdmission engineAdmission = createEngineAdmission(pauses, loads);
+        ServerBackoff backoff = new ServerBackoff();
+        EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
         FailureDomainId domain = mSettings.failureDomain();
         ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
-        ServerNotices notices = new ServerNotices(mState, pauses, serviceMetrics, mLog, mTicker);
+        ServerNotices notices = new ServerNotices(mState, backoff, serviceMetrics, mLog, mTicker);
         ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
         RetryBudgets budgets =
                 new RetryBudgets(
@@ -198,7 +198,7 @@
                 routeAdmission,
                 new BufferedForwarder(
                         mState,
-                        pauses,
+                        backoff,
                         routeAdmission,
                         selector,
                         loads,
@@ -208,7 +208,7 @@
                         mTicker),
                 new StreamForwarder(
                         mState,
-                        pauses,
+                        backoff,
                         routeAdmission,
                         engineAdmission,
                         mState,
@@ -223,10 +223,10 @@
                 mTicker);
     }
 
-    private EngineAdmission createEngineAdmission(ServerPauses pauses, LoadTracker loads) {
+    private EngineAdmission createEngineAdmission(ServerBackoff backoff, LoadTracker loads) {
         return new EngineAdmission(
                 mState,
-                pauses,
+                backoff,
                 mCoordination.calls(),
                 mCoordination.dispatcher(),
                 loads,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -15,7 +15,7 @@
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.LiveServer;
-import org.fuchsiaford.registry.ServerPauses;
+import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.ServerSelector;
 import org.fuchsiaford.time.Ticker;
@@ -42,7 +42,7 @@
     private static final long FIRST_ATTEMPT_TIMEOUT_FACTOR = 2;
 
     private final GatewayState mState;
-    private final ServerPauses mPauses;
+    private final ServerBackoff mBackoff;
     private final RouteAdmission mAdmission;
     private final ServerSelector mSelector;
     private final LoadTracker mLoads;
@@ -54,7 +54,7 @@
     /** Creates a forwarder. */
     public BufferedForwarder(
             GatewayState state,
-            ServerPauses pauses,
+            ServerBackoff backoff,
             RouteAdmission admission,
             ServerSelector selector,
             LoadTracker loads,
@@ -63,7 +63,7 @@
             DecisionLog log,
             Ticker ticker) {
         mState = state;
-        mPauses = pauses;
+        mBackoff = backoff;
         mAdmission = admission;
         mSelector = selector;
         mLoads = loads;
@@ -82,13 +82,14 @@
         mAdmission.reauthorize(context);
         long nowNanos = mTicker.nowNanos();
         List<LiveServer> servers = mState.servers().usable(context.service(), nowNanos);
-        long pauseMillis = mPauses.millisUntilFirstEnds(servers, nowNanos);
-        if (pauseMillis > 0) {
-            throw context.placementRefusal(pauseMillis, "all backend servers want no requests now");
+        long retryAfterMillis = mBackoff.millisUntilFirstEnds(servers, nowNanos);
+        if (retryAfterMillis > 0) {
+            throw context.placementRefusal(
+                    retryAfterMillis, "all backend servers want no requests now");
         }
         return mSelector
                 .pick(
-                        mPauses.withoutPaused(servers, nowNanos),
+                        mBackoff.acceptingNow(servers, nowNanos),
                         context.attempts().failedServers(),
                         nowNanos)
                 .orElseThrow(() -> noServerRefusal(context, servers.isEmpty()));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
@@ -20,7 +20,7 @@
 import org.fuchsiaford.peer.message.PeerMessage.EnginesResponse;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
-import org.fuchsiaford.registry.ServerPauses;
+import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.EnginePlan;
@@ -45,7 +45,7 @@
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
     private final EnginePool mPool;
-    private final ServerPauses mPauses;
+    private final ServerBackoff mBackoff;
     private final CoordinatorCalls mCalls;
     private final EngineDispatcher mDispatcher;
     private final LoadTracker mLoads;
@@ -56,7 +56,7 @@
     /** Creates an admission. */
     public EngineAdmission(
             EnginePool pool,
-            ServerPauses pauses,
+            ServerBackoff backoff,
             CoordinatorCalls calls,
             EngineDispatcher dispatcher,
             LoadTracker loads,
@@ -64,7 +64,7 @@
             DecisionLog log,
             Ticker ticker) {
         mPool = pool;
-        mPauses = pauses;
+        mBackoff = backoff;
         mCalls = calls;
         mDispatcher = dispatcher;
         mLoads = loads;
@@ -101,9 +101,9 @@
                 mPool.usable(context.service(), nowNanos).stream()
                         .filter(engine -> engine.hasStage(EngineStage.DECODE))
                         .toList();
-        long pauseMillis = mPauses.millisUntilFirstEnds(engines, nowNanos);
-        if (pauseMillis > 0) {
-            throw context.placementRefusal(pauseMillis, "all engines want no requests now");
+        long retryAfterMillis = mBackoff.millisUntilFirstEnds(engines, nowNanos);
+        if (retryAfterMillis > 0) {
+            throw context.placementRefusal(retryAfterMillis, "all engines want no requests now");
         }
     }
 
@@ -144,7 +144,7 @@
         return Stream.concat(
                         context.attempts().failedServers().stream(),
                         mPool.usable(context.service(), nowNanos).stream()
-                                .filter(engine -> mPauses.isPaused(engine, nowNanos))
+                                .filter(engine -> mBackoff.isActive(engine, nowNanos))
                                 .map(LiveServer::id))
                 .collect(Collectors.toUnmodifiableSet());
     }
@@ -233,7 +233,7 @@
             HostRecord coordinator, EngineRequest request, EnginesResponse response) {
         long nowNanos = mTicker.nowNanos();
         List<LiveServer> engines =
-                mPauses.withoutPaused(mPool.usable(request.service(), nowNanos), nowNanos);
+                mBackoff.acceptingNow(mPool.usable(request.service(), nowNanos), nowNanos);
         Optional<LiveServer> decode = find(engines, response.decode());
         if (decode.isEmpty()) {
             cancel(coordinator, request);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerNotices.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerNotices.java
@@ -7,8 +7,8 @@
 import org.fuchsiaford.entry.metrics.ServiceMetrics;
 import org.fuchsiaford.registry.LeavingServer;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.registry.ServerNotice;
-import org.fuchsiaford.registry.ServerPauses;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.time.Ticker;
 
@@ -20,10 +20,10 @@
  */
 public final class ServerNotices {
     private static final String LEAVING = "leaving";
-    private static final String PAUSE = "pause";
+    private static final String RETRY_AFTER = "retry-after";
 
     private final GatewayState mState;
-    private final ServerPauses mPauses;
+    private final ServerBackoff mBackoff;
     private final ServiceMetrics mMetrics;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -31,12 +31,12 @@
     /** Creates the notices of one host. */
     public ServerNotices(
             GatewayState state,
-            ServerPauses pauses,
+            ServerBackoff backoff,
             ServiceMetrics metrics,
             DecisionLog log,
             Ticker ticker) {
         mState = state;
-        mPauses = pauses;
+        mBackoff = backoff;
         mMetrics = metrics;
         mLog = log;
         mTicker = ticker;
@@ -54,12 +54,15 @@
                     List.of(new LeavingServer(server.id(), server.startedMillis())),
                     request.value());
         }
-        if (notice.pauseMillis() > 0) {
-            mMetrics.countNotice(server.service(), PAUSE);
-            mPauses.pause(server, notice.pauseMillis(), mTicker.nowNanos());
+        if (notice.retryAfterMillis() > 0) {
+            mMetrics.countNotice(server.service(), RETRY_AFTER);
+            mBackoff.start(server, notice.retryAfterMillis(), mTicker.nowNanos());
             mLog.write(
                     new Decision.ServerNoticed(
-                            server.id().value(), PAUSE, request.value(), notice.pauseMillis()));
+                            server.id().value(),
+                            RETRY_AFTER,
+                            request.value(),
+                            notice.retryAfterMillis()));
         }
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -16,7 +16,7 @@
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.LiveServer;
-import org.fuchsiaford.registry.ServerPauses;
+import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.selection.EnginePlan;
 import org.fuchsiaford.selection.EnginePool;
 import org.fuchsiaford.selection.LoadTracker;
@@ -53,7 +53,7 @@
     private static final Duration EVENT_TIMEOUT = Duration.ofMillis(1_800);
 
     private final GatewayState mState;
-    private final ServerPauses mPauses;
+    private final ServerBackoff mBackoff;
     private final RouteAdmission mRouteAdmission;
     private final EngineAdmission mEngineAdmission;
     private final EnginePool mPool;
@@ -67,7 +67,7 @@
     /** Creates a forwarder. */
     public StreamForwarder(
             GatewayState state,
-            ServerPauses pauses,
+            ServerBackoff backoff,
             RouteAdmission routeAdmission,
             EngineAdmission engineAdmission,
             EnginePool pool,
@@ -78,7 +78,7 @@
             DecisionLog log,
             Ticker ticker) {
         mState = state;
-        mPauses = pauses;
+        mBackoff = backoff;
         mRouteAdmission = routeAdmission;
         mEngineAdmission = engineAdmission;
         mPool = pool;
@@ -175,7 +175,7 @@
     }
 
     private Mono<Optional<KvSource>> callPrefill(RequestContext context, EnginePlan plan) {
-        boolean paused = mPauses.isPaused(plan.prefill().get(), mTicker.nowNanos());
+        boolean paused = mBackoff.isActive(plan.prefill().get(), mTicker.nowNanos());
         if (paused || !mAttempts.allowsPrefillCall(context)) {
             return Mono.just(Optional.empty());
         }
@@ -194,7 +194,7 @@
         long remainingMillis = context.remainingMillis(startNanos);
         LiveServer server = assignment.plan().decode();
         if (!mState.servers().isUsable(server, startNanos)
-                || mPauses.isPaused(server, startNanos)) {
+                || mBackoff.isActive(server, startNanos)) {
             return handleFailure(context, progress, assignment, unusable(server), source);
         }
         Flux<ResponsePart> parts =
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -101,7 +101,7 @@
     /**
      * A backend server has said that it is leaving, or that it wants no requests from this host.
      *
-     * @param notice leaving or pause
+     * @param notice leaving or retry-after
      * @param source the request whose response said so, or the host that reported it
      * @param millis how long the server wants no requests; zero if it is leaving
      */
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
@@ -29,7 +29,7 @@
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerAddress;
-import org.fuchsiaford.registry.ServerPauses;
+import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.EngineCapacity;
@@ -159,7 +159,7 @@
                         fleet.self(), new CoordinatorTracker(fleet, 0), null, log, mTicker);
         return new EngineAdmission(
                 state,
-                new ServerPauses(),
+                new ServerBackoff(),
                 calls,
                 new EngineDispatcher(scheduler, quarantine, health, log, mTicker),
                 mLoads,
