Close the connections of a host's peer server when it stops

Cause: a closed server only stopped to listen. Connections that other hosts keep were still answered, so if the closed host was the first coordinator by its random id, it stayed the first and named itself. A process that ends closes them, so only hosts closed inside a process are concerned.

Change: PeerServer closes its connections when it is disposed of.

--- a/peer/src/main/java/org/fuchsiaford/peer/PeerServer.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/PeerServer.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
@@ -19,6 +21,7 @@
 
     private final PeerAddress mAddress;
     private final PeerRequestHandler mHandler;
+    private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
 
     /** Creates a server that does not listen until {@link #start} is called. */
     public PeerServer(PeerAddress address, PeerRequestHandler handler) {
@@ -26,16 +29,26 @@
         mHandler = handler;
     }
 
-    /** Starts listening; disposing the emitted server stops it. */
+    /**
+     * Starts listening; disposing the emitted server stops it and closes its connections, so that a
+     * host that has stopped does not go on to answer.
+     */
     public Mono<? extends DisposableServer> start() {
         return TcpServer.create()
                 .host(mAddress.host())
                 .port(mAddress.port())
                 .doOnConnection(this::acceptConnection)
-                .bind();
+                .bind()
+                .doOnNext(server -> server.onDispose(this::closeConnections));
+    }
+
+    private void closeConnections() {
+        mConnections.forEach(Connection::dispose);
     }
 
     private void acceptConnection(Connection connection) {
+        mConnections.add(connection);
+        connection.onDispose(() -> mConnections.remove(connection));
         PeerCodec.addFrameHandlers(connection.channel().pipeline());
         connection
                 .inbound()
