Name a run of a server by one type, and move the answers of the engine scheduler out

What a server says of itself holds for its run, whatever it says; the type was named after leaving only. Same wire form, same logic.

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.prompt.QuarantinedPrompt;
-import org.fuchsiaford.registry.LeavingServer;
+import org.fuchsiaford.registry.ServerRun;
 
 /**
  * What a coordinator answers to a heartbeat: the state of the fleet as far as it hears from it.
@@ -35,5 +35,5 @@
         List<HostId> available,
         List<ServerLoad> loads,
         List<FailureRate> failing,
-        List<LeavingServer> leaving,
+        List<ServerRun> leaving,
         List<QuarantinedPrompt> quarantined) {}
--- a/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
@@ -6,7 +6,7 @@
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.prompt.QuarantinedPrompt;
 import org.fuchsiaford.quota.WorkspaceTotal;
-import org.fuchsiaford.registry.LeavingServer;
+import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.request.RequestId;
 
 /**
@@ -52,7 +52,7 @@
         List<RequestId> held,
         List<ServerOutcomes> outcomes,
         List<QueuedWork> waiting,
-        List<LeavingServer> leaving,
+        List<ServerRun> leaving,
         List<QuarantinedPrompt> quarantined) {
 
     /** Returns the tokens queued for a service that can still meet their target. */
--- a/core/src/main/java/org/fuchsiaford/registry/LiveServer.java
+++ b/core/src/main/java/org/fuchsiaford/registry/LiveServer.java
@@ -27,6 +27,11 @@
         boolean draining,
         long startedMillis) {
 
+    /** Returns the run of the server that this registration describes. */
+    public ServerRun run() {
+        return new ServerRun(id, startedMillis);
+    }
+
     /** Returns whether the server is an engine of the given stage. */
     public boolean hasStage(EngineStage expected) {
         return stage.isPresent() && stage.get() == expected;
--- a/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
@@ -57,7 +57,7 @@
      *
      * @return whether this is news about a server that would have been used
      */
-    public synchronized boolean markLeaving(LeavingServer leaving) {
+    public synchronized boolean markLeaving(ServerRun leaving) {
         Entry entry = mEntries.get(leaving.id());
         if (entry == null
                 || entry.server() == null
@@ -69,10 +69,10 @@
     }
 
     /** Returns the registered servers that have said they are leaving, to tell other hosts. */
-    public synchronized List<LeavingServer> leaving() {
+    public synchronized List<ServerRun> leaving() {
         return mLeavingRuns.entrySet().stream()
                 .filter(run -> !mEntries.get(run.getKey()).removed())
-                .map(run -> new LeavingServer(run.getKey(), run.getValue()))
+                .map(run -> new ServerRun(run.getKey(), run.getValue()))
                 .toList();
     }
 
--- a/core/src/main/java/org/fuchsiaford/registry/LeavingServer.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRun.java
@@ -5,11 +5,12 @@
 import org.fuchsiaford.backend.BackendServerId;
 
 /**
- * A run of a backend server that has said it is about to end. Immutable.
+ * Identifies one run of a backend server. What a server says of itself holds for its run only.
+ * Immutable.
  *
  * @param id the server
  * @param startedMillis the start of the run in Unix milliseconds
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({"id", "startedMillis"})
-public record LeavingServer(BackendServerId id, long startedMillis) {}
+public record ServerRun(BackendServerId id, long startedMillis) {}
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -75,32 +75,6 @@
         }
     }
 
-    /** The answer to a request for engines. All are immutable. */
-    public sealed interface Answer {
-        /**
-         * Engines are reserved for the request until it is released.
-         *
-         * @param grantedNanos when the capacity was granted, on the monotonic clock
-         */
-        record Granted(EngineRequest request, EnginePlan plan, long grantedNanos)
-                implements Answer {}
-
-        /**
-         * The request waits for capacity.
-         *
-         * @param queuedTokens the tokens queued for its service that can still meet their target
-         * @param waitMillis the estimated wait, in milliseconds
-         */
-        record Waiting(long queuedTokens, long waitMillis) implements Answer {}
-
-        /**
-         * The request cannot be served in time.
-         *
-         * @param retryMillis the delay before a retry, in milliseconds
-         */
-        record Refused(EngineRequest request, long retryMillis, String reason) implements Answer {}
-    }
-
     /**
      * Creates a scheduler.
      *
@@ -133,8 +107,8 @@
      * Handles a new request, or one that another host sends again because an answer was lost or a
      * scheduler that it asked in between did not respond.
      */
-    public synchronized Answer submit(EngineRequest request, long nowNanos) {
-        Optional<Answer> earlier =
+    public synchronized EngineAnswer submit(EngineRequest request, long nowNanos) {
+        Optional<EngineAnswer> earlier =
                 request.host().equals(mSelf)
                         ? Optional.empty()
                         : poll(request.host(), request.request(), nowNanos);
@@ -142,25 +116,26 @@
             return earlier.get();
         }
         if (mQueued.containsKey(request.request()) || mHeld.containsKey(request.request())) {
-            return new Answer.Refused(
+            return new EngineAnswer.Refused(
                     request, NO_ENGINE_RETRY_MILLIS, "a request with this id is already placed");
         }
         if (request.tokens().promptTokens() > mPool.capacity(request.service()).kvCacheTokens()) {
             long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
-            return new Answer.Refused(request, leftMillis, "no engine can hold the prompt");
+            return new EngineAnswer.Refused(request, leftMillis, "no engine can hold the prompt");
         }
         long quarantineNanos = mQuarantine.admit(request.promptParts(), nowNanos);
         if (quarantineNanos > 0) {
             return refuseQuarantined(request, quarantineNanos);
         }
-        Optional<Answer.Granted> grant =
+        Optional<EngineAnswer.Granted> grant =
                 queue(request).isEmpty() ? tryGrant(request, nowNanos) : Optional.empty();
         return grant.isPresent() ? grant.get() : enqueue(request, nowNanos);
     }
 
-    private static Answer.Refused refuseQuarantined(EngineRequest request, long quarantineNanos) {
+    private static EngineAnswer.Refused refuseQuarantined(
+            EngineRequest request, long quarantineNanos) {
         long millis = TimeUnit.NANOSECONDS.toMillis(quarantineNanos);
-        return new Answer.Refused(
+        return new EngineAnswer.Refused(
                 request,
                 Math.max(NO_ENGINE_RETRY_MILLIS, millis),
                 "a part of the prompt has crashed engines");
@@ -170,7 +145,7 @@
      * Returns the state of an earlier request of a host, which proves that the host still waits for
      * it; empty if the request is not known.
      */
-    public synchronized Optional<Answer> poll(HostId host, RequestId request, long nowNanos) {
+    public synchronized Optional<EngineAnswer> poll(HostId host, RequestId request, long nowNanos) {
         HeldGrant held = mHeld.get(request);
         if (held != null && held.request().host().equals(host)) {
             return Optional.of(held.grant());
@@ -194,8 +169,8 @@
      * Grants free capacity to queued requests and refuses those that can no longer be served in
      * time. Returns the requests that are no longer queued, with their answers.
      */
-    public synchronized List<Answer> dispatch(long nowNanos) {
-        List<Answer> answers = new ArrayList<>();
+    public synchronized List<EngineAnswer> dispatch(long nowNanos) {
+        List<EngineAnswer> answers = new ArrayList<>();
         removeAbandoned(nowNanos);
         refuseQuarantined(answers, nowNanos);
         mQueued.values().stream()
@@ -216,7 +191,7 @@
     }
 
     /** Refuses queued requests whose prompts have been found to crash engines meanwhile. */
-    private void refuseQuarantined(List<Answer> answers, long nowNanos) {
+    private void refuseQuarantined(List<EngineAnswer> answers, long nowNanos) {
         mQueued.values().stream()
                 .map(queued -> queued.mRequest)
                 .toList()
@@ -231,7 +206,7 @@
                         });
     }
 
-    private void dispatch(ServiceId service, List<Answer> answers, long nowNanos) {
+    private void dispatch(ServiceId service, List<EngineAnswer> answers, long nowNanos) {
         EngineQueue queue = mQueues.of(service);
         long othersTokens = mOthersOnTimeTokens.applyAsLong(service);
         queue.unservable(othersTokens, kvCacheTokens(service, nowNanos), nowNanos)
@@ -239,7 +214,7 @@
         Optional<EngineQueue.QueuedRequest> next = queue.next(othersTokens > 0, nowNanos);
         while (next.isPresent()) {
             RequestId id = next.get().request();
-            Optional<Answer.Granted> grant = tryGrant(mQueued.get(id).mRequest, nowNanos);
+            Optional<EngineAnswer.Granted> grant = tryGrant(mQueued.get(id).mRequest, nowNanos);
             if (grant.isEmpty()) {
                 return;
             }
@@ -249,11 +224,11 @@
         }
     }
 
-    private Answer refuseQueued(
+    private EngineAnswer refuseQueued(
             EngineQueue queue, EngineQueue.QueuedRequest queued, long nowNanos) {
         EngineRequest request = mQueued.remove(queued.request()).mRequest;
         queue.remove(queued.request());
-        return new Answer.Refused(
+        return new EngineAnswer.Refused(
                 request,
                 busyRetryMillis(request, 0, nowNanos),
                 "no engine had free capacity in time");
@@ -395,13 +370,13 @@
                 .forEach(this::cancel);
     }
 
-    private Answer enqueue(EngineRequest request, long nowNanos) {
+    private EngineAnswer enqueue(EngineRequest request, long nowNanos) {
         if (mPool.usable(request.service(), nowNanos).isEmpty()) {
-            return new Answer.Refused(request, NO_ENGINE_RETRY_MILLIS, "no engine is known");
+            return new EngineAnswer.Refused(request, NO_ENGINE_RETRY_MILLIS, "no engine is known");
         }
         long waitNanos = estimateWaitNanos(request, nowNanos);
         if (!queue(request).shouldQueue(waitNanos, firstEventDeadlineNanos(request), nowNanos)) {
-            return new Answer.Refused(
+            return new EngineAnswer.Refused(
                     request,
                     busyRetryMillis(request, waitNanos, nowNanos),
                     "no engine will have free capacity in time");
@@ -411,8 +386,8 @@
         return waiting(request, waitNanos, nowNanos);
     }
 
-    private Answer.Waiting waiting(EngineRequest request, long waitNanos, long nowNanos) {
-        return new Answer.Waiting(
+    private EngineAnswer.Waiting waiting(EngineRequest request, long waitNanos, long nowNanos) {
+        return new EngineAnswer.Waiting(
                 queue(request).onTimeTokens(nowNanos), TimeUnit.NANOSECONDS.toMillis(waitNanos));
     }
 
@@ -478,21 +453,21 @@
         return mQueues.of(request.service());
     }
 
-    private Optional<Answer.Granted> tryGrant(EngineRequest request, long nowNanos) {
+    private Optional<EngineAnswer.Granted> tryGrant(EngineRequest request, long nowNanos) {
         EngineCapacity capacity = mPool.capacity(request.service());
         List<LiveServer> engines = mPool.usable(request.service(), nowNanos);
         return mPlanner.plan(engines, request, capacity, nowNanos)
                 .map(plan -> grant(request, plan, nowNanos));
     }
 
-    private Answer.Granted grant(EngineRequest request, EnginePlan plan, long nowNanos) {
+    private EngineAnswer.Granted grant(EngineRequest request, EnginePlan plan, long nowNanos) {
         boolean prefillWasIdle =
                 plan.prefill()
                         .map(engine -> mLoads.total(engine.id()).requests() <= 0)
                         .orElse(false);
         LoadSink loads = request.host().equals(mSelf) ? mLoads : mLoads.grantedToOthers();
         EngineReservation reservation = new EngineReservation(loads, plan, request.tokens());
-        Answer.Granted grant = new Answer.Granted(request, plan, nowNanos);
+        EngineAnswer.Granted grant = new EngineAnswer.Granted(request, plan, nowNanos);
         mQuarantine.recordPlaced(nowNanos);
         mHeld.put(request.request(), new HeldGrant(grant, reservation, prefillWasIdle));
         return grant;
--- a/core/src/main/java/org/fuchsiaford/selection/HeldGrant.java
+++ b/core/src/main/java/org/fuchsiaford/selection/HeldGrant.java
@@ -10,23 +10,20 @@
  * EngineScheduler}.
  */
 final class HeldGrant {
-    private final EngineScheduler.Answer.Granted mGrant;
+    private final EngineAnswer.Granted mGrant;
     private final EngineReservation mReservation;
     private final boolean mPrefillWasIdle;
     private boolean mHasBegun;
     private long mBeganNanos;
 
     /** Creates a grant whose answer has not begun. */
-    HeldGrant(
-            EngineScheduler.Answer.Granted grant,
-            EngineReservation reservation,
-            boolean prefillWasIdle) {
+    HeldGrant(EngineAnswer.Granted grant, EngineReservation reservation, boolean prefillWasIdle) {
         mGrant = grant;
         mReservation = reservation;
         mPrefillWasIdle = prefillWasIdle;
     }
 
-    EngineScheduler.Answer.Granted grant() {
+    EngineAnswer.Granted grant() {
         return mGrant;
     }
 
--- a/core/src/test/java/org/fuchsiaford/registry/ServerRegistryTest.java
+++ b/core/src/test/java/org/fuchsiaford/registry/ServerRegistryTest.java
@@ -63,7 +63,7 @@
 
     @Example
     void aRunThatIsLeavingIsNotUsedAgainWhateverItsEntrySays() {
-        LeavingServer run = new LeavingServer(mServer.id(), mServer.startedMillis());
+        ServerRun run = new ServerRun(mServer.id(), mServer.startedMillis());
         assertThat(mRegistry.markLeaving(run)).isFalse();
         mRegistry.put(mServer, 1);
         assertThat(mRegistry.markLeaving(run)).isTrue();
@@ -80,7 +80,7 @@
 
     @Example
     void aNewRunOfALeavingServerIsUsedAndALateReportOfTheOldOneIgnored() {
-        LeavingServer run = new LeavingServer(mServer.id(), mServer.startedMillis());
+        ServerRun run = new ServerRun(mServer.id(), mServer.startedMillis());
         mRegistry.put(mServer, 1);
         mRegistry.markLeaving(run);
         long restartedMillis = mServer.startedMillis() + 1;
--- a/core/src/test/java/org/fuchsiaford/selection/CrashingPromptTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/CrashingPromptTest.java
@@ -29,7 +29,6 @@
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.TokenCounts;
-import org.fuchsiaford.selection.EngineScheduler.Answer;
 
 /**
  * A scheduler and engines in virtual time. A part of some prompts crashes the engine that begins to
@@ -133,14 +132,14 @@
             parts.add(BAD);
         }
         parts.add(new PromptPartId("own" + id));
-        Answer answer = mScheduler.submit(request(id, parts, 4_000), mNowNanos);
+        EngineAnswer answer = mScheduler.submit(request(id, parts, 4_000), mNowNanos);
         mSoundRequests += bad ? 0 : 1;
-        if (answer instanceof Answer.Granted granted) {
+        if (answer instanceof EngineAnswer.Granted granted) {
             begin(granted);
         }
     }
 
-    private void begin(Answer.Granted granted) {
+    private void begin(EngineAnswer.Granted granted) {
         BackendServerId engine = granted.plan().decode().id();
         EngineRequest request = granted.request();
         mRuns.add(new Run(request, engine, mNowNanos + FIRST_EVENT_NANOS, Step.FIRST_EVENT));
@@ -173,8 +172,8 @@
 
     private void dispatch() {
         mScheduler.dispatch(mNowNanos).stream()
-                .filter(Answer.Granted.class::isInstance)
-                .map(Answer.Granted.class::cast)
+                .filter(EngineAnswer.Granted.class::isInstance)
+                .map(EngineAnswer.Granted.class::cast)
                 .forEach(this::begin);
     }
 
@@ -237,15 +236,15 @@
             List<PromptPartId> parts = List.of(BAD, new PromptPartId("own" + i));
             running.add(new RequestId("running" + i));
             assertThat(mScheduler.submit(request("running" + i, parts, 20_000), mNowNanos))
-                    .isInstanceOf(Answer.Granted.class);
+                    .isInstanceOf(EngineAnswer.Granted.class);
         }
         EngineRequest queued = request("queued", List.of(BAD, new PromptPartId("own")), 30_000);
-        assertThat(mScheduler.submit(queued, mNowNanos)).isInstanceOf(Answer.Waiting.class);
+        assertThat(mScheduler.submit(queued, mNowNanos)).isInstanceOf(EngineAnswer.Waiting.class);
         running.forEach(id -> mScheduler.breakOff(id, mNowNanos));
         assertThat(mScheduler.dispatch(mNowNanos))
                 .singleElement()
                 .isInstanceOfSatisfying(
-                        Answer.Refused.class,
+                        EngineAnswer.Refused.class,
                         refused -> {
                             assertThat(refused.request()).isEqualTo(queued);
                             assertThat(refused.retryMillis()).isPositive();
@@ -266,6 +265,6 @@
             mScheduler.breakOff(id, mNowNanos);
         }
         assertThat(mScheduler.submit(request("next", parts, 4_000), mNowNanos))
-                .isInstanceOf(Answer.Granted.class);
+                .isInstanceOf(EngineAnswer.Granted.class);
     }
 }
--- a/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
@@ -27,7 +27,6 @@
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.TokenCounts;
-import org.fuchsiaford.selection.EngineScheduler.Answer;
 
 /** A scheduler for the requests of many hosts, in virtual time. */
 class EngineSchedulerTest {
@@ -114,7 +113,7 @@
                 new PriorityQueue<>((a, b) -> Long.compare(a.endNanos(), b.endNanos()));
         private int mRejected;
 
-        boolean start(Answer.Granted grant, long nowNanos) {
+        boolean start(EngineAnswer.Granted grant, long nowNanos) {
             BackendServerId engine = grant.plan().decode().id();
             long tokens = grant.request().tokens().plannedKvTokens();
             if (mTokens.getOrDefault(engine, 0L) + tokens > CAPACITY.kvCacheTokens()) {
@@ -152,7 +151,7 @@
             long nowNanos = SECOND + i * (BURST_NANOS / BURST_REQUESTS);
             engines.end(nowNanos)
                     .forEach(run -> mScheduler.complete(run.request(), 2 * SECOND, nowNanos));
-            List<Answer> answers = new ArrayList<>(mScheduler.dispatch(nowNanos));
+            List<EngineAnswer> answers = new ArrayList<>(mScheduler.dispatch(nowNanos));
             HostId host = new HostId("h" + random.nextInt(HOSTS));
             answers.add(
                     mScheduler.submit(request("r" + i, host, size(random), nowNanos), nowNanos));
@@ -162,11 +161,11 @@
         assertThat(granted).isGreaterThan(BURST_REQUESTS / 2);
     }
 
-    private int start(Engines engines, List<Answer> answers, long nowNanos) {
-        List<Answer.Granted> grants =
+    private int start(Engines engines, List<EngineAnswer> answers, long nowNanos) {
+        List<EngineAnswer.Granted> grants =
                 answers.stream()
-                        .filter(Answer.Granted.class::isInstance)
-                        .map(Answer.Granted.class::cast)
+                        .filter(EngineAnswer.Granted.class::isInstance)
+                        .map(EngineAnswer.Granted.class::cast)
                         .toList();
         grants.stream()
                 .filter(grant -> !engines.start(grant, nowNanos))
@@ -178,8 +177,8 @@
     @Example
     void aGrantIsRepeatedToTheHostThatAsksAgain() {
         EngineRequest request = request("r", OTHER, new TokenCounts(4_000, 100), SECOND);
-        Answer granted = mScheduler.submit(request, SECOND);
-        assertThat(granted).isInstanceOf(Answer.Granted.class);
+        EngineAnswer granted = mScheduler.submit(request, SECOND);
+        assertThat(granted).isInstanceOf(EngineAnswer.Granted.class);
         assertThat(mScheduler.poll(OTHER, request.request(), SECOND)).contains(granted);
         assertThat(mScheduler.poll(SELF, request.request(), SECOND)).isEmpty();
         assertThat(mLoads.totals()).extracting(ServerLoad::requests).containsOnly(1);
@@ -188,12 +187,12 @@
     @Example
     void aRequestThatAnotherHostSendsAgainIsNotPlacedTwice() {
         EngineRequest request = request("r", OTHER, new TokenCounts(4_000, 100), SECOND);
-        Answer granted = mScheduler.submit(request, SECOND);
+        EngineAnswer granted = mScheduler.submit(request, SECOND);
         assertThat(mScheduler.submit(request, SECOND)).isEqualTo(granted);
         assertThat(mLoads.totals()).extracting(ServerLoad::requests).containsOnly(1);
         EngineRequest own = request("own", SELF, new TokenCounts(4_000, 100), SECOND);
         mScheduler.submit(own, SECOND);
-        assertThat(mScheduler.submit(own, SECOND)).isInstanceOf(Answer.Refused.class);
+        assertThat(mScheduler.submit(own, SECOND)).isInstanceOf(EngineAnswer.Refused.class);
     }
 
     @Example
@@ -230,7 +229,7 @@
         assertThat(mScheduler.poll(OTHER, new RequestId("silent"), 2 * SECOND)).isEmpty();
         assertThat(mScheduler.poll(OTHER, asked.request(), 2 * SECOND))
                 .map(Object::getClass)
-                .isEqualTo(Optional.of(Answer.Waiting.class));
+                .isEqualTo(Optional.of(EngineAnswer.Waiting.class));
     }
 
     private void fillEngines() {
@@ -242,7 +241,7 @@
         for (int i = 0; i < 2; i++) {
             TokenCounts tokens = new TokenCounts(46_000, 100);
             assertThat(mScheduler.submit(request("full" + i, OTHER, tokens, SECOND), SECOND))
-                    .isInstanceOf(Answer.Granted.class);
+                    .isInstanceOf(EngineAnswer.Granted.class);
         }
     }
 
@@ -250,19 +249,20 @@
     void aReleasedEngineIsGrantedToTheNextRequestOfAnyHost() {
         fillEngines();
         EngineRequest next = request("next", OTHER, new TokenCounts(4_000, 100), SECOND);
-        assertThat(mScheduler.submit(next, SECOND)).isInstanceOf(Answer.Waiting.class);
+        assertThat(mScheduler.submit(next, SECOND)).isInstanceOf(EngineAnswer.Waiting.class);
         assertThat(mScheduler.dispatch(SECOND)).isEmpty();
         mScheduler.release(new RequestId("full0"));
         assertThat(mScheduler.dispatch(SECOND))
                 .singleElement()
                 .isInstanceOfSatisfying(
-                        Answer.Granted.class, grant -> assertThat(grant.request()).isEqualTo(next));
+                        EngineAnswer.Granted.class,
+                        grant -> assertThat(grant.request()).isEqualTo(next));
     }
 
     @Example
     void aPromptLargerThanAnyEngineIsRefusedAtOnce() {
         EngineRequest request = request("r", OTHER, new TokenCounts(46_700, 100), SECOND);
-        assertThat(mScheduler.submit(request, SECOND)).isInstanceOf(Answer.Refused.class);
+        assertThat(mScheduler.submit(request, SECOND)).isInstanceOf(EngineAnswer.Refused.class);
         assertThat(mLoads.totals()).isEmpty();
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -5,8 +5,8 @@
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.quota.FleetQuota;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.selection.EngineAnswer;
 import org.fuchsiaford.selection.EngineRequest;
-import org.fuchsiaford.selection.EngineScheduler.Answer;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
 
@@ -36,7 +36,7 @@
 
     /** Grants engines to a request of another host. */
     public Mono<PeerMessage> handle(PeerMessage.AcquireEngines message) {
-        Mono<Answer> answer =
+        Mono<EngineAnswer> answer =
                 message.poll()
                         ? mDispatcher.pollRemote(message.host(), message.request())
                         : mDispatcher.submitRemote(toRequest(message, mTicker.nowNanos()));
@@ -62,8 +62,8 @@
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(message.leftMillis()));
     }
 
-    private static PeerMessage.EnginesResponse toResponse(Answer answer) {
-        if (answer instanceof Answer.Granted granted) {
+    private static PeerMessage.EnginesResponse toResponse(EngineAnswer answer) {
+        if (answer instanceof EngineAnswer.Granted granted) {
             return new PeerMessage.EnginesResponse(
                     PeerMessage.EnginesResponse.State.GRANTED,
                     granted.plan().decode().id(),
@@ -71,7 +71,7 @@
                     0,
                     null);
         }
-        if (answer instanceof Answer.Refused refused) {
+        if (answer instanceof EngineAnswer.Refused refused) {
             return new PeerMessage.EnginesResponse(
                     PeerMessage.EnginesResponse.State.REFUSED,
                     null,
@@ -83,7 +83,7 @@
                 PeerMessage.EnginesResponse.State.WAITING,
                 null,
                 null,
-                ((Answer.Waiting) answer).waitMillis(),
+                ((EngineAnswer.Waiting) answer).waitMillis(),
                 null);
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/EngineDispatcher.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/EngineDispatcher.java
@@ -11,10 +11,10 @@
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.selection.EngineAnswer;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.EngineRequest;
 import org.fuchsiaford.selection.EngineScheduler;
-import org.fuchsiaford.selection.EngineScheduler.Answer;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.Disposable;
@@ -45,7 +45,7 @@
     private final ServerHealth mHealth;
     private final DecisionLog mLog;
     private final Ticker mTicker;
-    private final Map<RequestId, Sinks.One<Answer>> mWaiting = new ConcurrentHashMap<>();
+    private final Map<RequestId, Sinks.One<EngineAnswer>> mWaiting = new ConcurrentHashMap<>();
     private final Disposable.Swap mPoll = Disposables.swap();
 
     /** Creates a dispatcher. */
@@ -63,62 +63,64 @@
     }
 
     /**
-     * Submits a request of this host; emits {@link Answer.Granted} or {@link Answer.Refused}.
-     * Cancelling removes it from the queue.
+     * Submits a request of this host; emits {@link EngineAnswer.Granted} or {@link
+     * EngineAnswer.Refused}. Cancelling removes it from the queue.
      */
-    public Mono<Answer> submit(EngineRequest request) {
+    public Mono<EngineAnswer> submit(EngineRequest request) {
         return Mono.defer(
                 () -> {
-                    Sinks.One<Answer> sink = Sinks.one();
-                    Answer answer = submit(request, sink);
-                    return answer instanceof Answer.Waiting
+                    Sinks.One<EngineAnswer> sink = Sinks.one();
+                    EngineAnswer answer = submit(request, sink);
+                    return answer instanceof EngineAnswer.Waiting
                             ? sink.asMono().doOnCancel(() -> cancel(request.request()))
                             : Mono.just(answer);
                 });
     }
 
     /**
-     * Submits a request of another host; emits {@link Answer.Waiting} if it is not decided soon.
+     * Submits a request of another host; emits {@link EngineAnswer.Waiting} if it is not decided
+     * soon.
      */
-    Mono<Answer> submitRemote(EngineRequest request) {
+    Mono<EngineAnswer> submitRemote(EngineRequest request) {
         return Mono.defer(
                 () -> {
-                    Sinks.One<Answer> sink = Sinks.one();
-                    Answer answer = submit(request, sink);
-                    return answer instanceof Answer.Waiting
+                    Sinks.One<EngineAnswer> sink = Sinks.one();
+                    EngineAnswer answer = submit(request, sink);
+                    return answer instanceof EngineAnswer.Waiting
                             ? await(request.request(), sink, answer)
                             : Mono.just(answer);
                 });
     }
 
     /** Waits on for an earlier request of another host; empty if the request is not known. */
-    Mono<Answer> pollRemote(HostId host, RequestId request) {
+    Mono<EngineAnswer> pollRemote(HostId host, RequestId request) {
         return Mono.defer(
                 () -> {
-                    Sinks.One<Answer> sink = Sinks.one();
-                    Optional<Answer> answer;
+                    Sinks.One<EngineAnswer> sink = Sinks.one();
+                    Optional<EngineAnswer> answer;
                     synchronized (this) {
                         answer = mScheduler.poll(host, request, mTicker.nowNanos());
-                        if (answer.isPresent() && answer.get() instanceof Answer.Waiting) {
+                        if (answer.isPresent() && answer.get() instanceof EngineAnswer.Waiting) {
                             mWaiting.put(request, sink);
                         }
                     }
-                    return answer.isPresent() && answer.get() instanceof Answer.Waiting
+                    return answer.isPresent() && answer.get() instanceof EngineAnswer.Waiting
                             ? await(request, sink, answer.get())
                             : Mono.justOrEmpty(answer);
                 });
     }
 
-    private Mono<Answer> await(RequestId request, Sinks.One<Answer> sink, Answer waiting) {
+    private Mono<EngineAnswer> await(
+            RequestId request, Sinks.One<EngineAnswer> sink, EngineAnswer waiting) {
         return sink.asMono()
                 .timeout(MAX_REMOTE_WAIT, Mono.just(waiting))
                 .doFinally(signal -> mWaiting.remove(request, sink));
     }
 
     /** Registers the sink in the same step, so that no answer is missed. */
-    private synchronized Answer submit(EngineRequest request, Sinks.One<Answer> sink) {
-        Answer answer = mScheduler.submit(request, mTicker.nowNanos());
-        if (answer instanceof Answer.Waiting waiting) {
+    private synchronized EngineAnswer submit(EngineRequest request, Sinks.One<EngineAnswer> sink) {
+        EngineAnswer answer = mScheduler.submit(request, mTicker.nowNanos());
+        if (answer instanceof EngineAnswer.Waiting waiting) {
             mLog.write(
                     new Decision.Queued(
                             request.request().value(),
@@ -141,7 +143,7 @@
 
     /** Grants free capacity to queued requests and refuses those that cannot be served in time. */
     public void dispatch() {
-        List<Answer> answers;
+        List<EngineAnswer> answers;
         synchronized (this) {
             answers = mScheduler.dispatch(mTicker.nowNanos());
             if (mScheduler.isIdle()) {
@@ -151,16 +153,16 @@
         answers.forEach(this::deliver);
     }
 
-    private void deliver(Answer answer) {
-        if (answer instanceof Answer.Granted granted) {
+    private void deliver(EngineAnswer answer) {
+        if (answer instanceof EngineAnswer.Granted granted) {
             deliver(granted.request().request(), granted);
-        } else if (answer instanceof Answer.Refused refused) {
+        } else if (answer instanceof EngineAnswer.Refused refused) {
             deliver(refused.request().request(), refused);
         }
     }
 
-    private void deliver(RequestId request, Answer answer) {
-        Sinks.One<Answer> sink = mWaiting.remove(request);
+    private void deliver(RequestId request, EngineAnswer answer) {
+        Sinks.One<EngineAnswer> sink = mWaiting.remove(request);
         if (sink != null) {
             sink.tryEmitValue(answer);
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
@@ -22,12 +22,12 @@
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.selection.EngineAnswer;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.EnginePlan;
 import org.fuchsiaford.selection.EnginePool;
 import org.fuchsiaford.selection.EngineRequest;
 import org.fuchsiaford.selection.EngineReservation;
-import org.fuchsiaford.selection.EngineScheduler.Answer;
 import org.fuchsiaford.selection.HeldEngines;
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.time.Ticker;
@@ -162,11 +162,11 @@
     }
 
     private Mono<EngineAssignment> toAssignment(
-            RequestContext context, EngineRequest request, Answer answer) {
-        if (answer instanceof Answer.Refused refused) {
+            RequestContext context, EngineRequest request, EngineAnswer answer) {
+        if (answer instanceof EngineAnswer.Refused refused) {
             return Mono.error(context.placementRefusal(refused.retryMillis(), refused.reason()));
         }
-        Answer.Granted granted = (Answer.Granted) answer;
+        EngineAnswer.Granted granted = (EngineAnswer.Granted) answer;
         return Mono.just(
                 new EngineAssignment(
                         granted.plan(),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerNotices.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerNotices.java
@@ -5,7 +5,6 @@
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.entry.metrics.ServiceMetrics;
-import org.fuchsiaford.registry.LeavingServer;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.registry.ServerNotice;
@@ -50,9 +49,7 @@
     void record(LiveServer server, ServerNotice notice, RequestId request) {
         if (notice.leaving()) {
             mMetrics.countNotice(server.service(), LEAVING);
-            mState.markLeaving(
-                    List.of(new LeavingServer(server.id(), server.startedMillis())),
-                    request.value());
+            mState.markLeaving(List.of(server.run()), request.value());
         }
         if (notice.retryAfterMillis() > 0) {
             mMetrics.countNotice(server.service(), RETRY_AFTER);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -18,9 +18,9 @@
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.host.HostId;
-import org.fuchsiaford.registry.LeavingServer;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerRegistry;
+import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.RoutingTable;
 import org.fuchsiaford.routing.ServiceDeclaration;
@@ -105,7 +105,7 @@
      *
      * @param source who was told: a request of this host, or another host
      */
-    public void markLeaving(List<LeavingServer> leaving, String source) {
+    public void markLeaving(List<ServerRun> leaving, String source) {
         leaving.stream()
                 .filter(mServers::markLeaving)
                 .forEach(
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -46,7 +46,7 @@
 import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.prompt.QuarantinedPrompt;
 import org.fuchsiaford.quota.WorkspaceTotal;
-import org.fuchsiaford.registry.LeavingServer;
+import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.TokenQuota;
@@ -205,7 +205,7 @@
         var held = List.of(new RequestId("r1"));
         var outcomes = List.of(new ServerOutcomes(new BackendServerId("e1"), 8, 2));
         var quarantined = List.of(new QuarantinedPrompt(Set.of(new PromptPartId("p1")), 1, 8));
-        var leaving = List.of(new LeavingServer(new BackendServerId("e1"), 9));
+        var leaving = List.of(new ServerRun(new BackendServerId("e1"), 9));
         var failing = List.of(new FailureRate(new BackendServerId("e1"), 0.25));
         add(
                 "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[['w1',2,3]],[['e1',3,4,5]],"
