Read and log the limits that servers name

Logs could not tell whether hosts knew of a limit that they did not keep to. The header is decoded with the other notices, kept by run of the server, and its changes are logged (ServerNoticed limit, limit-ended) and counted. Nothing acts on it yet.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -44,6 +44,7 @@
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.selection.ServerSelector;
+import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.store.Store;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
@@ -170,7 +171,9 @@
         EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
         FailureDomainId domain = mSettings.failureDomain();
         ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
-        ServerNotices notices = new ServerNotices(mState, backoff, serviceMetrics, mLog, mTicker);
+        ServerNotices notices =
+                new ServerNotices(
+                        mState, backoff, new ServerLimits(), serviceMetrics, mLog, mTicker);
         ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
         RetryBudgets budgets =
                 new RetryBudgets(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
@@ -16,7 +16,6 @@
 import org.fuchsiaford.failure.RemoteName;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.registry.ServerAddress;
-import org.fuchsiaford.registry.ServerNotice;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -106,12 +105,11 @@
     private ResponsePart head(ServerRequest request, HttpClientResponse response) {
         ResponseHead head =
                 mProtocol.readHead(
+                        request.purpose(),
                         request.caller().id(),
                         response.status().code(),
                         response.responseHeaders());
-        if (!head.notice().equals(ServerNotice.NONE)) {
-            mNotices.record(request.server(), head.notice(), request.caller().id());
-        }
+        mNotices.record(request.server(), head.notice(), request.caller().id());
         return new ResponsePart.Head(head);
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerNotices.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerNotices.java
@@ -9,6 +9,7 @@
 import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.registry.ServerNotice;
 import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.time.Ticker;
 
 /**
@@ -20,9 +21,11 @@
 public final class ServerNotices {
     private static final String LEAVING = "leaving";
     private static final String RETRY_AFTER = "retry-after";
+    private static final String LIMIT = "limit";
 
     private final GatewayState mState;
     private final ServerBackoff mBackoff;
+    private final ServerLimits mLimits;
     private final ServiceMetrics mMetrics;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -31,11 +34,13 @@
     public ServerNotices(
             GatewayState state,
             ServerBackoff backoff,
+            ServerLimits limits,
             ServiceMetrics metrics,
             DecisionLog log,
             Ticker ticker) {
         mState = state;
         mBackoff = backoff;
+        mLimits = limits;
         mMetrics = metrics;
         mLog = log;
         mTicker = ticker;
@@ -59,7 +64,18 @@
                             server.id().value(),
                             RETRY_AFTER,
                             request.value(),
-                            notice.retryAfterMillis()));
+                            notice.retryAfterMillis(),
+                            null));
+        }
+        notice.requestsPerSecond().ifPresent(limit -> recordLimit(server, limit, request));
+    }
+
+    private void recordLimit(LiveServer server, double requestsPerSecond, RequestId request) {
+        if (mLimits.record(server.run(), requestsPerSecond, mTicker.nowNanos())) {
+            mMetrics.countNotice(server.service(), LIMIT);
+            mLog.write(
+                    Decision.ServerNoticed.limit(
+                            server.id().value(), request.value(), requestsPerSecond));
         }
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -99,14 +99,24 @@
             implements Decision {}
 
     /**
-     * A backend server has said that it is leaving, or that it wants no requests from this host.
+     * A backend server has said that it is leaving, that it wants no requests from this host, or
+     * how many it takes from all hosts.
      *
-     * @param notice leaving or retry-after
+     * @param notice leaving, retry-after, limit, or limit-ended
      * @param source the request whose response said so, or the host that reported it
-     * @param millis how long the server wants no requests; zero if it is leaving
+     * @param millis how long the server wants no requests; zero for other notices
+     * @param requestsPerSecond the limit of the server; null for other notices
      */
-    record ServerNoticed(String server, String notice, String source, long millis)
-            implements Decision {}
+    record ServerNoticed(
+            String server, String notice, String source, long millis, Double requestsPerSecond)
+            implements Decision {
+        /** Creates the notice of a limit, which has ended if it is infinite. */
+        public static ServerNoticed limit(String server, String source, double requestsPerSecond) {
+            return Double.isInfinite(requestsPerSecond)
+                    ? new ServerNoticed(server, "limit-ended", source, 0, null)
+                    : new ServerNoticed(server, "limit", source, 0, requestsPerSecond);
+        }
+    }
 
     /**
      * A store entry could not be decoded. An earlier routing table stays in force; a backend server
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/ServerProtocol.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/ServerProtocol.java
@@ -11,10 +11,12 @@
     /**
      * Decodes the head of a response.
      *
+     * @param purpose what the request was sent for
      * @param expected the id of the request that was sent; the outcome of a response to any other
      *     request is unknown
      */
-    ResponseHead readHead(RequestId expected, int status, HttpHeaders headers);
+    ResponseHead readHead(
+            ServerRequest.Purpose purpose, RequestId expected, int status, HttpHeaders headers);
 
     /**
      * Decodes the response to a prefill call.
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -112,7 +112,7 @@
                         server ->
                                 mLog.write(
                                         new Decision.ServerNoticed(
-                                                server.id().value(), "leaving", source, 0)));
+                                                server.id().value(), "leaving", source, 0, null)));
     }
 
     /** Returns all known store entries. */
--- a/entry/src/test/java/org/fuchsiaford/entry/ArchitectureTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/ArchitectureTest.java
@@ -20,11 +20,13 @@
         "org.fuchsiaford.json..",
         "org.fuchsiaford.order..",
         "org.fuchsiaford.placement..",
+        "org.fuchsiaford.prompt..",
         "org.fuchsiaford.quota..",
         "org.fuchsiaford.registry..",
         "org.fuchsiaford.request..",
         "org.fuchsiaford.routing..",
         "org.fuchsiaford.selection..",
+        "org.fuchsiaford.serverlimit..",
         "org.fuchsiaford.time..",
         "org.fuchsiaford.workspace..",
     };
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -88,7 +88,14 @@
     private void addBeliefs() {
         add(
                 "'ServerNoticed','server':'s','notice':'n','source':'r','millis':1",
-                new Decision.ServerNoticed("s", "n", "r", 1));
+                new Decision.ServerNoticed("s", "n", "r", 1, null));
+        add(
+                "'ServerNoticed','server':'s','notice':'limit','source':'r','millis':0,"
+                        + "'requestsPerSecond':1.5",
+                Decision.ServerNoticed.limit("s", "r", 1.5));
+        add(
+                "'ServerNoticed','server':'s','notice':'limit-ended','source':'r','millis':0",
+                Decision.ServerNoticed.limit("s", "r", Double.POSITIVE_INFINITY));
         add(
                 "'PromptQuarantined','state':'s','promptParts':['p'],'strikes':1,'millis':2",
                 new Decision.PromptQuarantined("s", List.of(new PromptPartId("p")), 1, 2));
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -49,6 +49,8 @@
     private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
     private volatile String mCrashingPart = "";
     private volatile String mRetryAfter = "";
+    private volatile String mLimit = "";
+    private final List<Long> mArrivalsNanos = new CopyOnWriteArrayList<>();
     private volatile boolean mLeaving;
     private volatile DisposableServer mServer;
 
@@ -108,6 +110,23 @@
         mRetryAfter = retryAfter;
     }
 
+    /**
+     * Names a limit in all later responses; requests beyond it are served as well.
+     *
+     * @param limit the value of the header; empty to name none
+     */
+    public void setLimit(String limit) {
+        mLimit = limit;
+    }
+
+    /**
+     * Returns when requests and prefill calls arrived, by {@link System#nanoTime}, in order;
+     * whether they were run or rejected.
+     */
+    public List<Long> arrivalsNanos() {
+        return List.copyOf(mArrivalsNanos);
+    }
+
     /** Returns the number of requests that were rejected with a {@code Retry-After} header. */
     public int turnedAwayCount() {
         return mTurnedAwayCount.get();
@@ -176,9 +195,13 @@
         if (request.uri().equals("/api/order")) {
             return Json.body(request).flatMap(body -> acceptOrder(response, body));
         }
+        mArrivalsNanos.add(System.nanoTime());
         if (mLeaving) {
             response.header("Server-Leaving", "1");
         }
+        if (!mLimit.isEmpty()) {
+            response.header("Server-Limit", mLimit);
+        }
         if (!mRetryAfter.isEmpty()) {
             mTurnedAwayCount.incrementAndGet();
             return response.status(503)
