Keep to the limits that servers name, over all hosts together

Callers saw nothing; servers in need got up to twice what the rule allows. Cause: nothing read the limit, and what a server says of itself was kept and counted by each host for itself, where the limit holds for all of them. A fact of the fleet needs one place that counts.

A coordinator permits the requests to a server that names a limit, one token bucket a server, empty at first; a host that reaches no coordinator permits its own at its share of the limit. What servers say goes to the coordinators at once and to all hosts with the heartbeats, newest response first, and holds for one run. A plain request to a limited server asks for a permit; when all servers are denied it is refused at once with the time of the next permit, spread at random. The scheduler of engines takes permits for decode and prefill engines, and counts a limited engine as capacity only if all are.

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
@@ -6,6 +6,7 @@
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.prompt.QuarantinedPrompt;
 import org.fuchsiaford.registry.ServerRun;
+import org.fuchsiaford.serverlimit.NamedLimit;
 
 /**
  * What a coordinator answers to a heartbeat: the state of the fleet as far as it hears from it.
@@ -18,6 +19,7 @@
  * @param failing the servers that fail a notable part of their calls
  * @param leaving the servers that have told a host that they are leaving
  * @param quarantined the parts of prompts that it refuses, since they crash engines
+ * @param limits what servers have said about the requests that they take
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -27,7 +29,8 @@
     "loads",
     "failing",
     "leaving",
-    "quarantined"
+    "quarantined",
+    "limits"
 })
 public record FleetSummary(
         HostRecord coordinator,
@@ -36,4 +39,5 @@
         List<ServerLoad> loads,
         List<FailureRate> failing,
         List<ServerRun> leaving,
-        List<QuarantinedPrompt> quarantined) {}
+        List<QuarantinedPrompt> quarantined,
+        List<NamedLimit> limits) {}
--- a/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
@@ -8,6 +8,7 @@
 import org.fuchsiaford.quota.WorkspaceTotal;
 import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.serverlimit.NamedLimit;
 
 /**
  * The state that an entry host sends to a coordinator several times a second. Immutable.
@@ -27,6 +28,7 @@
  * @param waiting its requests queued for engines that can still meet their target, by service
  * @param leaving the servers that have told it that they are leaving
  * @param quarantined the parts of prompts that it refuses, since they crash engines
+ * @param limits what servers have said about the requests that they take
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -40,7 +42,8 @@
     "outcomes",
     "waiting",
     "leaving",
-    "quarantined"
+    "quarantined",
+    "limits"
 })
 public record HostHeartbeat(
         HostRecord host,
@@ -53,7 +56,8 @@
         List<ServerOutcomes> outcomes,
         List<QueuedWork> waiting,
         List<ServerRun> leaving,
-        List<QuarantinedPrompt> quarantined) {
+        List<QuarantinedPrompt> quarantined,
+        List<NamedLimit> limits) {
 
     /** Returns the tokens queued for a service that can still meet their target. */
     public long waitingTokens(ServiceId service) {
--- a/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
@@ -110,6 +110,12 @@
                 .toList();
     }
 
+    /** Returns whether a run of a server is registered, whether or not it accepts requests. */
+    public synchronized boolean isRegistered(ServerRun run) {
+        Entry entry = mEntries.get(run.id());
+        return entry != null && entry.server() != null && entry.server().run().equals(run);
+    }
+
     /** Returns whether this run of a server still accepts new requests. */
     public synchronized boolean isUsable(LiveServer server, long nowNanos) {
         return Optional.ofNullable(mEntries.get(server.id()))
--- a/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
@@ -109,6 +109,11 @@
         return mQueued.remove(request) != null;
     }
 
+    /** Returns the number of queued requests. */
+    public synchronized int size() {
+        return mQueued.size();
+    }
+
     /** Returns whether no request is queued. */
     public synchronized boolean isEmpty() {
         return mQueued.isEmpty();
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -15,11 +15,11 @@
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.prompt.PromptQuarantine;
-import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.TokenCounts;
+import org.fuchsiaford.serverlimit.ServerRateLimiter;
 
 /**
  * Grants places on engines to the model requests of all hosts that ask this one, in the order of
@@ -61,6 +61,7 @@
     private final EngineQueues mQueues;
     private final ToLongFunction<ServiceId> mOthersOnTimeTokens;
     private final PromptQuarantine mQuarantine;
+    private final LimitedEngines mEngines;
     private final DoubleSupplier mRandom;
     private final Map<RequestId, Queued> mQueued = new HashMap<>();
     private final Map<RequestId, HeldGrant> mHeld = new HashMap<>();
@@ -82,6 +83,7 @@
      * @param othersOnTimeTokens the tokens queued at other schedulers that can still meet their
      *     target, by service
      * @param quarantine the prompts that must not be placed
+     * @param limiter permits requests to engines that name a limit
      * @param random a source of uniformly distributed random numbers from 0 to 1
      */
     public EngineScheduler(
@@ -92,6 +94,7 @@
             EngineQueues queues,
             ToLongFunction<ServiceId> othersOnTimeTokens,
             PromptQuarantine quarantine,
+            ServerRateLimiter limiter,
             DoubleSupplier random) {
         mSelf = self;
         mPool = pool;
@@ -100,6 +103,7 @@
         mQueues = queues;
         mOthersOnTimeTokens = othersOnTimeTokens;
         mQuarantine = quarantine;
+        mEngines = new LimitedEngines(pool, limiter);
         mRandom = random;
     }
 
@@ -209,7 +213,7 @@
     private void dispatch(ServiceId service, List<EngineAnswer> answers, long nowNanos) {
         EngineQueue queue = mQueues.of(service);
         long othersTokens = mOthersOnTimeTokens.applyAsLong(service);
-        queue.unservable(othersTokens, kvCacheTokens(service, nowNanos), nowNanos)
+        queue.unservable(othersTokens, mEngines.kvCacheTokens(service, nowNanos), nowNanos)
                 .forEach(queued -> answers.add(refuseQueued(queue, queued, nowNanos)));
         Optional<EngineQueue.QueuedRequest> next = queue.next(othersTokens > 0, nowNanos);
         while (next.isPresent()) {
@@ -418,16 +422,10 @@
                 queue(request).onTimeTokens(nowNanos)
                         + request.tokens().plannedKvTokens()
                         + mOthersOnTimeTokens.applyAsLong(service);
-        return queue(request).estimateWaitNanos(aheadTokens, kvCacheTokens(service, nowNanos));
-    }
-
-    /** Returns the KV cache capacity of all decode engines of a service, in tokens. */
-    private long kvCacheTokens(ServiceId service, long nowNanos) {
-        long decodeEngines =
-                mPool.usable(service, nowNanos).stream()
-                        .filter(engine -> engine.hasStage(EngineStage.DECODE))
-                        .count();
-        return decodeEngines * mPool.capacity(service).kvCacheTokens();
+        return Math.max(
+                queue(request)
+                        .estimateWaitNanos(aheadTokens, mEngines.kvCacheTokens(service, nowNanos)),
+                mEngines.waitNanos(service, mQueues.of(service).size(), nowNanos));
     }
 
     /**
@@ -455,7 +453,7 @@
 
     private Optional<EngineAnswer.Granted> tryGrant(EngineRequest request, long nowNanos) {
         EngineCapacity capacity = mPool.capacity(request.service());
-        List<LiveServer> engines = mPool.usable(request.service(), nowNanos);
+        List<LiveServer> engines = mEngines.availableNow(request.service(), nowNanos);
         return mPlanner.plan(engines, request, capacity, nowNanos)
                 .map(plan -> grant(request, plan, nowNanos));
     }
@@ -468,6 +466,7 @@
         LoadSink loads = request.host().equals(mSelf) ? mLoads : mLoads.grantedToOthers();
         EngineReservation reservation = new EngineReservation(loads, plan, request.tokens());
         EngineAnswer.Granted grant = new EngineAnswer.Granted(request, plan, nowNanos);
+        mEngines.acquire(plan, nowNanos);
         mQuarantine.recordPlaced(nowNanos);
         mHeld.put(request.request(), new HeldGrant(grant, reservation, prefillWasIdle));
         return grant;
--- a/core/src/main/java/org/fuchsiaford/serverlimit/ServerLimits.java
+++ b/core/src/main/java/org/fuchsiaford/serverlimit/ServerLimits.java
@@ -67,12 +67,23 @@
         return statement == null ? Double.POSITIVE_INFINITY : statement.requestsPerSecond();
     }
 
+    /** Returns whether no server is known to name a limit, or to have named one lately. */
+    public synchronized boolean isEmpty() {
+        return mStatements.isEmpty();
+    }
+
     /** Returns whether a server names a limit. */
     public synchronized boolean isLimited(ServerRun server) {
         Statement statement = mStatements.get(server);
         return statement != null && statement.isLimit();
     }
 
+    /** Returns what a server has last said, to tell a coordinator. */
+    public synchronized NamedLimit find(ServerRun server, long nowNanos) {
+        Statement unknown = new Statement(Double.POSITIVE_INFINITY, nowNanos);
+        return toNamedLimit(server, mStatements.getOrDefault(server, unknown), nowNanos);
+    }
+
     /** Returns what servers have said, up to a maximum age, to tell other hosts. */
     public synchronized List<NamedLimit> list(long maxAgeNanos, long nowNanos) {
         return mStatements.entrySet().stream()
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
@@ -118,6 +118,7 @@
                                 List.of(),
                                 List.of(),
                                 List.of(),
+                                List.of(),
                                 List.of()),
                         mNowNanos);
         host.view().recordContact(coordinator, mNowNanos);
@@ -133,6 +134,7 @@
                                     List.of(),
                                     List.of(),
                                     List.of(),
+                                    List.of(),
                                     List.of()),
                             mNowNanos);
         }
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
@@ -24,7 +24,7 @@
     private static HostHeartbeat heartbeat(HostRecord host, boolean accepting) {
         return new HostHeartbeat(
                 host, 0, accepting, 0, List.of(), List.of(), List.of(), List.of(), List.of(),
-                List.of(), List.of());
+                List.of(), List.of(), List.of());
     }
 
     @Example
@@ -86,6 +86,7 @@
                         List.of(),
                         List.of(),
                         List.of(),
+                        List.of(),
                         List.of());
         mFleet.recordSummary(summary, 0);
         assertThat(mFleet.callerAddresses(HERE, false, SECOND)).containsExactly("10.0.0.2:80");
--- a/core/src/test/java/org/fuchsiaford/selection/CrashingPromptTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/CrashingPromptTest.java
@@ -29,6 +29,8 @@
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.TokenCounts;
+import org.fuchsiaford.serverlimit.ServerLimits;
+import org.fuchsiaford.serverlimit.ServerRateLimiter;
 
 /**
  * A scheduler and engines in virtual time. A part of some prompts crashes the engine that begins to
@@ -102,6 +104,7 @@
                         new EngineQueues(),
                         service -> 0,
                         new PromptQuarantine(),
+                        new ServerRateLimiter(new ServerLimits(), () -> 1),
                         mRandom::nextDouble);
     }
 
--- a/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
@@ -27,6 +27,8 @@
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.TokenCounts;
+import org.fuchsiaford.serverlimit.ServerLimits;
+import org.fuchsiaford.serverlimit.ServerRateLimiter;
 
 /** A scheduler for the requests of many hosts, in virtual time. */
 class EngineSchedulerTest {
@@ -85,6 +87,7 @@
                 queues,
                 service -> 0,
                 new PromptQuarantine(),
+                new ServerRateLimiter(new ServerLimits(), () -> 1),
                 random::nextDouble);
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -44,7 +44,6 @@
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.selection.ServerSelector;
-import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.store.Store;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
@@ -171,9 +170,7 @@
         EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
         FailureDomainId domain = mSettings.failureDomain();
         ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
-        ServerNotices notices =
-                new ServerNotices(
-                        mState, backoff, new ServerLimits(), serviceMetrics, mLog, mTicker);
+        ServerNotices notices = createNotices(backoff, serviceMetrics);
         ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
         RetryBudgets budgets =
                 new RetryBudgets(
@@ -182,15 +179,7 @@
                         mSettings.retrySlack(),
                         () -> mFleet.presentCount(mTicker.nowNanos()),
                         mTicker);
-        AttemptRecorder attempts =
-                new AttemptRecorder(
-                        health,
-                        budgets,
-                        mCoordination.tally(),
-                        serviceMetrics,
-                        this::reportFailure,
-                        mLog,
-                        mTicker);
+        AttemptRecorder attempts = createAttemptRecorder(health, budgets, serviceMetrics);
         ServerSelector selector =
                 new ServerSelector(domain, loads, health, GatewayHost::randomFraction);
         PrefillClient prefill =
@@ -202,11 +191,13 @@
                 new BufferedForwarder(
                         mState,
                         backoff,
+                        mCoordination.permits(),
                         routeAdmission,
                         selector,
                         loads,
                         client,
                         attempts,
+                        GatewayHost::randomFraction,
                         mLog,
                         mTicker),
                 new StreamForwarder(
@@ -226,6 +217,29 @@
                 mTicker);
     }
 
+    private AttemptRecorder createAttemptRecorder(
+            ServerHealth health, RetryBudgets budgets, ServiceMetrics serviceMetrics) {
+        return new AttemptRecorder(
+                health,
+                budgets,
+                mCoordination.tally(),
+                serviceMetrics,
+                this::reportFailure,
+                mLog,
+                mTicker);
+    }
+
+    private ServerNotices createNotices(ServerBackoff backoff, ServiceMetrics serviceMetrics) {
+        return new ServerNotices(
+                mState,
+                backoff,
+                mCoordination.serverLimits(),
+                () -> mCoordination.heartbeats().sendNow().subscribe(),
+                serviceMetrics,
+                mLog,
+                mTicker);
+    }
+
     private EngineAdmission createEngineAdmission(ServerBackoff backoff, LoadTracker loads) {
         return new EngineAdmission(
                 mState,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -22,6 +22,8 @@
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.OutcomeTally;
 import org.fuchsiaford.selection.ServerHealth;
+import org.fuchsiaford.serverlimit.ServerLimits;
+import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
 
@@ -35,10 +37,12 @@
     private final HeldEngines mHeld = new HeldEngines();
     private final OutcomeTally mTally = new OutcomeTally();
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
+    private final ServerLimits mLimits = new ServerLimits();
     private final CoordinatorCalls mCalls;
     private final EngineDispatcher mDispatcher;
     private final CoordinatorHandler mHandler;
     private final LimitCharging mCharging;
+    private final ServerPermits mPermits;
     private final HeartbeatExchange mHeartbeats;
 
     /**
@@ -67,6 +71,7 @@
         PeerClient peerClient = new TcpPeerClient();
         CoordinatorTracker tracker = new CoordinatorTracker(fleet, startNanos);
         mCalls = new CoordinatorCalls(fleet.self(), tracker, peerClient, log, ticker);
+        ServerRateLimiter limiter = new ServerRateLimiter(mLimits, quota::share);
         EngineScheduler scheduler =
                 new EngineScheduler(
                         fleet.self().id(),
@@ -76,6 +81,7 @@
                         queues,
                         this::othersOnTimeTokens,
                         mQuarantine,
+                        limiter,
                         random);
         mDispatcher = new EngineDispatcher(scheduler, mQuarantine, health, log, ticker);
         mHeartbeats =
@@ -90,6 +96,8 @@
                         health,
                         mTally,
                         mQuarantine,
+                        mLimits,
+                        limiter,
                         queues,
                         state,
                         peerClient,
@@ -98,7 +106,9 @@
                         ticker,
                         isAccepting);
         Runnable updateShare = mHeartbeats::updateMissingShare;
-        mHandler = new CoordinatorHandler(mDispatcher, quota, updateShare, ticker);
+        mHandler =
+                new CoordinatorHandler(mDispatcher, quota, mLimits, limiter, updateShare, ticker);
+        mPermits = new ServerPermits(mCalls, mLimits, limiter, updateShare, ticker);
         mCharging = new LimitCharging(mCalls, quota, updateShare, ticker);
     }
 
@@ -129,6 +139,16 @@
         return mTally;
     }
 
+    /** Returns what servers say about the requests that they take. */
+    public ServerLimits serverLimits() {
+        return mLimits;
+    }
+
+    /** Returns the permits for requests to plain servers. */
+    public ServerPermits permits() {
+        return mPermits;
+    }
+
     /** Returns the charging of rate limits. */
     public LimitCharging charging() {
         return mCharging;
@@ -156,6 +176,9 @@
         if (message instanceof PeerMessage.ChargeLimit charge) {
             return Optional.of(Mono.just(mHandler.handle(charge)));
         }
+        if (message instanceof PeerMessage.AcquirePermit acquire) {
+            return Optional.of(Mono.just(mHandler.handle(acquire)));
+        }
         return message instanceof PeerMessage.RefundLimit refund
                 ? Optional.of(Mono.just(mHandler.handle(refund)))
                 : Optional.empty();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.entry.gateway.fleet;
 
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.peer.message.PeerMessage;
@@ -7,17 +8,21 @@
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.selection.EngineAnswer;
 import org.fuchsiaford.selection.EngineRequest;
+import org.fuchsiaford.serverlimit.ServerLimits;
+import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
 
 /**
- * Answers what other hosts ask of this one as a coordinator: places on engines and tokens of rate
- * limits. It answers every host that asks, whether or not this host considers itself the first
- * coordinator. Thread-safe.
+ * Answers what other hosts ask of this one as a coordinator: places on engines, tokens of rate
+ * limits, and permits for requests to limited servers. It answers every host that asks, whether or
+ * not this host considers itself the first coordinator. Thread-safe.
  */
 public final class CoordinatorHandler {
     private final EngineDispatcher mDispatcher;
     private final FleetQuota mQuota;
+    private final ServerLimits mLimits;
+    private final ServerRateLimiter mLimiter;
     private final Runnable mUpdateShare;
     private final Ticker mTicker;
 
@@ -27,9 +32,16 @@
      * @param updateShare updates the share of this host before it decides; must not block
      */
     public CoordinatorHandler(
-            EngineDispatcher dispatcher, FleetQuota quota, Runnable updateShare, Ticker ticker) {
+            EngineDispatcher dispatcher,
+            FleetQuota quota,
+            ServerLimits limits,
+            ServerRateLimiter limiter,
+            Runnable updateShare,
+            Ticker ticker) {
         mDispatcher = dispatcher;
         mQuota = quota;
+        mLimits = limits;
+        mLimiter = limiter;
         mUpdateShare = updateShare;
         mTicker = ticker;
     }
@@ -104,6 +116,15 @@
                 waitNanos == 0 ? null : mQuota.describe(message.workspace(), mTicker.nowNanos()));
     }
 
+    /** Permits a request of another host to a server that names a limit. */
+    public PeerMessage.LimitResponse handle(PeerMessage.AcquirePermit message) {
+        mUpdateShare.run();
+        long nowNanos = mTicker.nowNanos();
+        mLimits.merge(List.of(message.limit()), nowNanos);
+        long waitNanos = mLimiter.acquire(message.limit().server(), nowNanos);
+        return new PeerMessage.LimitResponse(waitNanos, null);
+    }
+
     /** Takes back tokens of a request of another host that has not run. */
     public PeerMessage.Success handle(PeerMessage.RefundLimit message) {
         mQuota.refundGrant(message.workspace(), message.tokens(), mTicker.nowNanos());
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -30,6 +30,9 @@
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.OutcomeTally;
 import org.fuchsiaford.selection.ServerHealth;
+import org.fuchsiaford.serverlimit.NamedLimit;
+import org.fuchsiaford.serverlimit.ServerLimits;
+import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
 import org.fuchsiaford.time.Ticker;
@@ -62,6 +65,12 @@
      */
     private static final long MAX_BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+    /**
+     * Age up to which a host reports what servers have said about their limits; several heartbeats,
+     * since one may be lost.
+     */
+    private static final long RECENT_LIMIT_NANOS = 3 * HEARTBEAT_INTERVAL.toNanos();
+
     private final FleetView mFleet;
     private final CoordinatorTracker mTracker;
     private final CoordinatorCalls mCalls;
@@ -73,6 +82,8 @@
     private final OutcomeTally mTally;
     private final FleetHealth mFleetHealth = new FleetHealth();
     private final PromptQuarantine mQuarantine;
+    private final ServerLimits mLimits;
+    private final ServerRateLimiter mLimiter;
     private final EngineQueues mQueues;
     private final GatewayState mState;
     private final PeerClient mPeerClient;
@@ -100,6 +111,8 @@
             ServerHealth health,
             OutcomeTally tally,
             PromptQuarantine quarantine,
+            ServerLimits limits,
+            ServerRateLimiter limiter,
             EngineQueues queues,
             GatewayState state,
             PeerClient peerClient,
@@ -117,6 +130,8 @@
         mHealth = health;
         mTally = tally;
         mQuarantine = quarantine;
+        mLimits = limits;
+        mLimiter = limiter;
         mQueues = queues;
         mState = state;
         mPeerClient = peerClient;
@@ -155,6 +170,7 @@
         mFleet.removeExpired(nowNanos).forEach(mQuota::removeHost);
         mTracker.retainKnown();
         removeSilentReporters(nowNanos);
+        mLimiter.removeOld(mState.servers()::isRegistered, nowNanos);
         updateShare(nowNanos);
         logPrimary(nowNanos);
         if (mCalls.isCoordinator()) {
@@ -268,7 +284,8 @@
                 withOutcomes ? mTally.drain() : List.of(),
                 mQueues.onTimeWork(nowNanos),
                 mState.servers().leaving(),
-                mQuarantine.list(nowNanos));
+                mQuarantine.list(nowNanos),
+                mLimits.list(RECENT_LIMIT_NANOS, nowNanos));
     }
 
     private void receive(FleetSummary summary, List<ServerLoad> ownLoads) {
@@ -281,6 +298,7 @@
         mTracker.recordSuccess(coordinator.id(), nowNanos);
         mergeQuarantine(summary.quarantined(), nowNanos);
         mState.markLeaving(summary.leaving(), coordinator.id().value());
+        mergeLimits(summary.limits(), coordinator.id(), nowNanos);
         if (isPrimaryOrUnsettled(coordinator)) {
             mFleet.recordSummary(summary, nowNanos);
             mLoads.replaceFleetLoads(summary.loads(), ownLoads);
@@ -311,6 +329,7 @@
             mFleetHealth.add(heartbeat.outcomes(), nowNanos);
             mergeQuarantine(heartbeat.quarantined(), nowNanos);
             mState.markLeaving(heartbeat.leaving(), sender.value());
+            mergeLimits(heartbeat.limits(), sender, nowNanos);
             catchUp(heartbeat.host(), heartbeat.stateRevision(), nowNanos);
         }
         return new PeerMessage.FleetResponse(
@@ -321,7 +340,21 @@
                         request.wantsLoads() ? mLoads.totals() : List.of(),
                         mFleetHealth.failing(nowNanos),
                         mState.servers().leaving(),
-                        mQuarantine.list(nowNanos)));
+                        mQuarantine.list(nowNanos),
+                        mLimits.list(
+                                request.wantsLoads() ? Long.MAX_VALUE : RECENT_LIMIT_NANOS,
+                                nowNanos)));
+    }
+
+    private void mergeLimits(List<NamedLimit> reported, HostId source, long nowNanos) {
+        mLimits.merge(reported, nowNanos)
+                .forEach(
+                        limit ->
+                                mLog.write(
+                                        Decision.ServerNoticed.limit(
+                                                limit.server().id().value(),
+                                                source.value(),
+                                                limit.requestsPerSecond())));
     }
 
     private void mergeQuarantine(List<QuarantinedPrompt> reported, long nowNanos) {
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
@@ -0,0 +1,114 @@
+package org.fuchsiaford.entry.gateway.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.fleet.HostRecord;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.ServerBackoff;
+import org.fuchsiaford.serverlimit.NamedLimit;
+import org.fuchsiaford.serverlimit.ServerLimits;
+import org.fuchsiaford.serverlimit.ServerRateLimiter;
+import org.fuchsiaford.time.Ticker;
+import reactor.core.publisher.Mono;
+
+/**
+ * Obtains permits for the requests of this host to plain servers that name a limit: from a
+ * coordinator, or here if this host is the coordinator or reaches none. Servers without a limit
+ * need no permit. The scheduler of engines obtains those for engines.
+ *
+ * <p>Invariant: after a permit was denied, none is asked for until the time that the denial names,
+ * unless the server names no limit any more. Thread-safe.
+ */
+public final class ServerPermits {
+    /** Several round trips within a region; then the next coordinator is asked. */
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(150);
+
+    /** Shortest time for which a server is left out after a denial. */
+    private static final long MIN_DENIAL_MILLIS = 10;
+
+    private final CoordinatorCalls mCalls;
+    private final ServerLimits mLimits;
+    private final ServerRateLimiter mLimiter;
+    private final ServerBackoff mDenials = new ServerBackoff();
+    private final Runnable mUpdateShare;
+    private final Ticker mTicker;
+
+    /**
+     * Creates the permits of one host.
+     *
+     * @param updateShare updates the share of this host before it decides; must not block
+     */
+    public ServerPermits(
+            CoordinatorCalls calls,
+            ServerLimits limits,
+            ServerRateLimiter limiter,
+            Runnable updateShare,
+            Ticker ticker) {
+        mCalls = calls;
+        mLimits = limits;
+        mLimiter = limiter;
+        mUpdateShare = updateShare;
+        mTicker = ticker;
+    }
+
+    /** Obtains a permit for one request; emits false if it is denied. */
+    public Mono<Boolean> acquire(LiveServer server) {
+        return mLimits.isLimited(server.run())
+                ? acquireLimited(server).map(waitNanos -> isPermitted(server, waitNanos))
+                : Mono.just(true);
+    }
+
+    private Mono<Long> acquireLimited(LiveServer server) {
+        return Mono.defer(
+                () ->
+                        mCalls.remoteCoordinator()
+                                .map(coordinator -> acquireFrom(coordinator, server))
+                                .orElseGet(() -> Mono.fromSupplier(() -> acquireHere(server))));
+    }
+
+    private Mono<Long> acquireFrom(HostRecord coordinator, LiveServer server) {
+        NamedLimit limit = mLimits.find(server.run(), mTicker.nowNanos());
+        return mCalls.call(
+                        coordinator,
+                        new PeerMessage.AcquirePermit(mCalls.self().id(), limit),
+                        PeerMessage.LimitResponse.class,
+                        CALL_TIMEOUT)
+                .map(PeerMessage.LimitResponse::waitNanos)
+                .onErrorResume(e -> acquireLimited(server));
+    }
+
+    private long acquireHere(LiveServer server) {
+        mUpdateShare.run();
+        return mLimiter.acquire(server.run(), mTicker.nowNanos());
+    }
+
+    private boolean isPermitted(LiveServer server, long waitNanos) {
+        if (waitNanos > 0) {
+            long millis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
+            mDenials.start(server, Math.max(MIN_DENIAL_MILLIS, millis), mTicker.nowNanos());
+        }
+        return waitNanos == 0;
+    }
+
+    /** Returns the servers for which no permit was denied lately. */
+    public List<LiveServer> availableNow(List<LiveServer> servers, long nowNanos) {
+        return mLimits.isEmpty()
+                ? servers
+                : servers.stream().filter(server -> !isDenied(server, nowNanos)).toList();
+    }
+
+    private boolean isDenied(LiveServer server, long nowNanos) {
+        return mLimits.isLimited(server.run()) && mDenials.isActive(server, nowNanos);
+    }
+
+    /**
+     * Returns the time until there may be a permit for the first of the servers, in milliseconds,
+     * rounded up; zero if there may be one now or there is no server.
+     */
+    public long millisUntilFirst(List<LiveServer> servers, long nowNanos) {
+        boolean allDenied = servers.stream().allMatch(server -> isDenied(server, nowNanos));
+        return allDenied ? mDenials.millisUntilFirstEnds(servers, nowNanos) : 0;
+    }
+}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.DoubleSupplier;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.attempt.NextStep;
+import org.fuchsiaford.entry.gateway.fleet.ServerPermits;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
@@ -34,6 +36,9 @@
     /** Retry delay for callers if no server is known. */
     private static final long NO_SERVER_RETRY_MILLIS = 300;
 
+    /** Range over which the retries of requests over the limits of servers are spread. */
+    private static final long LIMITED_RETRY_SPREAD_MILLIS = 1_000;
+
     /**
      * Timeout of an attempt of a repeatable request, as a multiple of the latency target; then
      * another server is tried. It applies until an attempt may have run; later attempts may take
@@ -43,39 +48,57 @@
 
     private final GatewayState mState;
     private final ServerBackoff mBackoff;
+    private final ServerPermits mPermits;
     private final RouteAdmission mAdmission;
     private final ServerSelector mSelector;
     private final LoadTracker mLoads;
     private final ServerClient mClient;
     private final AttemptRecorder mAttempts;
+    private final DoubleSupplier mRandom;
     private final DecisionLog mLog;
     private final Ticker mTicker;
 
-    /** Creates a forwarder. */
+    /**
+     * Creates a forwarder.
+     *
+     * @param random a source of uniformly distributed random numbers from 0 to 1
+     */
     public BufferedForwarder(
             GatewayState state,
             ServerBackoff backoff,
+            ServerPermits permits,
             RouteAdmission admission,
             ServerSelector selector,
             LoadTracker loads,
             ServerClient client,
             AttemptRecorder attempts,
+            DoubleSupplier random,
             DecisionLog log,
             Ticker ticker) {
         mState = state;
         mBackoff = backoff;
+        mPermits = permits;
         mAdmission = admission;
         mSelector = selector;
         mLoads = loads;
         mClient = client;
         mAttempts = attempts;
+        mRandom = random;
         mLog = log;
         mTicker = ticker;
     }
 
     /** Runs a request and returns its response; fails with {@link RefusalException}. */
     Mono<CompleteResponse> run(RequestContext context) {
-        return Mono.fromCallable(() -> pick(context)).flatMap(server -> attempt(context, server));
+        return Mono.fromCallable(() -> pick(context))
+                .flatMap(
+                        server ->
+                                mPermits.acquire(server)
+                                        .flatMap(
+                                                permitted ->
+                                                        permitted
+                                                                ? attempt(context, server)
+                                                                : run(context)));
     }
 
     private LiveServer pick(RequestContext context) throws RefusalException {
@@ -87,9 +110,17 @@
             throw context.placementRefusal(
                     retryAfterMillis, "all backend servers want no requests now");
         }
+        List<LiveServer> accepting = mBackoff.acceptingNow(servers, nowNanos);
+        long permitMillis = mPermits.millisUntilFirst(accepting, nowNanos);
+        if (permitMillis > 0) {
+            long spreadMillis = (long) (mRandom.getAsDouble() * LIMITED_RETRY_SPREAD_MILLIS);
+            throw context.placementRefusal(
+                    permitMillis + spreadMillis,
+                    "all backend servers are at the limits that they have named");
+        }
         return mSelector
                 .pick(
-                        mBackoff.acceptingNow(servers, nowNanos),
+                        mPermits.availableNow(accepting, nowNanos),
                         context.attempts().failedServers(),
                         nowNanos)
                 .orElseThrow(() -> noServerRefusal(context, servers.isEmpty()));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerNotices.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerNotices.java
@@ -26,21 +26,28 @@
     private final GatewayState mState;
     private final ServerBackoff mBackoff;
     private final ServerLimits mLimits;
+    private final Runnable mOnLimited;
     private final ServiceMetrics mMetrics;
     private final DecisionLog mLog;
     private final Ticker mTicker;
 
-    /** Creates the notices of one host. */
+    /**
+     * Creates the notices of one host.
+     *
+     * @param onLimited called when a server begins to name a limit; must not block
+     */
     public ServerNotices(
             GatewayState state,
             ServerBackoff backoff,
             ServerLimits limits,
+            Runnable onLimited,
             ServiceMetrics metrics,
             DecisionLog log,
             Ticker ticker) {
         mState = state;
         mBackoff = backoff;
         mLimits = limits;
+        mOnLimited = onLimited;
         mMetrics = metrics;
         mLog = log;
         mTicker = ticker;
@@ -71,11 +78,15 @@
     }
 
     private void recordLimit(LiveServer server, double requestsPerSecond, RequestId request) {
+        boolean wasLimited = mLimits.isLimited(server.run());
         if (mLimits.record(server.run(), requestsPerSecond, mTicker.nowNanos())) {
             mMetrics.countNotice(server.service(), LIMIT);
             mLog.write(
                     Decision.ServerNoticed.limit(
                             server.id().value(), request.value(), requestsPerSecond));
+            if (!wasLimited) {
+                mOnLimited.run();
+            }
         }
     }
 }
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
@@ -47,6 +47,8 @@
 import org.fuchsiaford.selection.HeldEngines;
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.ServerHealth;
+import org.fuchsiaford.serverlimit.ServerLimits;
+import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.store.StoreChange;
 import org.fuchsiaford.store.StoreKey;
 import org.fuchsiaford.time.Ticker;
@@ -152,6 +154,7 @@
                         mQueues,
                         service -> 0,
                         quarantine,
+                        new ServerRateLimiter(new ServerLimits(), () -> 1),
                         () -> 0);
         // The host knows no other, so it coordinates itself.
         CoordinatorCalls calls =
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -25,6 +25,7 @@
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.selection.EngineEvent;
+import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.workspace.GrantId;
 import org.fuchsiaford.workspace.WorkspaceId;
 
@@ -64,6 +65,7 @@
     @JsonSubTypes.Type(value = PeerMessage.ChargeLimit.class, name = "q"),
     @JsonSubTypes.Type(value = PeerMessage.LimitResponse.class, name = "Q"),
     @JsonSubTypes.Type(value = PeerMessage.RefundLimit.class, name = "b"),
+    @JsonSubTypes.Type(value = PeerMessage.AcquirePermit.class, name = "a"),
     @JsonSubTypes.Type(value = PeerMessage.FetchStoreEntries.class, name = "e"),
     @JsonSubTypes.Type(value = PeerMessage.StoreEntriesResponse.class, name = "E"),
     @JsonSubTypes.Type(value = PeerMessage.Success.class, name = "D"),
@@ -205,16 +207,24 @@
             implements PeerMessage {}
 
     /**
-     * The decision on a charge.
+     * The decision on a charge or permit.
      *
-     * @param waitNanos zero if charged, otherwise the time until there are enough tokens
-     * @param detail the state behind the decision
+     * @param waitNanos zero if granted, otherwise the time until it may be
+     * @param detail the state behind the decision; null if there is nothing to tell
      */
     record LimitResponse(long waitNanos, String detail) implements PeerMessage {}
 
     /** Returns tokens charged for a request that has not run; answered by {@link Success}. */
     record RefundLimit(HostId host, WorkspaceId workspace, long tokens) implements PeerMessage {}
 
+    /**
+     * Asks a coordinator to permit a request to a server that names a limit; answered by {@link
+     * LimitResponse}.
+     *
+     * @param limit the server and its limit as known to the sender
+     */
+    record AcquirePermit(HostId host, NamedLimit limit) implements PeerMessage {}
+
     /** Asks for all store entries known to the host; answered by {@link StoreEntriesResponse}. */
     record FetchStoreEntries() implements PeerMessage {}
 
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -51,6 +51,7 @@
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.selection.EngineEvent;
+import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.workspace.GrantId;
 import org.fuchsiaford.workspace.WorkspaceId;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
@@ -206,11 +207,12 @@
         var outcomes = List.of(new ServerOutcomes(new BackendServerId("e1"), 8, 2));
         var quarantined = List.of(new QuarantinedPrompt(Set.of(new PromptPartId("p1")), 1, 8));
         var leaving = List.of(new ServerRun(new BackendServerId("e1"), 9));
+        var limits = List.of(new NamedLimit(leaving.get(0), 1.5, 200));
         var failing = List.of(new FailureRate(new BackendServerId("e1"), 0.25));
         add(
                 "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[['w1',2,3]],[['e1',3,4,5]],"
-                        + "['r1'],[['e1',8,2]],[['v1',6]],[['e1',9]],[[['p1'],1,8]]],"
-                        + "'wantsLoads':true}]",
+                        + "['r1'],[['e1',8,2]],[['v1',6]],[['e1',9]],[[['p1'],1,8]],"
+                        + "[[['e1',9],1.5,200]]],'wantsLoads':true}]",
                 new PeerMessage.Heartbeat(
                         new HostHeartbeat(
                                 record,
@@ -223,22 +225,35 @@
                                 outcomes,
                                 waiting,
                                 leaving,
-                                quarantined),
+                                quarantined,
+                                limits),
                         true));
         add(
-                "['v',{'pulse':[null,0,false,0,null,null,null,null,null,null,null],"
+                "['v',{'pulse':[null,0,false,0,null,null,null,null,null,null,null,"
+                        + "null],"
                         + "'wantsLoads':false}]",
                 new PeerMessage.Heartbeat(
                         new HostHeartbeat(
-                                null, 0, false, 0, null, null, null, null, null, null, null),
+                                null, 0, false, 0, null, null, null, null, null, null, null, null),
                         false));
         add(
                 "['V',{'summary':[['h1','f1','c:2','p:1',1.5],9,['h1'],[['e1',3,4,5]],"
-                        + "[['e1',0.25]],[['e1',9]],[[['p1'],1,8]]]}]",
+                        + "[['e1',0.25]],[['e1',9]],[[['p1'],1,8]],[[['e1',9],1.5,200]]]}]",
                 new PeerMessage.FleetResponse(
                         new FleetSummary(
-                                record, 9, List.of(host()), loads, failing, leaving, quarantined)));
+                                record,
+                                9,
+                                List.of(host()),
+                                loads,
+                                failing,
+                                leaving,
+                                quarantined,
+                                limits)));
         addCoordination();
+        addStoreEntries();
+    }
+
+    private void addStoreEntries() {
         add("['e',{}]", new PeerMessage.FetchStoreEntries());
         add(
                 "['E',{'revision':4,'entries':[{'key':'k','value':'AQ==','revision':3},"
@@ -297,6 +312,10 @@
         add(
                 "['b',{'host':'h1','workspace':'w1','tokens':6}]",
                 new PeerMessage.RefundLimit(host(), workspace, 6));
+        add(
+                "['a',{'host':'h1','limit':[['e1',9],1.5,200]}]",
+                new PeerMessage.AcquirePermit(
+                        host(), new NamedLimit(new ServerRun(engine, 9), 1.5, 200)));
     }
 
     private static SlotRecord slotRecord(SlotId slot, Incarnation incarnation) {
@@ -350,7 +369,7 @@
         assertThat(PeerMessage.class.getPermittedSubclasses())
                 .containsExactlyInAnyOrderElementsOf(held);
         assertThat(mForms.stream().map(form -> form.json.substring(2, 3)).distinct().sorted())
-                .containsExactly("ACDEGHILPQSTVXbcdefghilnpqrstuvw".split(""));
+                .containsExactly("ACDEGHILPQSTVXabcdefghilnpqrstuvw".split(""));
     }
 
     @Example
