Permit a host's part of a server's limit by the hosts that ask it

A coordinator permitted the whole limit to whoever asked, so hosts that do not agree about the coordinator, or change between two, could send two or three times the limit. It now permits the part of the hosts that ask it, as their heartbeats say; the parts add up to one.

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
@@ -41,6 +41,7 @@
         private boolean mContacted;
         private boolean mRegistered;
         private boolean mStopped;
+        private boolean mAsksThisHost;
 
         Peer(HostRecord record) {
             mRecord = record;
@@ -96,6 +97,11 @@
         return wasUnreachable;
     }
 
+    /** Records whether a host that has sent a heartbeat asks this one as its coordinator. */
+    public synchronized void recordAsking(HostId id, boolean asksThisHost) {
+        Optional.ofNullable(mPeers.get(id)).ifPresent(peer -> peer.mAsksThisHost = asksThisHost);
+    }
+
     /** Records that a host has responded to this one. */
     public synchronized void recordContact(HostRecord host, long nowNanos) {
         Peer peer = findOrAddPeer(host);
@@ -191,6 +197,19 @@
         return 1 + (int) mPeers.values().stream().filter(p -> p.isReachable(nowNanos)).count();
     }
 
+    /**
+     * Returns the part of the hosts present that this host decides for, from 0 to 1: those that ask
+     * it as their coordinator, and itself if it asks no other. The parts of all hosts add up to at
+     * most one once all have heard from each other.
+     */
+    public synchronized double decidingShare(boolean decidesForItself, long nowNanos) {
+        long asking =
+                mPeers.values().stream()
+                        .filter(peer -> peer.mAsksThisHost && peer.isReachable(nowNanos))
+                        .count();
+        return (double) (asking + (decidesForItself ? 1 : 0)) / presentCount(nowNanos);
+    }
+
     /** Returns the latest heartbeats of the reachable hosts. */
     public synchronized List<HostHeartbeat> latestHeartbeats(long nowNanos) {
         return mPeers.values().stream()
--- a/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
+++ b/core/src/main/java/org/fuchsiaford/quota/FleetQuota.java
@@ -84,11 +84,6 @@
         return nowNanos - mStartNanos;
     }
 
-    /** Returns the share of each limit that this host may grant, from 0 to 1. */
-    public synchronized double share() {
-        return mShare.share();
-    }
-
     /** Returns whether this host may grant anything. */
     public synchronized boolean hasShare() {
         return mShare.share() > 0;
--- a/core/src/main/java/org/fuchsiaford/serverlimit/ServerRateLimiter.java
+++ b/core/src/main/java/org/fuchsiaford/serverlimit/ServerRateLimiter.java
@@ -25,7 +25,7 @@
     public static final double MIN_REQUESTS_PER_SECOND = 0.1;
 
     /** Time for which unused permits are kept; at least one is. */
-    private static final double BURST_SECONDS = 1;
+    private static final double BURST_SECONDS = 0.25;
 
     /** Retry delay of a host without a share, which reaches a coordinator again by then. */
     private static final long NO_SHARE_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -71,7 +71,12 @@
         PeerClient peerClient = new TcpPeerClient();
         CoordinatorTracker tracker = new CoordinatorTracker(fleet, startNanos);
         mCalls = new CoordinatorCalls(fleet.self(), tracker, peerClient, log, ticker);
-        ServerRateLimiter limiter = new ServerRateLimiter(mLimits, quota::share);
+        ServerRateLimiter limiter =
+                new ServerRateLimiter(
+                        mLimits,
+                        () ->
+                                fleet.decidingShare(
+                                        mCalls.remoteCoordinator().isEmpty(), ticker.nowNanos()));
         EngineScheduler scheduler =
                 new EngineScheduler(
                         fleet.self().id(),
@@ -108,7 +113,7 @@
         Runnable updateShare = mHeartbeats::updateMissingShare;
         mHandler =
                 new CoordinatorHandler(mDispatcher, quota, mLimits, limiter, updateShare, ticker);
-        mPermits = new ServerPermits(mCalls, mLimits, limiter, updateShare, ticker);
+        mPermits = new ServerPermits(mCalls, mLimits, limiter, ticker);
         mCharging = new LimitCharging(mCalls, quota, updateShare, ticker);
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -118,7 +118,6 @@
 
     /** Permits a request of another host to a server that names a limit. */
     public PeerMessage.LimitResponse handle(PeerMessage.AcquirePermit message) {
-        mUpdateShare.run();
         long nowNanos = mTicker.nowNanos();
         mLimits.merge(List.of(message.limit()), nowNanos);
         long waitNanos = mLimiter.acquire(message.limit().server(), nowNanos);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -319,6 +319,7 @@
                         new Decision.PeerSeen(
                                 sender.value(), heartbeat.host().peerAddress(), "in-touch"));
             }
+            mFleet.recordAsking(sender, request.wantsLoads());
             mQuota.mergeReport(
                     sender,
                     heartbeat.admitted(),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
@@ -32,24 +32,14 @@
     private final ServerLimits mLimits;
     private final ServerRateLimiter mLimiter;
     private final ServerBackoff mDenials = new ServerBackoff();
-    private final Runnable mUpdateShare;
     private final Ticker mTicker;
 
-    /**
-     * Creates the permits of one host.
-     *
-     * @param updateShare updates the share of this host before it decides; must not block
-     */
+    /** Creates the permits of one host. */
     public ServerPermits(
-            CoordinatorCalls calls,
-            ServerLimits limits,
-            ServerRateLimiter limiter,
-            Runnable updateShare,
-            Ticker ticker) {
+            CoordinatorCalls calls, ServerLimits limits, ServerRateLimiter limiter, Ticker ticker) {
         mCalls = calls;
         mLimits = limits;
         mLimiter = limiter;
-        mUpdateShare = updateShare;
         mTicker = ticker;
     }
 
@@ -65,7 +55,12 @@
                 () ->
                         mCalls.remoteCoordinator()
                                 .map(coordinator -> acquireFrom(coordinator, server))
-                                .orElseGet(() -> Mono.fromSupplier(() -> acquireHere(server))));
+                                .orElseGet(
+                                        () ->
+                                                Mono.just(
+                                                        mLimiter.acquire(
+                                                                server.run(),
+                                                                mTicker.nowNanos()))));
     }
 
     private Mono<Long> acquireFrom(HostRecord coordinator, LiveServer server) {
@@ -79,11 +74,6 @@
                 .onErrorResume(e -> acquireLimited(server));
     }
 
-    private long acquireHere(LiveServer server) {
-        mUpdateShare.run();
-        return mLimiter.acquire(server.run(), mTicker.nowNanos());
-    }
-
     private boolean isPermitted(LiveServer server, long waitNanos) {
         if (waitNanos > 0) {
             long millis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
