Log a fingerprint of each request that a server breaks off

Logs could not tell whether two arrivals are the same request, since each has an id of its own. AttemptFailed names the fingerprint with the parts of the prompt, for plain requests too: a hash of method, host, path, query and body, keyed by the caller. Nothing acts on it yet.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -103,21 +103,21 @@
                         counted ? "decode-reads-prompt" : "decode-reads-prompt, budget used up"));
     }
 
-    /** Records an attempt without a response to forward, and returns how to proceed. */
+    /** Records an attempt whose response is not forwarded, and returns how to proceed. */
     NextStep recordFailure(
             RequestContext context, LiveServer server, AttemptOutcome outcome, String reason) {
         return recordFailure(context, server, outcome, reason, null);
     }
 
-    /** Records a failed attempt of a stream, and returns how to proceed. */
-    NextStep recordStreamFailure(
+    /** Records a failed attempt, and returns how to proceed. */
+    NextStep recordFailure(
             RequestContext context, LiveServer server, BackendCallException failure) {
         return recordFailure(
                 context,
                 server,
                 failure.outcome(),
                 failure.getMessage(),
-                failure.isBrokenOff() ? context.caller().promptParts() : null);
+                failure.isBrokenOff() ? context.promptParts() : null);
     }
 
     private NextStep recordFailure(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -158,7 +158,12 @@
                 .flatMap(response -> handleResponse(context, server, response, startNanos))
                 .onErrorResume(
                         BackendCallException.class,
-                        e -> handleFailure(context, server, e.outcome(), e.getMessage(), null));
+                        e ->
+                                proceed(
+                                        context,
+                                        server,
+                                        mAttempts.recordFailure(context, server, e),
+                                        null));
     }
 
     private Duration attemptTimeout(RequestContext context, long remainingMillis) {
@@ -195,16 +200,13 @@
             context.attempts().record(server.id(), AttemptOutcome.ANSWERED);
             return Mono.just(response);
         }
-        return handleFailure(context, server, head.outcome(), "status " + head.status(), response);
+        NextStep next =
+                mAttempts.recordFailure(context, server, head.outcome(), "status " + head.status());
+        return proceed(context, server, next, response);
     }
 
-    private Mono<CompleteResponse> handleFailure(
-            RequestContext context,
-            LiveServer server,
-            AttemptOutcome outcome,
-            String reason,
-            CompleteResponse response) {
-        NextStep next = mAttempts.recordFailure(context, server, outcome, reason);
+    private Mono<CompleteResponse> proceed(
+            RequestContext context, LiveServer server, NextStep next, CompleteResponse response) {
         return switch (next) {
             case ANSWER -> Mono.just(response);
             case TRY_AGAIN -> run(context);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -1,8 +1,10 @@
 package org.fuchsiaford.entry.gateway.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.fuchsiaford.attempt.RequestAttempts;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
@@ -13,6 +15,8 @@
 import org.fuchsiaford.failure.RemoteName;
 import org.fuchsiaford.failure.RunState;
 import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.prompt.PromptPartId;
+import org.fuchsiaford.prompt.RequestFingerprint;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.routing.TokenCounts;
@@ -38,6 +42,7 @@
     private final RequestAttempts mAttempts;
     private final StreamProgress mStreamProgress;
     private int mSendCount;
+    private List<PromptPartId> mPromptParts;
 
     RequestContext(
             CallerRequest caller,
@@ -83,6 +88,20 @@
         return mCaller.tokens().orElse(DEFAULT_TOKENS);
     }
 
+    /**
+     * Returns what identifies the request to the quarantine: the parts of its prompt, as far as the
+     * caller stated them, and its fingerprint.
+     */
+    List<PromptPartId> promptParts() {
+        if (mPromptParts == null) {
+            String target = mCaller.method() + " " + mCaller.virtualHost() + mCaller.uri();
+            PromptPartId fingerprint = RequestFingerprint.of(mCaller.key(), target, mBody);
+            mPromptParts =
+                    Stream.concat(mCaller.promptParts().stream(), Stream.of(fingerprint)).toList();
+        }
+        return mPromptParts;
+    }
+
     /** Returns the priority; zero is the highest. The workspace overrides the route. */
     int priority() {
         return mWorkspace
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -328,7 +328,7 @@
             assignment.hold().release();
         }
         progress.discardPartialEvent();
-        NextStep next = mAttempts.recordStreamFailure(context, server, failure);
+        NextStep next = mAttempts.recordFailure(context, server, failure);
         Optional<KvSource> unused = source.filter(s -> isUnfetched(failure.outcome()));
         return switch (next) {
             case ANSWER ->
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -43,7 +43,8 @@
     /**
      * An attempt failed.
      *
-     * @param promptParts the parts of the prompt if the server broke the stream off; else null
+     * @param promptParts the parts of the prompt and the fingerprint of the request if the server
+     *     broke the response off; else null
      * @param next the step that follows
      */
     record AttemptFailed(
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -35,6 +35,7 @@
     public static final int EVENTS_BEFORE_BREAK = 2;
 
     private static final Duration EVENT_GAP = Duration.ofMillis(20);
+    private static final Duration CRASH_DELAY = Duration.ofMillis(30);
     private static final String BODY_PREFIX = "answer of ";
 
     private final String mId;
@@ -48,6 +49,7 @@
     private volatile ServerBehaviour mBehaviour = ServerBehaviour.ANSWER;
     private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
     private volatile String mCrashingPart = "";
+    private volatile String mCrashingBody = "";
     private volatile String mRetryAfter = "";
     private volatile String mLimit = "";
     private final List<Long> mArrivalsNanos = new CopyOnWriteArrayList<>();
@@ -96,6 +98,11 @@
         mCrashingPart = part;
     }
 
+    /** Sets the body of a request that crashes this server while it runs it. */
+    public void setCrashingBody(String body) {
+        mCrashingBody = body;
+    }
+
     /** Lets all later responses say that the server is leaving; it serves requests as before. */
     public void setLeaving() {
         mLeaving = true;
@@ -221,7 +228,11 @@
                                     200,
                                     Json.object().put("transferHandle", "handle-" + mId)));
         }
-        return request.receive().aggregate().then().then(execute(request, response));
+        return request.receive()
+                .aggregate()
+                .asString()
+                .defaultIfEmpty("")
+                .flatMap(body -> execute(request, body, response));
     }
 
     private ObjectNode report() {
@@ -240,7 +251,8 @@
         return Mono.from(Json.send(response, 202, Json.object()));
     }
 
-    private Mono<Void> execute(HttpServerRequest request, HttpServerResponse response) {
+    private Mono<Void> execute(
+            HttpServerRequest request, String body, HttpServerResponse response) {
         return Mono.defer(
                         () -> {
                             HttpHeaders headers = request.requestHeaders();
@@ -250,7 +262,9 @@
                             boolean wrongRequest = mBehaviour == ServerBehaviour.WRONG_REQUEST;
                             response.header("Fuchsiaford-Request-Id", wrongRequest ? "another" : id)
                                     .header("Fuchsiaford-Server-Signature", "signed-by-" + mId);
-                            return respond(request, response);
+                            return !mCrashingBody.isEmpty() && body.equals(mCrashingBody)
+                                    ? Mono.delay(CRASH_DELAY).then(crash())
+                                    : respond(request, response);
                         })
                 .doFinally(signal -> mActiveRequests.decrementAndGet());
     }
