Keep a request that crashes servers from all servers, plain ones included

Callers of the services concerned got 502 and, while no server was left, 503: one request that came again under new ids ended 12 and 14 servers. Cause: what was remembered of a failure ended with the arrival, and the quarantine knew parts of prompts at engines only. A request that comes again is the same cause.

The fingerprint of a request is one more part of what the quarantine compares, and the only one of a plain request. Hosts report responses that plain servers break off to the coordinator, with the time since the same request was last answered, so that a request in common use is not taken as the cause. Hosts refuse what is in quarantine at once; the coordinator decides which one is tried again, for engines and plain servers alike.

--- a/core/src/main/java/org/fuchsiaford/attempt/AttemptOutcome.java
+++ b/core/src/main/java/org/fuchsiaford/attempt/AttemptOutcome.java
@@ -21,6 +21,11 @@
         mMayHaveRun = mayHaveRun;
     }
 
+    /** Returns whether the server has run the request to the end of its response. */
+    public boolean provesRun() {
+        return this == SERVER_ERROR || this == ANSWERED;
+    }
+
     /** Returns whether the server may have started to process the request. */
     public boolean mayHaveRun() {
         return mMayHaveRun;
--- a/core/src/main/java/org/fuchsiaford/prompt/CrashEvidence.java
+++ b/core/src/main/java/org/fuchsiaford/prompt/CrashEvidence.java
@@ -7,7 +7,9 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.backend.BackendServerId;
@@ -75,6 +77,15 @@
         mLastTrafficNanos = nowNanos;
     }
 
+    /** Returns when an answer with any of the parts began that survived last, if one is known. */
+    OptionalLong lastSurvivalNanos(List<PromptPartId> prompt) {
+        return prompt.stream()
+                .map(mSurvivedNanos::get)
+                .filter(Objects::nonNull)
+                .mapToLong(Long::longValue)
+                .reduce(CrashEvidence::later);
+    }
+
     /** Records an answer that its engine has survived. */
     void recordSurvival(List<PromptPartId> prompt, long beganNanos) {
         prompt.forEach(part -> mSurvivedNanos.merge(part, beganNanos, CrashEvidence::later));
@@ -170,12 +181,16 @@
         return parts;
     }
 
-    /** Returns whether answers with a part survived shortly before; true if that is not known. */
+    /**
+     * Returns whether answers with a part survived shortly before; true if that is not known. Of a
+     * whole request it is known, since its hosts report it.
+     */
     private boolean isInCommonUse(PromptPartId part, List<BrokenStream> streams) {
         long sinceNanos = streams.get(0).atNanos() - COMMON_USE_NANOS;
         Long survivedNanos = mSurvivedNanos.get(part);
         boolean unknown = !mHasTraffic || mTrafficSinceNanos - sinceNanos > 0;
-        return unknown || survivedNanos != null && survivedNanos - sinceNanos > 0;
+        return unknown && !RequestFingerprint.isFingerprint(part)
+                || survivedNanos != null && survivedNanos - sinceNanos > 0;
     }
 
     private static int separateCrashes(List<BrokenStream> streams) {
--- a/core/src/main/java/org/fuchsiaford/prompt/PromptQuarantine.java
+++ b/core/src/main/java/org/fuchsiaford/prompt/PromptQuarantine.java
@@ -6,13 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.backend.BackendServerId;
 
 /**
  * Keeps prompts from engines that they would crash: finds the parts that crashes have in common,
- * refuses requests that contain them, and admits one request at a time again after a while.
+ * refuses requests that contain them, and admits one request at a time again after a while. The
+ * fingerprint of a request counts as one of its parts, and as the only one of a plain request; so a
+ * request that comes again is kept from plain servers in the same way.
  *
  * <p>Load pattern: requests that differ in all but one part of their prompts each crash the engine
  * that begins to answer them. Without this, they crash one engine after the other, with all streams
@@ -108,6 +111,16 @@
                 .orElse(0);
     }
 
+    /** Returns whether a prompt is refused, or may be tried again by one request at a time. */
+    public synchronized boolean concerns(List<PromptPartId> prompt) {
+        return !containedIn(prompt).isEmpty();
+    }
+
+    /** Returns when an answer with any of the parts began that survived last, if one is known. */
+    public synchronized OptionalLong lastSurvivalNanos(List<PromptPartId> prompt) {
+        return mEvidence.lastSurvivalNanos(prompt);
+    }
+
     private List<Set<PromptPartId>> containedIn(List<PromptPartId> prompt) {
         return mEntries.isEmpty()
                 ? List.of()
--- a/core/src/main/java/org/fuchsiaford/prompt/RequestFingerprint.java
+++ b/core/src/main/java/org/fuchsiaford/prompt/RequestFingerprint.java
@@ -20,6 +20,11 @@
 
     private RequestFingerprint() {}
 
+    /** Returns whether an id is the fingerprint of a request, not a part of its prompt. */
+    static boolean isFingerprint(PromptPartId part) {
+        return part.value().startsWith(PREFIX);
+    }
+
     /**
      * Returns an id that is the same for requests of one caller with the same method, host, path,
      * query and body. It is a hash keyed by the caller, so that it does not reveal the body to
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -192,6 +192,7 @@
                         mState,
                         backoff,
                         mCoordination.permits(),
+                        mCoordination.requestQuarantine(),
                         routeAdmission,
                         selector,
                         loads,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -43,6 +43,7 @@
     private final CoordinatorHandler mHandler;
     private final LimitCharging mCharging;
     private final ServerPermits mPermits;
+    private final RequestQuarantine mRequestQuarantine;
     private final HeartbeatExchange mHeartbeats;
 
     /**
@@ -112,7 +113,9 @@
                         isAccepting);
         Runnable updateShare = mHeartbeats::updateMissingShare;
         mHandler =
-                new CoordinatorHandler(mDispatcher, quota, mLimits, limiter, updateShare, ticker);
+                new CoordinatorHandler(
+                        mDispatcher, mQuarantine, quota, mLimits, limiter, updateShare, ticker);
+        mRequestQuarantine = new RequestQuarantine(mCalls, mQuarantine, mHandler, ticker);
         mPermits = new ServerPermits(mCalls, mLimits, limiter, ticker);
         mCharging = new LimitCharging(mCalls, quota, updateShare, ticker);
     }
@@ -154,6 +157,11 @@
         return mPermits;
     }
 
+    /** Returns the quarantine of plain requests. */
+    public RequestQuarantine requestQuarantine() {
+        return mRequestQuarantine;
+    }
+
     /** Returns the charging of rate limits. */
     public LimitCharging charging() {
         return mCharging;
@@ -181,6 +189,15 @@
         if (message instanceof PeerMessage.ChargeLimit charge) {
             return Optional.of(Mono.just(mHandler.handle(charge)));
         }
+        if (message instanceof PeerMessage.AdmitPrompt admit) {
+            return Optional.of(Mono.just(mHandler.handle(admit)));
+        }
+        if (message instanceof PeerMessage.ReportCrash crash) {
+            return Optional.of(Mono.just(mHandler.handle(crash)));
+        }
+        if (message instanceof PeerMessage.ReportSurvival survival) {
+            return Optional.of(Mono.just(mHandler.handle(survival)));
+        }
         if (message instanceof PeerMessage.AcquirePermit acquire) {
             return Optional.of(Mono.just(mHandler.handle(acquire)));
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorCalls.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorCalls.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.fleet.CoordinatorTracker;
@@ -76,6 +77,23 @@
                 .doOnError(e -> recordFailure(coordinator, e));
     }
 
+    /**
+     * Asks the coordinators in turn until one responds in time, or this host if none does.
+     *
+     * @param here decides as a coordinator would; must not block
+     */
+    public <T extends PeerMessage> Mono<T> ask(
+            PeerMessage request, Class<T> type, Duration timeout, Supplier<T> here) {
+        return Mono.defer(
+                () -> {
+                    Optional<HostRecord> coordinator = remoteCoordinator();
+                    return coordinator.isEmpty()
+                            ? Mono.fromSupplier(here)
+                            : call(coordinator.get(), request, type, timeout)
+                                    .onErrorResume(e -> ask(request, type, timeout, here));
+                });
+    }
+
     /** Records that a coordinator has not responded in time. */
     void recordFailure(HostRecord coordinator, Throwable cause) {
         if (mTracker.recordFailure(coordinator.id(), mTicker.nowNanos())) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.quota.FleetQuota;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.selection.EngineAnswer;
@@ -20,6 +21,7 @@
  */
 public final class CoordinatorHandler {
     private final EngineDispatcher mDispatcher;
+    private final PromptQuarantine mQuarantine;
     private final FleetQuota mQuota;
     private final ServerLimits mLimits;
     private final ServerRateLimiter mLimiter;
@@ -33,12 +35,14 @@
      */
     public CoordinatorHandler(
             EngineDispatcher dispatcher,
+            PromptQuarantine quarantine,
             FleetQuota quota,
             ServerLimits limits,
             ServerRateLimiter limiter,
             Runnable updateShare,
             Ticker ticker) {
         mDispatcher = dispatcher;
+        mQuarantine = quarantine;
         mQuota = quota;
         mLimits = limits;
         mLimiter = limiter;
@@ -124,6 +128,34 @@
         return new PeerMessage.LimitResponse(waitNanos, null);
     }
 
+    /** Decides whether a plain request of another host may be tried again. */
+    public PeerMessage.LimitResponse handle(PeerMessage.AdmitPrompt message) {
+        long waitNanos = mQuarantine.admit(message.promptParts(), mTicker.nowNanos());
+        mDispatcher.logQuarantine();
+        return new PeerMessage.LimitResponse(waitNanos, null);
+    }
+
+    /** Records that a plain server broke off the response to a request of another host. */
+    public PeerMessage.Success handle(PeerMessage.ReportCrash message) {
+        long nowNanos = mTicker.nowNanos();
+        if (message.survivedMillis() >= 0) {
+            long beganNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(message.survivedMillis());
+            mQuarantine.recordSurvival(message.promptParts(), beganNanos, nowNanos);
+        }
+        mQuarantine.recordBrokenStream(message.server(), message.promptParts(), nowNanos);
+        mDispatcher.logQuarantine();
+        return new PeerMessage.Success();
+    }
+
+    /** Records that a plain server has responded to a request of another host. */
+    public PeerMessage.Success handle(PeerMessage.ReportSurvival message) {
+        long nowNanos = mTicker.nowNanos();
+        long beganNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(message.ageMillis());
+        mQuarantine.recordSurvival(message.promptParts(), beganNanos, nowNanos);
+        mDispatcher.logQuarantine();
+        return new PeerMessage.Success();
+    }
+
     /** Takes back tokens of a request of another host that has not run. */
     public PeerMessage.Success handle(PeerMessage.RefundLimit message) {
         mQuota.refundGrant(message.workspace(), message.tokens(), mTicker.nowNanos());
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerBackoff;
@@ -51,27 +50,18 @@
     }
 
     private Mono<Long> acquireLimited(LiveServer server) {
-        return Mono.defer(
-                () ->
-                        mCalls.remoteCoordinator()
-                                .map(coordinator -> acquireFrom(coordinator, server))
-                                .orElseGet(
-                                        () ->
-                                                Mono.just(
-                                                        mLimiter.acquire(
-                                                                server.run(),
-                                                                mTicker.nowNanos()))));
-    }
-
-    private Mono<Long> acquireFrom(HostRecord coordinator, LiveServer server) {
         NamedLimit limit = mLimits.find(server.run(), mTicker.nowNanos());
-        return mCalls.call(
-                        coordinator,
+        return mCalls.ask(
                         new PeerMessage.AcquirePermit(mCalls.self().id(), limit),
                         PeerMessage.LimitResponse.class,
-                        CALL_TIMEOUT)
-                .map(PeerMessage.LimitResponse::waitNanos)
-                .onErrorResume(e -> acquireLimited(server));
+                        CALL_TIMEOUT,
+                        () -> acquireHere(server))
+                .map(PeerMessage.LimitResponse::waitNanos);
+    }
+
+    private PeerMessage.LimitResponse acquireHere(LiveServer server) {
+        return new PeerMessage.LimitResponse(
+                mLimiter.acquire(server.run(), mTicker.nowNanos()), null);
     }
 
     private boolean isPermitted(LiveServer server, long waitNanos) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.attempt.NextStep;
+import org.fuchsiaford.entry.gateway.fleet.RequestQuarantine;
 import org.fuchsiaford.entry.gateway.fleet.ServerPermits;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
@@ -49,6 +51,7 @@
     private final GatewayState mState;
     private final ServerBackoff mBackoff;
     private final ServerPermits mPermits;
+    private final RequestQuarantine mQuarantine;
     private final RouteAdmission mAdmission;
     private final ServerSelector mSelector;
     private final LoadTracker mLoads;
@@ -67,6 +70,7 @@
             GatewayState state,
             ServerBackoff backoff,
             ServerPermits permits,
+            RequestQuarantine quarantine,
             RouteAdmission admission,
             ServerSelector selector,
             LoadTracker loads,
@@ -78,6 +82,7 @@
         mState = state;
         mBackoff = backoff;
         mPermits = permits;
+        mQuarantine = quarantine;
         mAdmission = admission;
         mSelector = selector;
         mLoads = loads;
@@ -90,6 +95,21 @@
 
     /** Runs a request and returns its response; fails with {@link RefusalException}. */
     Mono<CompleteResponse> run(RequestContext context) {
+        return mQuarantine
+                .admit(context::promptParts)
+                .flatMap(
+                        waitNanos ->
+                                waitNanos == 0
+                                        ? place(context)
+                                        : Mono.error(quarantineRefusal(context, waitNanos)));
+    }
+
+    private static RefusalException quarantineRefusal(RequestContext context, long waitNanos) {
+        return context.placementRefusal(
+                TimeUnit.NANOSECONDS.toMillis(waitNanos), "the same request has crashed servers");
+    }
+
+    private Mono<CompleteResponse> place(RequestContext context) {
         return Mono.fromCallable(() -> pick(context))
                 .flatMap(
                         server ->
@@ -98,7 +118,7 @@
                                                 permitted ->
                                                         permitted
                                                                 ? attempt(context, server)
-                                                                : run(context)));
+                                                                : place(context)));
     }
 
     private LiveServer pick(RequestContext context) throws RefusalException {
@@ -156,14 +176,7 @@
                 .flatMap(parts -> complete(server, parts))
                 .doFinally(signal -> mLoads.remove(load))
                 .flatMap(response -> handleResponse(context, server, response, startNanos))
-                .onErrorResume(
-                        BackendCallException.class,
-                        e ->
-                                proceed(
-                                        context,
-                                        server,
-                                        mAttempts.recordFailure(context, server, e),
-                                        null));
+                .onErrorResume(BackendCallException.class, e -> handleFailure(context, server, e));
     }
 
     private Duration attemptTimeout(RequestContext context, long remainingMillis) {
@@ -195,6 +208,9 @@
     private Mono<CompleteResponse> handleResponse(
             RequestContext context, LiveServer server, CompleteResponse response, long startNanos) {
         ResponseHead head = response.head();
+        if (head.outcome().provesRun()) {
+            mQuarantine.recordResponse(context.promptParts(), startNanos);
+        }
         if (head.outcome() == AttemptOutcome.ANSWERED) {
             mAttempts.recordSuccess(server, startNanos);
             context.attempts().record(server.id(), AttemptOutcome.ANSWERED);
@@ -205,6 +221,14 @@
         return proceed(context, server, next, response);
     }
 
+    private Mono<CompleteResponse> handleFailure(
+            RequestContext context, LiveServer server, BackendCallException failure) {
+        if (failure.isBrokenOff()) {
+            mQuarantine.recordCrash(server.id(), context.promptParts());
+        }
+        return proceed(context, server, mAttempts.recordFailure(context, server, failure), null);
+    }
+
     private Mono<CompleteResponse> proceed(
             RequestContext context, LiveServer server, NextStep next, CompleteResponse response) {
         return switch (next) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
@@ -130,7 +130,7 @@
                 attemptId(context),
                 context.service(),
                 context.tokens(),
-                context.caller().promptParts(),
+                context.promptParts(),
                 context.priority(),
                 excludedEngines(context),
                 context.route().targetLatencyMillis(),
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -66,6 +66,9 @@
     @JsonSubTypes.Type(value = PeerMessage.LimitResponse.class, name = "Q"),
     @JsonSubTypes.Type(value = PeerMessage.RefundLimit.class, name = "b"),
     @JsonSubTypes.Type(value = PeerMessage.AcquirePermit.class, name = "a"),
+    @JsonSubTypes.Type(value = PeerMessage.AdmitPrompt.class, name = "j"),
+    @JsonSubTypes.Type(value = PeerMessage.ReportCrash.class, name = "k"),
+    @JsonSubTypes.Type(value = PeerMessage.ReportSurvival.class, name = "y"),
     @JsonSubTypes.Type(value = PeerMessage.FetchStoreEntries.class, name = "e"),
     @JsonSubTypes.Type(value = PeerMessage.StoreEntriesResponse.class, name = "E"),
     @JsonSubTypes.Type(value = PeerMessage.Success.class, name = "D"),
@@ -225,6 +228,35 @@
      */
     record AcquirePermit(HostId host, NamedLimit limit) implements PeerMessage {}
 
+    /**
+     * Asks a coordinator whether a plain request in quarantine may be sent again; answered by
+     * {@link LimitResponse}.
+     */
+    record AdmitPrompt(HostId host, List<PromptPartId> promptParts) implements PeerMessage {}
+
+    /**
+     * Reports that a plain server broke off the response to a request, maybe by a crash; answered
+     * by {@link Success}.
+     *
+     * @param survivedMillis how long ago the host had the last response to the same request;
+     *     negative if it knows of none
+     */
+    record ReportCrash(
+            HostId host,
+            BackendServerId server,
+            List<PromptPartId> promptParts,
+            long survivedMillis)
+            implements PeerMessage {}
+
+    /**
+     * Reports that a plain server has responded to a request in quarantine; answered by {@link
+     * Success}.
+     *
+     * @param ageMillis how long ago it was sent
+     */
+    record ReportSurvival(HostId host, List<PromptPartId> promptParts, long ageMillis)
+            implements PeerMessage {}
+
     /** Asks for all store entries known to the host; answered by {@link StoreEntriesResponse}. */
     record FetchStoreEntries() implements PeerMessage {}
 
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -312,6 +312,14 @@
         add(
                 "['b',{'host':'h1','workspace':'w1','tokens':6}]",
                 new PeerMessage.RefundLimit(host(), workspace, 6));
+        var parts = List.of(new PromptPartId("p1"));
+        add("['j',{'host':'h1','promptParts':['p1']}]", new PeerMessage.AdmitPrompt(host(), parts));
+        add(
+                "['k',{'host':'h1','server':'e1','promptParts':['p1'],'survivedMillis':7}]",
+                new PeerMessage.ReportCrash(host(), engine, parts, 7));
+        add(
+                "['y',{'host':'h1','promptParts':['p1'],'ageMillis':7}]",
+                new PeerMessage.ReportSurvival(host(), parts, 7));
         add(
                 "['a',{'host':'h1','limit':[['e1',9],1.5,200]}]",
                 new PeerMessage.AcquirePermit(
@@ -369,7 +377,7 @@
         assertThat(PeerMessage.class.getPermittedSubclasses())
                 .containsExactlyInAnyOrderElementsOf(held);
         assertThat(mForms.stream().map(form -> form.json.substring(2, 3)).distinct().sorted())
-                .containsExactly("ACDEGHILPQSTVXabcdefghilnpqrstuvw".split(""));
+                .containsExactly("ACDEGHILPQSTVXabcdefghijklnpqrstuvwy".split(""));
     }
 
     @Example
