--- a/core/src/main/java/org/fuchsiaford/prompt/PromptQuarantine.java
+++ b/core/src/main/java/org/fuchsiaford/prompt/PromptQuarantine.java
@@ -22,7 +22,8 @@
  * that run there.
  *
  * <p>Invariant: while parts are in quarantine, at most one request with all of them is admitted in
- * each period, and each period is twice as long as the one before. Thread-safe.
+ * each period, and each period is twice as long as the one before. One request that comes again is
+ * admitted {@link #MAX_REQUEST_TRIALS} times at most in a day. Thread-safe.
  */
 public final class PromptQuarantine {
     /** Time after its first event in which a stream of a crashing prompt has been broken off. */
@@ -31,6 +32,11 @@
     private static final long FIRST_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(20);
     private static final int MAX_DOUBLINGS = 5;
 
+    /** Crashes by one request that was admitted again, after which it is not for a long time. */
+    static final int MAX_REQUEST_TRIALS = 3;
+
+    private static final long LAST_REQUEST_PERIOD_NANOS = TimeUnit.DAYS.toNanos(1);
+
     /** Time after which a request that was admitted again counts as lost without a result. */
     private static final long TRIAL_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -173,18 +179,22 @@
         Entry entry = mEntries.get(parts);
         entry.mOnTrial = false;
         entry.mStrikes++;
-        entry.mUntilNanos = nowNanos + periodNanos(entry.mStrikes);
+        entry.mUntilNanos = nowNanos + periodNanos(parts, entry.mStrikes);
         recordChange(Change.Kind.STARTED, parts, entry, nowNanos);
     }
 
-    private static long periodNanos(int strikes) {
+    private static long periodNanos(Set<PromptPartId> parts, int strikes) {
+        boolean isOneRequest = parts.stream().anyMatch(RequestFingerprint::isFingerprint);
+        if (isOneRequest && strikes >= MAX_REQUEST_TRIALS) {
+            return LAST_REQUEST_PERIOD_NANOS;
+        }
         return FIRST_PERIOD_NANOS << Math.min(strikes, MAX_DOUBLINGS);
     }
 
     /** Fewer parts replace a larger set that contains them. */
     private void start(Set<PromptPartId> parts, long nowNanos) {
         mEntries.keySet().removeIf(larger -> larger.containsAll(parts));
-        Entry entry = new Entry(0, nowNanos + periodNanos(0), nowNanos);
+        Entry entry = new Entry(0, nowNanos + periodNanos(parts, 0), nowNanos);
         add(parts, entry);
         mEvidence.forgetBystanders(parts);
         recordChange(Change.Kind.STARTED, parts, entry, nowNanos);
--- a/core/src/test/java/org/fuchsiaford/prompt/PromptQuarantineTest.java
+++ b/core/src/test/java/org/fuchsiaford/prompt/PromptQuarantineTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
@@ -262,4 +263,63 @@
         mQuarantine.merge(List.of(new QuarantinedPrompt(Set.of(), 1, 1_000)), mNowNanos);
         assertThat(isAdmitted(List.of())).isTrue();
     }
+
+    private static PromptPartId request(String body) {
+        return RequestFingerprint.of(Optional.empty(), "POST h/x", body.getBytes());
+    }
+
+    private void crashUnder(int server, String body) {
+        mQuarantine.recordBrokenStream(engine(server), List.of(request(body)), mNowNanos);
+        mNowNanos += 100 * MILLI;
+    }
+
+    private boolean isRequestAdmitted(String body) {
+        return isAdmitted(List.of(request(body)));
+    }
+
+    @Example
+    void aRequestUnderWhichThreeServersCrashedIsRefusedEvenIfNothingElseIsKnown() {
+        crashUnder(1, "bad");
+        crashUnder(2, "bad");
+        assertThat(isRequestAdmitted("bad")).isTrue();
+        crashUnder(3, "bad");
+        assertThat(isRequestAdmitted("bad")).isFalse();
+        assertThat(isRequestAdmitted("sound")).isTrue();
+    }
+
+    @Example
+    void aRequestThatRanBesideTheCauseIsAdmitted() {
+        IntStream.rangeClosed(1, 3)
+                .forEach(
+                        server -> {
+                            crashUnder(server, "beside" + Math.min(server, 2));
+                            mNowNanos -= 100 * MILLI;
+                            crashUnder(server, "bad");
+                        });
+        assertThat(isRequestAdmitted("bad")).isFalse();
+        assertThat(isRequestAdmitted("beside1")).isTrue();
+        assertThat(isRequestAdmitted("beside2")).isTrue();
+    }
+
+    @Example
+    void aRequestInCommonUseIsAdmittedAlthoughServersCrashedUnderIt() {
+        mQuarantine.recordSurvival(List.of(request("lookup")), mNowNanos, mNowNanos);
+        mNowNanos += SECOND;
+        IntStream.range(0, 3).forEach(server -> crashUnder(server, "lookup"));
+        assertThat(isRequestAdmitted("lookup")).isTrue();
+    }
+
+    @Property(tries = 20, seed = "31")
+    void aRequestThatComesAgainForHalfAnHourCrashesFewServers(
+            @ForAll @IntRange(min = 50, max = 5_000) int pauseMillis) {
+        long endNanos = mNowNanos + 1_800 * SECOND;
+        int crashes = 0;
+        while (mNowNanos < endNanos) {
+            if (isRequestAdmitted("bad")) {
+                crashUnder(crashes++, "bad");
+            }
+            mNowNanos += pauseMillis * MILLI;
+        }
+        assertThat(crashes).isLessThanOrEqualTo(3 + PromptQuarantine.MAX_REQUEST_TRIALS);
+    }
 }
