Check a server again after its permit was awaited

A server may say that it is leaving or wants no requests while another host's answer about its limit is under way. Found by reading; no test shows it. PlatformServerLimitTest, PlatformServerNoticeTest and PlatformHostTest pass.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -116,11 +116,17 @@
                                 mPermits.acquire(server)
                                         .flatMap(
                                                 permitted ->
-                                                        permitted
+                                                        permitted && isAccepting(server)
                                                                 ? attempt(context, server)
                                                                 : place(context)));
     }
 
+    /** Checks a server again, since it may have said more of itself while a permit was awaited. */
+    private boolean isAccepting(LiveServer server) {
+        long nowNanos = mTicker.nowNanos();
+        return mState.servers().isUsable(server, nowNanos) && !mBackoff.isActive(server, nowNanos);
+    }
+
     private LiveServer pick(RequestContext context) throws RefusalException {
         mAdmission.reauthorize(context);
         long nowNanos = mTicker.nowNanos();
