End a denied permit when the server names another limit

A host remembered a denial until its time, up to ten seconds at the lowest limits, although the server had named a higher one meanwhile. A denial now holds for the limit under which it was given. The test in FleetServerLimitTest covers the new class; the earlier code had no such seam, so it was not seen red.

--- a/core/src/test/java/org/fuchsiaford/serverlimit/FleetServerLimitTest.java
+++ b/core/src/test/java/org/fuchsiaford/serverlimit/FleetServerLimitTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -16,17 +17,30 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.fleet.CoordinatorTrouble;
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.fleet.TestHeartbeats;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.ServerAddress;
 import org.fuchsiaford.registry.ServerRun;
 
 /** Hosts and their coordinators in virtual time, with one server that names a limit for a while. */
 class FleetServerLimitTest {
-    private static final ServerRun SERVER = new ServerRun(new BackendServerId("s"), 1);
+    private static final LiveServer LIVE_SERVER =
+            new LiveServer(
+                    new BackendServerId("s"),
+                    new ServiceId("v"),
+                    new ServerAddress("10.0.0.1", 80),
+                    new FailureDomainId("d"),
+                    6,
+                    Optional.empty(),
+                    false,
+                    1);
+    private static final ServerRun SERVER = LIVE_SERVER.run();
     private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     private static final int STEPS_PER_SECOND = 100;
     private static final int STEPS_PER_HEARTBEAT = 50;
@@ -63,7 +77,7 @@
         private final ServerRateLimiter mLimiter =
                 new ServerRateLimiter(mLimits, this::decidingShare);
         private final int mStartedStep = mStep;
-        private long mDeniedUntilNanos;
+        private final DeniedPermits mDenials = new DeniedPermits(mLimits);
         private int mToldStep = Integer.MAX_VALUE;
 
         Host(int index) {
@@ -97,13 +111,15 @@
         }
 
         private boolean isPermitted() {
-            if (nowNanos() < mDeniedUntilNanos) {
+            if (mDenials.availableNow(List.of(LIVE_SERVER), nowNanos()).isEmpty()) {
                 return false;
             }
             Host coordinator = mHosts.get(coordinatorOf(mIndex));
             coordinator.mLimits.merge(List.of(mLimits.find(SERVER, nowNanos())), nowNanos());
             long waitNanos = coordinator.mLimiter.acquire(SERVER, nowNanos());
-            mDeniedUntilNanos = nowNanos() + waitNanos;
+            if (waitNanos > 0) {
+                mDenials.record(SERVER, waitNanos, nowNanos());
+            }
             return waitNanos == 0;
         }
 
@@ -255,4 +271,18 @@
         assertThat((double) permitted)
                 .isBetween(1.0, seconds * ServerRateLimiter.MIN_REQUESTS_PER_SECOND);
     }
+
+    @Example
+    void aDenialEndsOnceTheServerNamesAnotherLimit() {
+        ServerLimits limits = new ServerLimits();
+        DeniedPermits denials = new DeniedPermits(limits);
+        List<LiveServer> servers = List.of(LIVE_SERVER);
+        limits.record(SERVER, 0.1, 0);
+        denials.record(SERVER, TimeUnit.SECONDS.toNanos(10), 0);
+        assertThat(denials.availableNow(servers, STEP_NANOS)).isEmpty();
+        assertThat(denials.millisUntilFirst(servers, STEP_NANOS)).isEqualTo(9_990);
+        limits.record(SERVER, 20, STEP_NANOS);
+        assertThat(denials.availableNow(servers, STEP_NANOS)).isEqualTo(servers);
+        assertThat(denials.millisUntilFirst(servers, STEP_NANOS)).isZero();
+    }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
@@ -2,10 +2,9 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.registry.LiveServer;
-import org.fuchsiaford.registry.ServerBackoff;
+import org.fuchsiaford.serverlimit.DeniedPermits;
 import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
@@ -18,19 +17,16 @@
  * need no permit. The scheduler of engines obtains those for engines.
  *
  * <p>Invariant: after a permit was denied, none is asked for until the time that the denial names,
- * unless the server names no limit any more. Thread-safe.
+ * unless the server names another limit or none. Thread-safe.
  */
 public final class ServerPermits {
     /** Several round trips within a region; then the next coordinator is asked. */
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(150);
 
-    /** Shortest time for which a server is left out after a denial. */
-    private static final long MIN_DENIAL_MILLIS = 10;
-
     private final CoordinatorCalls mCalls;
     private final ServerLimits mLimits;
     private final ServerRateLimiter mLimiter;
-    private final ServerBackoff mDenials = new ServerBackoff();
+    private final DeniedPermits mDenials;
     private final Ticker mTicker;
 
     /** Creates the permits of one host. */
@@ -38,6 +34,7 @@
             CoordinatorCalls calls, ServerLimits limits, ServerRateLimiter limiter, Ticker ticker) {
         mCalls = calls;
         mLimits = limits;
+        mDenials = new DeniedPermits(limits);
         mLimiter = limiter;
         mTicker = ticker;
     }
@@ -66,21 +63,14 @@
 
     private boolean isPermitted(LiveServer server, long waitNanos) {
         if (waitNanos > 0) {
-            long millis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
-            mDenials.start(server, Math.max(MIN_DENIAL_MILLIS, millis), mTicker.nowNanos());
+            mDenials.record(server.run(), waitNanos, mTicker.nowNanos());
         }
         return waitNanos == 0;
     }
 
-    /** Returns the servers for which no permit was denied lately. */
+    /** Returns the servers for which there may be a permit now. */
     public List<LiveServer> availableNow(List<LiveServer> servers, long nowNanos) {
-        return mLimits.isEmpty()
-                ? servers
-                : servers.stream().filter(server -> !isDenied(server, nowNanos)).toList();
-    }
-
-    private boolean isDenied(LiveServer server, long nowNanos) {
-        return mLimits.isLimited(server.run()) && mDenials.isActive(server, nowNanos);
+        return mDenials.availableNow(servers, nowNanos);
     }
 
     /**
@@ -88,7 +78,6 @@
      * rounded up; zero if there may be one now or there is no server.
      */
     public long millisUntilFirst(List<LiveServer> servers, long nowNanos) {
-        boolean allDenied = servers.stream().allMatch(server -> isDenied(server, nowNanos));
-        return allDenied ? mDenials.millisUntilFirstEnds(servers, nowNanos) : 0;
+        return mDenials.millisUntilFirst(servers, nowNanos);
     }
 }
