Pass a server's error on if the request may not be sent again

A server answered 500, the request was to be sent again, and the permit for that was denied: the caller got a 502 of ours in place of the answer that was there. The same holds when all other servers are full. Now the answer of the first attempt is passed on if no later attempt has one. The new test in PlatformServerLimitTest got 502 before and gets 500 with the change; streams that are placed again still end with the refusal.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -235,11 +235,25 @@
         return proceed(context, server, mAttempts.recordFailure(context, server, failure), null);
     }
 
+    /**
+     * Continues after a failed attempt. If no later attempt has a response, that of this one is
+     * passed on.
+     *
+     * @param response the response of the attempt; null if there is none
+     */
     private Mono<CompleteResponse> proceed(
             RequestContext context, LiveServer server, NextStep next, CompleteResponse response) {
         return switch (next) {
             case ANSWER -> Mono.just(response);
-            case TRY_AGAIN -> run(context);
+            case TRY_AGAIN ->
+                    run(context)
+                            .onErrorResume(
+                                    RefusalException.class,
+                                    e ->
+                                            response != null
+                                                            && response.head().outcome().provesRun()
+                                                    ? Mono.just(response)
+                                                    : Mono.error(e));
             case REFUSE, FAIL -> Mono.error(mAttempts.refusal(context, server, next));
         };
     }
