Read a server's limit once when a permit is taken

A response that begins or ends a limit while another request takes a permit made the limiter use a bucket that was not there (the request failed), or refill one at an infinite rate (its limit was not kept until it was lifted). Found by reading the change. aLimitThatBeginsWhileAPermitIsTakenFailsNoRequest failed at once with a NullPointerException before; 2,000,000 permits beside changing limits pass with the change. The infinite rate was not seen by a test.

--- a/core/src/main/java/org/fuchsiaford/serverlimit/ServerRateLimiter.java
+++ b/core/src/main/java/org/fuchsiaford/serverlimit/ServerRateLimiter.java
@@ -72,19 +72,22 @@
      */
     public synchronized long acquire(ServerRun server, long nowNanos) {
         long waitNanos = waitNanos(server, nowNanos);
-        if (waitNanos == 0 && mLimits.isLimited(server)) {
-            mBuckets.get(server).mPermits--;
+        // Without a bucket, the server named no limit when the wait was determined.
+        Bucket bucket = mBuckets.get(server);
+        if (waitNanos == 0 && bucket != null) {
+            bucket.mPermits--;
         }
         return waitNanos;
     }
 
     /** Returns the time in nanoseconds until a server may be sent a request; zero if it may now. */
     public synchronized long waitNanos(ServerRun server, long nowNanos) {
-        if (!mLimits.isLimited(server)) {
+        double limit = requestsPerSecond(server);
+        if (Double.isInfinite(limit)) {
             mBuckets.remove(server);
             return 0;
         }
-        double perSecond = requestsPerSecond(server) * mShare.getAsDouble();
+        double perSecond = limit * mShare.getAsDouble();
         if (perSecond <= 0) {
             return NO_SHARE_RETRY_NANOS;
         }
--- a/core/src/test/java/org/fuchsiaford/serverlimit/FleetServerLimitTest.java
+++ b/core/src/test/java/org/fuchsiaford/serverlimit/FleetServerLimitTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -285,4 +286,25 @@
         assertThat(denials.availableNow(servers, STEP_NANOS)).isEqualTo(servers);
         assertThat(denials.millisUntilFirst(servers, STEP_NANOS)).isZero();
     }
+
+    @Example
+    void aLimitThatBeginsWhileAPermitIsTakenFailsNoRequest() throws InterruptedException {
+        ServerLimits limits = new ServerLimits();
+        ServerRateLimiter limiter = new ServerRateLimiter(limits, () -> 1);
+        AtomicBoolean stopped = new AtomicBoolean();
+        Thread responses =
+                new Thread(
+                        () ->
+                                IntStream.iterate(0, i -> !stopped.get(), i -> i + 1)
+                                        .mapToDouble(
+                                                i -> i % 2 == 0 ? 1e6 : Double.POSITIVE_INFINITY)
+                                        .forEach(limit -> limits.record(SERVER, limit, 0)));
+        responses.start();
+        try {
+            IntStream.range(0, 2_000_000).forEach(i -> limiter.acquire(SERVER, i * STEP_NANOS));
+        } finally {
+            stopped.set(true);
+            responses.join();
+        }
+    }
 }
