--- a/core/src/main/java/org/fuchsiaford/prompt/CrashEvidence.java
+++ b/core/src/main/java/org/fuchsiaford/prompt/CrashEvidence.java
@@ -182,8 +182,8 @@
     }
 
     /**
-     * Returns whether answers with a part survived shortly before; true if that is not known. Of a
-     * whole request it is known, since its hosts report it.
+     * Returns whether answers with a part survived shortly before; true if that is not known. For
+     * fingerprints it is known: hosts report it with the crash.
      */
     private boolean isInCommonUse(PromptPartId part, List<BrokenStream> streams) {
         long sinceNanos = streams.get(0).atNanos() - COMMON_USE_NANOS;
--- a/core/src/main/java/org/fuchsiaford/registry/ServerNotice.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerNotice.java
@@ -12,8 +12,4 @@
  *     no limit, empty if the response does not tell
  */
 public record ServerNotice(
-        boolean leaving, long retryAfterMillis, OptionalDouble requestsPerSecond) {
-    /** The notice of a server that says nothing of itself. */
-    public static final ServerNotice NONE =
-            new ServerNotice(false, 0, OptionalDouble.of(Double.POSITIVE_INFINITY));
-}
+        boolean leaving, long retryAfterMillis, OptionalDouble requestsPerSecond) {}
