Log the software versions of servers and the streams that callers take up

The logs of the incident of mixed versions cannot tell whether hosts resume streams at another version or callers take them up there. The version of a server is read from its registration and logged with ServerSeen and Placed; the request that a caller names in Resumes with the new TakenUp.

No decision changes.

--- a/core/src/main/java/org/fuchsiaford/registry/LiveServer.java
+++ b/core/src/main/java/org/fuchsiaford/registry/LiveServer.java
@@ -12,6 +12,7 @@
  * @param service the service that it provides
  * @param address the address on which it listens; may later be reused by another server
  * @param failureDomain the failure domain in which it runs
+ * @param version the version of its software
  * @param maxConcurrentRequests the most requests that it runs concurrently
  * @param stage its stage, if it is a model engine
  * @param draining whether it is shutting down and accepts no new requests
@@ -22,6 +23,7 @@
         ServiceId service,
         ServerAddress address,
         FailureDomainId failureDomain,
+        SoftwareVersion version,
         int maxConcurrentRequests,
         Optional<EngineStage> stage,
         boolean draining,
--- a/core/src/test/java/org/fuchsiaford/TestServers.java
+++ b/core/src/test/java/org/fuchsiaford/TestServers.java
@@ -7,6 +7,7 @@
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerAddress;
+import org.fuchsiaford.registry.SoftwareVersion;
 
 /** Creates live servers for tests. */
 public final class TestServers {
@@ -36,6 +37,7 @@
                 SERVICE,
                 new ServerAddress("10.0.0.1", 80),
                 new FailureDomainId(domain),
+                new SoftwareVersion("v1"),
                 6,
                 stage,
                 draining,
--- a/core/src/test/java/org/fuchsiaford/serverlimit/FleetServerLimitTest.java
+++ b/core/src/test/java/org/fuchsiaford/serverlimit/FleetServerLimitTest.java
@@ -28,6 +28,7 @@
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerAddress;
 import org.fuchsiaford.registry.ServerRun;
+import org.fuchsiaford.registry.SoftwareVersion;
 
 /** Hosts and their coordinators in virtual time, with one server that names a limit for a while. */
 class FleetServerLimitTest {
@@ -37,6 +38,7 @@
                     new ServiceId("v"),
                     new ServerAddress("10.0.0.1", 80),
                     new FailureDomainId("d"),
+                    new SoftwareVersion("v1"),
                     6,
                     Optional.empty(),
                     false,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -265,6 +265,7 @@
                 new Decision.Placed(
                         context.caller().id().value(),
                         server.id().value(),
+                        server.version().value(),
                         null,
                         previousSends + 1,
                         load.requests(),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -7,6 +7,7 @@
 import org.fuchsiaford.attempt.NextStep;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
+import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
 import org.fuchsiaford.entry.gateway.protocol.KvSource;
 import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
@@ -17,6 +18,7 @@
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerBackoff;
+import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.selection.EnginePlan;
 import org.fuchsiaford.selection.EnginePool;
 import org.fuchsiaford.selection.LoadTracker;
@@ -95,6 +97,7 @@
      * before the head, and with any exception after it.
      */
     Flux<ResponsePart> run(RequestContext context) {
+        context.caller().lastEventId().ifPresent(id -> logTakenUp(context.caller(), id));
         return attempt(context, context.streamProgress(), Optional.empty());
     }
 
@@ -357,12 +360,21 @@
         return attempt(context, progress, unused);
     }
 
+    private void logTakenUp(CallerRequest caller, String lastEventId) {
+        mLog.write(
+                new Decision.TakenUp(
+                        caller.id().value(),
+                        caller.resumes().map(RequestId::value).orElse(null),
+                        lastEventId));
+    }
+
     private void logPlaced(RequestContext context, EnginePlan plan, int previousSends) {
         ServerLoad load = mLoads.total(plan.decode().id());
         mLog.write(
                 new Decision.Placed(
                         context.caller().id().value(),
                         plan.decode().id().value(),
+                        plan.decode().version().value(),
                         plan.prefill().map(p -> p.id().value()).orElse(null),
                         previousSends + 1,
                         load.requests(),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -13,10 +13,13 @@
     /**
      * An attempt is sent to a backend server. The loads are totals over all hosts; the revision is
      * that of the registry.
+     *
+     * @param serverVersion the version of the server's software, as the registry states it
      */
     record Placed(
             String request,
             String server,
+            String serverVersion,
             String prefillServer,
             int attempt,
             int serverRequests,
@@ -59,6 +62,14 @@
     /** A stream is resumed at another server after the given event. */
     record Resumed(String request, String afterEvent) implements Decision {}
 
+    /**
+     * A caller takes up a stream that has broken off.
+     *
+     * @param resumes the request that brought the first event of the stream; null if not stated
+     * @param afterEvent the last event that the caller has received
+     */
+    record TakenUp(String request, String resumes, String afterEvent) implements Decision {}
+
     /**
      * A request has received its final response, or its caller has disconnected.
      *
@@ -96,7 +107,13 @@
     record TableInForce(long version, long revision) implements Decision {}
 
     /** The registration of a backend server was added, changed or removed. */
-    record ServerSeen(String server, String service, String state, String stage, long revision)
+    record ServerSeen(
+            String server,
+            String service,
+            String state,
+            String stage,
+            String version,
+            long revision)
             implements Decision {}
 
     /**
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/CallerRequest.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/CallerRequest.java
@@ -25,6 +25,7 @@
  * @param tokens the token counts, if the caller stated them
  * @param promptParts the parts of its prompt in order, if the caller stated them; else empty
  * @param lastEventId the id of the last event that the caller received, if it resumes a stream
+ * @param resumes the request that brought the first event of that stream, if the caller states it
  */
 public record CallerRequest(
         RequestId id,
@@ -37,4 +38,5 @@
         long deadlineNanos,
         Optional<TokenCounts> tokens,
         List<PromptPartId> promptParts,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId,
+        Optional<RequestId> resumes) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -219,6 +219,7 @@
                         server.service().value(),
                         server.draining() ? "draining" : "ready",
                         server.stage().map(Enum::name).orElse(null),
+                        server.version().value(),
                         revision));
     }
 
@@ -236,7 +237,7 @@
     private void removeServer(BackendServerId id, long revision) {
         if (mServers.remove(id, revision, mTicker.nowNanos())) {
             mLastServers.remove(id);
-            mLog.write(new Decision.ServerSeen(id.value(), null, "gone", null, revision));
+            mLog.write(new Decision.ServerSeen(id.value(), null, "gone", null, null, revision));
         }
     }
 
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
@@ -31,6 +31,7 @@
 import org.fuchsiaford.registry.ServerAddress;
 import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.registry.ServerRegistry;
+import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.GatewayRoute;
@@ -107,6 +108,7 @@
                     id.equals(ENGINE) ? SERVICE : OTHER_SERVICE,
                     new ServerAddress("127.0.0.1", 1),
                     DOMAIN,
+                    new SoftwareVersion("v1"),
                     8,
                     Optional.of(EngineStage.DECODE),
                     false,
@@ -188,6 +190,7 @@
                         deadlineNanos,
                         Optional.of(SIZE),
                         List.of(),
+                        Optional.empty(),
                         Optional.empty());
         RequestContext context =
                 new RequestContext(
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -59,10 +59,11 @@
 
     private void addRequests() {
         add(
-                "'Placed','request':'r','server':'s','prefillServer':'p','attempt':1,"
+                "'Placed','request':'r','server':'s','serverVersion':'v','prefillServer':'p',"
+                        + "'attempt':1,"
                         + "'serverRequests':2,'serverTokens':3,'promptTokens':4,'answerTokens':5,"
                         + "'leftMillis':6,'registryRevision':7",
-                new Decision.Placed("r", "s", "p", 1, 2, 3, 4, 5, 6, 7));
+                new Decision.Placed("r", "s", "v", "p", 1, 2, 3, 4, 5, 6, 7));
         add(
                 "'Queued','request':'r','waitingTokens':1,'estimatedWaitMillis':2",
                 new Decision.Queued("r", 1, 2));
@@ -78,6 +79,9 @@
                 new Decision.AttemptFailed(
                         "r", "s", "o", "w", List.of(new PromptPartId("p")), "n"));
         add("'Resumed','request':'r','afterEvent':'e'", new Decision.Resumed("r", "e"));
+        add(
+                "'TakenUp','request':'r','resumes':'q','afterEvent':'e'",
+                new Decision.TakenUp("r", "q", "e"));
         add(
                 "'Ended','request':'r','route':'t','workspace':'w','outcome':'o','status':1,"
                         + "'reason':'y','sends':2,'elapsedMillis':3,'firstByteMillis':4,"
@@ -101,8 +105,9 @@
                 new Decision.PromptQuarantined("s", List.of(new PromptPartId("p")), 1, 2));
         add("'TableInForce','version':1,'revision':2", new Decision.TableInForce(1, 2));
         add(
-                "'ServerSeen','server':'s','service':'v','state':'t','stage':'g','revision':1",
-                new Decision.ServerSeen("s", "v", "t", "g", 1));
+                "'ServerSeen','server':'s','service':'v','state':'t','stage':'g','version':'w',"
+                        + "'revision':1",
+                new Decision.ServerSeen("s", "v", "t", "g", "w", 1));
         add(
                 "'EntryUnreadable','key':'k','revision':1,'reason':'r'",
                 new Decision.EntryUnreadable("k", 1, "r"));
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
@@ -17,6 +17,7 @@
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerAddress;
 import org.fuchsiaford.registry.ServerRegistry;
+import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.routing.RequestLimits;
 import org.fuchsiaford.routing.RoutingTable;
 import org.fuchsiaford.store.StoreEntry;
@@ -65,6 +66,7 @@
                     new ServiceId("app"),
                     new ServerAddress("127.0.0.1", 1),
                     DOMAIN,
+                    new SoftwareVersion("v1"),
                     6,
                     Optional.empty(),
                     false,
