--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -186,10 +186,15 @@
         return Mono.fromRunnable(
                 () -> {
                     mServer.dispose();
-                    mConnections.forEach(connection -> connection.channel().close());
+                    closeConnections();
                 });
     }
 
+    /** Closes all connections; new ones are accepted as before. */
+    public void closeConnections() {
+        mConnections.forEach(connection -> connection.channel().close());
+    }
+
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         HttpHeaders headers = request.requestHeaders();
         String expected = headers.get("Fuchsiaford-Expect-Instance");
