--- a/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
@@ -13,7 +13,7 @@
  * Immutable.
  *
  * @param coordinator the sender
- * @param stateRevision the store revision up to which it has seen all changes
+ * @param stateRevision the store revision of the latest change of its state
  * @param available the hosts that it hears from and that accept new callers, itself included
  * @param loads the load of all hosts on each backend server
  * @param failing the servers that fail a notable part of their calls
--- a/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
@@ -9,6 +9,7 @@
 import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.serverlimit.NamedLimit;
+import org.fuchsiaford.stream.BegunStreams;
 
 /**
  * The state that an entry host sends to a coordinator several times a second. Immutable.
@@ -19,7 +20,7 @@
  * @param host the sender
  * @param ageMillis the age of its process, in milliseconds
  * @param accepting whether it accepts new callers
- * @param stateRevision the store revision up to which it has seen all changes
+ * @param stateRevision the store revision of the latest change of its state
  * @param admitted the tokens that it has admitted for each workspace
  * @param loads its load in progress on backend servers
  * @param held its requests that hold engines granted by the receiver
@@ -29,6 +30,7 @@
  * @param leaving the servers that have told it that they are leaving
  * @param quarantined the parts of prompts that it refuses, since they crash engines
  * @param limits what servers have said about the requests that they take
+ * @param begun its streams that began lately, of services that serve several software versions
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -43,7 +45,8 @@
     "waiting",
     "leaving",
     "quarantined",
-    "limits"
+    "limits",
+    "begun"
 })
 public record HostHeartbeat(
         HostRecord host,
@@ -57,7 +60,8 @@
         List<QueuedWork> waiting,
         List<ServerRun> leaving,
         List<QuarantinedPrompt> quarantined,
-        List<NamedLimit> limits) {
+        List<NamedLimit> limits,
+        List<BegunStreams> begun) {
 
     /** Returns the tokens queued for a service that can still meet their target. */
     public long waitingTokens(ServiceId service) {
--- a/core/src/main/java/org/fuchsiaford/prompt/RequestFingerprint.java
+++ b/core/src/main/java/org/fuchsiaford/prompt/RequestFingerprint.java
@@ -1,22 +1,16 @@
 package org.fuchsiaford.prompt;
 
-import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
 import java.util.HexFormat;
 import java.util.Optional;
-import javax.crypto.Mac;
-import javax.crypto.spec.SecretKeySpec;
+import org.fuchsiaford.hash.KeyedHash;
 import org.fuchsiaford.workspace.KeyHash;
 
 /** Recognises a request that comes again under another id. Stateless, hence thread-safe. */
 public final class RequestFingerprint {
-    private static final String ALGORITHM = "HmacSHA256";
-
     /** Contains a colon, so that no part of a prompt that a caller names is equal to it. */
     private static final String PREFIX = "request:";
 
     private static final int LENGTH_BYTES = 16;
-    private static final byte[] PUBLIC_CALLER = {0};
 
     private RequestFingerprint() {}
 
@@ -34,18 +28,7 @@
      * @param target the method, host, path and query
      */
     public static PromptPartId of(Optional<KeyHash> caller, String target, byte[] body) {
-        byte[] key =
-                caller.map(hash -> hash.value().getBytes(StandardCharsets.US_ASCII))
-                        .orElse(PUBLIC_CALLER);
-        try {
-            Mac mac = Mac.getInstance(ALGORITHM);
-            mac.init(new SecretKeySpec(key, ALGORITHM));
-            mac.update(target.getBytes(StandardCharsets.UTF_8));
-            mac.update((byte) '\n');
-            byte[] hash = mac.doFinal(body);
-            return new PromptPartId(PREFIX + HexFormat.of().formatHex(hash, 0, LENGTH_BYTES));
-        } catch (GeneralSecurityException e) {
-            throw new IllegalStateException("the Java runtime does not provide " + ALGORITHM, e);
-        }
+        byte[] hash = KeyedHash.of(caller, target, body);
+        return new PromptPartId(PREFIX + HexFormat.of().formatHex(hash, 0, LENGTH_BYTES));
     }
 }
--- a/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
@@ -110,12 +110,31 @@
                 .toList();
     }
 
+    /** Returns the registered servers, whether or not they accept requests. */
+    public synchronized List<LiveServer> registered() {
+        return mEntries.values().stream()
+                .filter(entry -> !entry.removed())
+                .map(Entry::server)
+                .toList();
+    }
+
+    /** Returns the registered servers of a service, whether or not they accept requests. */
+    public List<LiveServer> registered(ServiceId service) {
+        return registered().stream().filter(server -> server.service().equals(service)).toList();
+    }
+
     /** Returns whether a run of a server is registered, whether or not it accepts requests. */
     public synchronized boolean isRegistered(ServerRun run) {
         Entry entry = mEntries.get(run.id());
         return entry != null && entry.server() != null && entry.server().run().equals(run);
     }
 
+    /** Returns whether another run of the server has registered. */
+    public synchronized boolean isReplaced(ServerRun run) {
+        Entry entry = mEntries.get(run.id());
+        return entry != null && entry.server() != null && !entry.server().run().equals(run);
+    }
+
     /** Returns whether this run of a server still accepts new requests. */
     public synchronized boolean isUsable(LiveServer server, long nowNanos) {
         return Optional.ofNullable(mEntries.get(server.id()))
--- a/core/src/main/java/org/fuchsiaford/routing/GatewayRoute.java
+++ b/core/src/main/java/org/fuchsiaford/routing/GatewayRoute.java
@@ -53,9 +53,9 @@
     }
 
     /**
-     * Picks a service for one request, at random by weight.
+     * Picks a service for one request, by weight.
      *
-     * @param draw a uniformly distributed random number from 0 (inclusive) to 1 (exclusive)
+     * @param draw a uniformly distributed number from 0 (inclusive) to 1 (exclusive)
      */
     public ServiceId pickService(double draw) {
         int total = services.stream().mapToInt(WeightedService::weight).sum();
--- a/core/src/main/java/org/fuchsiaford/routing/RoutingTable.java
+++ b/core/src/main/java/org/fuchsiaford/routing/RoutingTable.java
@@ -77,6 +77,15 @@
                 .findFirst();
     }
 
+    /** Returns the longest timeout of a response on any route, in milliseconds. */
+    public long maxTimeoutMillis() {
+        return mRoutesByVirtualHost.values().stream()
+                .flatMap(List::stream)
+                .mapToLong(GatewayRoute::timeoutMillis)
+                .max()
+                .orElse(0);
+    }
+
     /** Returns all services. */
     public List<ServiceDeclaration> services() {
         return List.copyOf(mServices.values());
--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -13,12 +13,14 @@
 import org.fuchsiaford.fleet.ServerLoad;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.TokenCounts;
 
 /**
  * Selects the engines for a model request: first a decode engine with enough free KV cache, then
- * either that engine or a prefill engine to prefill the prompt.
+ * either that engine or a prefill engine to prefill the prompt. Engines of different software
+ * versions do not share KV cache.
  *
  * <p>Prefill on a decode engine slows that engine's streams but saves a KV cache transfer. It is
  * chosen while little of the engine's KV cache is in use and the first event is expected well
@@ -142,12 +144,19 @@
             long nowNanos) {
         List<LiveServer> candidates =
                 mRanking.preferUnpaused(
-                        withStage(servers, EngineStage.DECODE, request.failed()), nowNanos);
+                        withStage(servers, EngineStage.DECODE, request.failed()).stream()
+                                .filter(server -> isVersion(server, request.version()))
+                                .toList(),
+                        nowNanos);
         return ServerRanking.sortByScore(
                 candidates.stream().filter(server -> hasRoom(server, capacity, request.tokens())),
                 server -> decodeScore(server, request.domain(), capacity, nowNanos));
     }
 
+    private static boolean isVersion(LiveServer server, Optional<SoftwareVersion> version) {
+        return version.isEmpty() || server.version().equals(version.get());
+    }
+
     private boolean hasRoom(LiveServer server, EngineCapacity capacity, TokenCounts tokens) {
         ServerLoad load = mLoads.total(server.id());
         boolean empty = load.requests() <= 0;
@@ -189,6 +198,7 @@
         FailureDomainId decodeDomain = decode.failureDomain();
         Stream<LiveServer> candidates =
                 withStage(servers, EngineStage.PREFILL, request.failed()).stream()
+                        .filter(server -> server.version().equals(decode.version()))
                         .filter(server -> !mHealth.isPaused(server.id(), nowNanos));
         return ServerRanking.sortByScore(
                         candidates, server -> prefillCostTokens(server, decodeDomain, nowNanos))
--- a/core/src/main/java/org/fuchsiaford/selection/EngineRequest.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineRequest.java
@@ -1,12 +1,14 @@
 package org.fuchsiaford.selection;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.prompt.PromptPartId;
+import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
 
@@ -23,6 +25,8 @@
  * @param priority its priority; zero is the highest
  * @param failed the engines that must not serve it, since they have failed it or want no requests
  *     from its host
+ * @param version the software version that began its stream, at which alone it may go on; empty if
+ *     no event of it has been passed on
  * @param targetMillis the target for the time to the first event, in milliseconds
  * @param arrivedNanos when it arrived at its host
  * @param eventDeadlineNanos latest first event for which the caller waits
@@ -37,6 +41,7 @@
         List<PromptPartId> promptParts,
         int priority,
         Set<BackendServerId> failed,
+        Optional<SoftwareVersion> version,
         long targetMillis,
         long arrivedNanos,
         long eventDeadlineNanos,
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -16,10 +16,11 @@
 import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.EngineCapacity;
-import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
+import org.fuchsiaford.stream.ServedVersions;
 
 /**
  * Grants places on engines to the model requests of all hosts that ask this one, in the order of
@@ -34,17 +35,6 @@
  * cancelled, or its host stops asking. Thread-safe.
  */
 public final class EngineScheduler {
-    /** Retry delay for callers if no engine is known, and minimum of all retry delays. */
-    private static final long NO_ENGINE_RETRY_MILLIS = 500;
-
-    /** Range over which the retries of requests refused together are spread. */
-    private static final long RETRY_SPREAD_MILLIS = 1_000;
-
-    /**
-     * Latest start of a request that still meets its latency target, as a fraction of the target.
-     */
-    private static final double TARGET_START_FRACTION = 0.6;
-
     /** Time without a poll after which the host of a queued request has given it up. */
     private static final long POLL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -59,10 +49,9 @@
     private final LoadTracker mLoads;
     private final EnginePlanner mPlanner;
     private final EngineQueues mQueues;
-    private final ToLongFunction<ServiceId> mOthersOnTimeTokens;
     private final PromptQuarantine mQuarantine;
-    private final LimitedEngines mEngines;
-    private final DoubleSupplier mRandom;
+    private final AvailableEngines mEngines;
+    private final EngineWaits mWaits;
     private final Map<RequestId, Queued> mQueued = new HashMap<>();
     private final Map<RequestId, HeldGrant> mHeld = new HashMap<>();
 
@@ -83,6 +72,7 @@
      * @param othersOnTimeTokens the tokens queued at other schedulers that can still meet their
      *     target, by service
      * @param quarantine the prompts that must not be placed
+     * @param versions the software versions that may be sent streams
      * @param limiter permits requests to engines that name a limit
      * @param random a source of uniformly distributed random numbers from 0 to 1
      */
@@ -94,6 +84,7 @@
             EngineQueues queues,
             ToLongFunction<ServiceId> othersOnTimeTokens,
             PromptQuarantine quarantine,
+            ServedVersions versions,
             ServerRateLimiter limiter,
             DoubleSupplier random) {
         mSelf = self;
@@ -101,10 +92,9 @@
         mLoads = loads;
         mPlanner = planner;
         mQueues = queues;
-        mOthersOnTimeTokens = othersOnTimeTokens;
         mQuarantine = quarantine;
-        mEngines = new LimitedEngines(pool, limiter);
-        mRandom = random;
+        mEngines = new AvailableEngines(pool, versions, limiter);
+        mWaits = new EngineWaits(queues, mEngines, othersOnTimeTokens, random);
     }
 
     /**
@@ -121,7 +111,9 @@
         }
         if (mQueued.containsKey(request.request()) || mHeld.containsKey(request.request())) {
             return new EngineAnswer.Refused(
-                    request, NO_ENGINE_RETRY_MILLIS, "a request with this id is already placed");
+                    request,
+                    EngineWaits.MIN_RETRY_MILLIS,
+                    "a request with this id is already placed");
         }
         if (request.tokens().promptTokens() > mPool.capacity(request.service()).kvCacheTokens()) {
             long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
@@ -132,7 +124,7 @@
             return refuseQuarantined(request, quarantineNanos);
         }
         Optional<EngineAnswer.Granted> grant =
-                queue(request).isEmpty() ? tryGrant(request, nowNanos) : Optional.empty();
+                mWaits.queue(request).isEmpty() ? tryGrant(request, nowNanos) : Optional.empty();
         return grant.isPresent() ? grant.get() : enqueue(request, nowNanos);
     }
 
@@ -141,7 +133,7 @@
         long millis = TimeUnit.NANOSECONDS.toMillis(quarantineNanos);
         return new EngineAnswer.Refused(
                 request,
-                Math.max(NO_ENGINE_RETRY_MILLIS, millis),
+                Math.max(EngineWaits.MIN_RETRY_MILLIS, millis),
                 "a part of the prompt has crashed engines");
     }
 
@@ -160,13 +152,16 @@
         }
         queued.mPolledNanos = nowNanos;
         return Optional.of(
-                waiting(queued.mRequest, estimateWaitNanos(queued.mRequest, nowNanos), nowNanos));
+                waiting(
+                        queued.mRequest,
+                        mWaits.estimateWaitNanos(queued.mRequest, nowNanos),
+                        nowNanos));
     }
 
     /** Removes a request from the queue. Returns whether it was queued. */
     public synchronized boolean cancel(RequestId request) {
         Queued queued = mQueued.remove(request);
-        return queued != null && queue(queued.mRequest).remove(request);
+        return queued != null && mWaits.queue(queued.mRequest).remove(request);
     }
 
     /**
@@ -210,10 +205,21 @@
                         });
     }
 
+    /** Room for streams that can go on only at some engines goes before that for others. */
     private void dispatch(ServiceId service, List<EngineAnswer> answers, long nowNanos) {
-        EngineQueue queue = mQueues.of(service);
-        long othersTokens = mOthersOnTimeTokens.applyAsLong(service);
-        queue.unservable(othersTokens, mEngines.kvCacheTokens(service, nowNanos), nowNanos)
+        mQueues.awaitedVersions(service)
+                .forEach(version -> dispatch(service, Optional.of(version), answers, nowNanos));
+        dispatch(service, Optional.empty(), answers, nowNanos);
+    }
+
+    private void dispatch(
+            ServiceId service,
+            Optional<SoftwareVersion> version,
+            List<EngineAnswer> answers,
+            long nowNanos) {
+        EngineQueue queue = mQueues.of(service, version);
+        long othersTokens = version.isPresent() ? 0 : mWaits.othersOnTimeTokens(service);
+        queue.unservable(othersTokens, mEngines.kvCacheTokens(service, version, nowNanos), nowNanos)
                 .forEach(queued -> answers.add(refuseQueued(queue, queued, nowNanos)));
         Optional<EngineQueue.QueuedRequest> next = queue.next(othersTokens > 0, nowNanos);
         while (next.isPresent()) {
@@ -234,7 +240,7 @@
         queue.remove(queued.request());
         return new EngineAnswer.Refused(
                 request,
-                busyRetryMillis(request, 0, nowNanos),
+                mWaits.busyRetryMillis(request, 0, nowNanos),
                 "no engine had free capacity in time");
     }
 
@@ -288,7 +294,7 @@
         if (held != null) {
             held.reservation().endPrefillBacklog();
             held.recordFirstEvent(nowNanos);
-            queue(held.request()).observeTimeToFirstEvent(durationNanos);
+            mWaits.queue(held.request()).observeTimeToFirstEvent(durationNanos);
         }
     }
 
@@ -301,7 +307,7 @@
         HeldGrant held = mHeld.get(request);
         if (held != null) {
             EngineRequest granted = held.request();
-            queue(granted).observeRunDuration(granted.tokens(), durationNanos);
+            mWaits.queue(granted).observeRunDuration(granted.tokens(), durationNanos);
             mQuarantine.recordSurvival(held.prompt(), held.beganNanos(), nowNanos);
         }
         release(request);
@@ -375,89 +381,51 @@
     }
 
     private EngineAnswer enqueue(EngineRequest request, long nowNanos) {
-        if (mPool.usable(request.service(), nowNanos).isEmpty()) {
-            return new EngineAnswer.Refused(request, NO_ENGINE_RETRY_MILLIS, "no engine is known");
+        if (!mEngines.canServe(request.service(), request.version(), nowNanos)) {
+            return new EngineAnswer.Refused(
+                    request,
+                    EngineWaits.MIN_RETRY_MILLIS,
+                    request.version().isEmpty()
+                            ? "no engine is known"
+                            : "no engine has the software version that began the stream");
         }
-        long waitNanos = estimateWaitNanos(request, nowNanos);
-        if (!queue(request).shouldQueue(waitNanos, firstEventDeadlineNanos(request), nowNanos)) {
+        EngineQueue queue = mWaits.queue(request);
+        long waitNanos = mWaits.estimateWaitNanos(request, nowNanos);
+        if (!queue.shouldQueue(waitNanos, mWaits.firstEventDeadlineNanos(request), nowNanos)) {
             return new EngineAnswer.Refused(
                     request,
-                    busyRetryMillis(request, waitNanos, nowNanos),
+                    mWaits.busyRetryMillis(request, waitNanos, nowNanos),
                     "no engine will have free capacity in time");
         }
-        queue(request).add(queuedRequest(request));
+        queue.add(mWaits.queuedRequest(request));
         mQueued.put(request.request(), new Queued(request, nowNanos));
         return waiting(request, waitNanos, nowNanos);
     }
 
     private EngineAnswer.Waiting waiting(EngineRequest request, long waitNanos, long nowNanos) {
         return new EngineAnswer.Waiting(
-                queue(request).onTimeTokens(nowNanos), TimeUnit.NANOSECONDS.toMillis(waitNanos));
-    }
-
-    private EngineQueue.QueuedRequest queuedRequest(EngineRequest request) {
-        long targetStartMillis = (long) (request.targetMillis() * TARGET_START_FRACTION);
-        return new EngineQueue.QueuedRequest(
-                request.request(),
-                request.tokens(),
-                request.priority(),
-                request.arrivedNanos(),
-                request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(targetStartMillis),
-                firstEventDeadlineNanos(request));
-    }
-
-    /**
-     * Returns the latest time for the first event: afterwards the caller abandons the stream, or
-     * the run would not end before the deadline of the request.
-     */
-    private long firstEventDeadlineNanos(EngineRequest request) {
-        long latestRunStartNanos =
-                request.deadlineNanos() - queue(request).estimateRunNanos(request.tokens());
-        return Math.min(latestRunStartNanos, request.eventDeadlineNanos());
-    }
-
-    private long estimateWaitNanos(EngineRequest request, long nowNanos) {
-        ServiceId service = request.service();
-        long aheadTokens =
-                queue(request).onTimeTokens(nowNanos)
-                        + request.tokens().plannedKvTokens()
-                        + mOthersOnTimeTokens.applyAsLong(service);
-        return Math.max(
-                queue(request)
-                        .estimateWaitNanos(aheadTokens, mEngines.kvCacheTokens(service, nowNanos)),
-                mEngines.waitNanos(service, mQueues.of(service).size(), nowNanos));
-    }
-
-    /**
-     * Returns the retry delay for callers if the engines have no free capacity: at least one
-     * turnover of the KV cache, which takes the mean duration of a run, spread at random so that
-     * the callers do not return all at once, but short enough to leave time for the run before the
-     * deadline.
-     */
-    private long busyRetryMillis(EngineRequest request, long waitNanos, long nowNanos) {
-        TokenCounts tokens = request.tokens();
-        long spreadMillis = (long) (mRandom.getAsDouble() * RETRY_SPREAD_MILLIS);
-        long turnoverMillis = TimeUnit.NANOSECONDS.toMillis(queue(request).meanRunNanos());
-        long waitMillis = TimeUnit.NANOSECONDS.toMillis(waitNanos);
-        long remainingNanos = request.deadlineNanos() - nowNanos;
-        long latestMillis =
-                TimeUnit.NANOSECONDS.toMillis(
-                        remainingNanos - queue(request).estimateRunNanos(tokens));
-        long preferredMillis = Math.max(waitMillis, turnoverMillis) + spreadMillis;
-        return Math.max(NO_ENGINE_RETRY_MILLIS, Math.min(preferredMillis, latestMillis));
-    }
-
-    private EngineQueue queue(EngineRequest request) {
-        return mQueues.of(request.service());
+                mWaits.queue(request).onTimeTokens(nowNanos),
+                TimeUnit.NANOSECONDS.toMillis(waitNanos));
     }
 
     private Optional<EngineAnswer.Granted> tryGrant(EngineRequest request, long nowNanos) {
         EngineCapacity capacity = mPool.capacity(request.service());
         List<LiveServer> engines = mEngines.availableNow(request.service(), nowNanos);
-        return mPlanner.plan(engines, request, capacity, nowNanos)
+        return mPlanner.plan(eligible(engines, request), request, capacity, nowNanos)
                 .map(plan -> grant(request, plan, nowNanos));
     }
 
+    /** Leaves the engines out whose room queued requests need that can go on nowhere else. */
+    private List<LiveServer> eligible(List<LiveServer> engines, EngineRequest request) {
+        if (request.version().isPresent()) {
+            return engines;
+        }
+        Set<SoftwareVersion> awaited = mQueues.awaitedVersions(request.service());
+        return awaited.isEmpty()
+                ? engines
+                : engines.stream().filter(e -> !awaited.contains(e.version())).toList();
+    }
+
     private EngineAnswer.Granted grant(EngineRequest request, EnginePlan plan, long nowNanos) {
         boolean prefillWasIdle =
                 plan.prefill()
--- a/core/src/test/java/org/fuchsiaford/selection/CrashingPromptTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/CrashingPromptTest.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -31,6 +32,7 @@
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
+import org.fuchsiaford.stream.ServedVersions;
 
 /**
  * A scheduler and engines in virtual time. A part of some prompts crashes the engine that begins to
@@ -104,6 +106,7 @@
                         new EngineQueues(),
                         service -> 0,
                         new PromptQuarantine(),
+                        new ServedVersions(),
                         new ServerRateLimiter(new ServerLimits(), () -> 1),
                         mRandom::nextDouble);
     }
@@ -122,6 +125,7 @@
                 parts,
                 1,
                 Set.of(),
+                Optional.empty(),
                 900,
                 mNowNanos,
                 mNowNanos + 3_600 * MILLI,
--- a/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
@@ -29,6 +29,7 @@
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
+import org.fuchsiaford.stream.ServedVersions;
 
 /** A scheduler for the requests of many hosts, in virtual time. */
 class EngineSchedulerTest {
@@ -50,6 +51,7 @@
 
     private final LoadTracker mLoads = new LoadTracker();
     private final EngineQueues mQueues = new EngineQueues();
+    private final ServedVersions mVersions = new ServedVersions();
     private List<LiveServer> mEngines = engines(ENGINES, PREFILL_ENGINES);
     private EngineScheduler mScheduler = scheduler(mLoads, mQueues);
 
@@ -87,6 +89,7 @@
                 queues,
                 service -> 0,
                 new PromptQuarantine(),
+                mVersions,
                 new ServerRateLimiter(new ServerLimits(), () -> 1),
                 random::nextDouble);
     }
@@ -101,6 +104,7 @@
                 List.of(),
                 1,
                 Set.of(),
+                Optional.empty(),
                 TARGET_MILLIS,
                 nowNanos,
                 nowNanos + 3_600 * MILLI,
--- a/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
@@ -87,6 +87,7 @@
                         List.of(),
                         1,
                         Set.of(),
+                        Optional.empty(),
                         TARGET_MILLIS,
                         0,
                         SECOND,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -125,6 +125,7 @@
                 new Coordination(
                         mFleet,
                         mState,
+                        store,
                         health,
                         loads,
                         TimeUnit.MILLISECONDS.toNanos(settings.limitWindowMillis()),
@@ -132,6 +133,7 @@
                         GatewayHost::randomFraction,
                         mLog,
                         mTicker,
+                        mFollower::isStoreAvailable,
                         this::isReady);
         CoordinatorCalls calls = mCoordination.calls();
         mStageController =
@@ -210,6 +212,7 @@
                         loads,
                         client,
                         prefill,
+                        mCoordination.origins(),
                         attempts,
                         mLog,
                         mTicker),
@@ -304,6 +307,7 @@
 
     private void startBackgroundTasks() {
         mCoordination.heartbeats().start();
+        mCoordination.origins().start();
         mStageController.start();
         mLog.write(new Decision.Lifecycle("started", mSettings.callerAddress().toString()));
     }
@@ -373,6 +377,7 @@
     /** Stops at once, aborting requests in progress; completes once all ports are closed. */
     public Mono<Void> close() {
         mCoordination.heartbeats().stop();
+        mCoordination.origins().stop();
         mLog.write(
                 new Decision.Lifecycle(
                         "stopped", mGatewayServer.inFlightRequests() + " in flight"));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -24,6 +24,7 @@
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
+import org.fuchsiaford.store.Store;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
 
@@ -44,6 +45,7 @@
     private final LimitCharging mCharging;
     private final ServerPermits mPermits;
     private final RequestQuarantine mRequestQuarantine;
+    private final OriginTracker mOrigins;
     private final HeartbeatExchange mHeartbeats;
 
     /**
@@ -51,11 +53,13 @@
      *
      * @param limitWindowNanos the length of the window in which rate limits are counted
      * @param random a source of uniformly distributed random numbers from 0 to 1
+     * @param isStoreAvailable whether the store answers this host
      * @param isAccepting whether this host accepts new callers
      */
     public Coordination(
             FleetView fleet,
             GatewayState state,
+            Store store,
             ServerHealth health,
             LoadTracker loads,
             long limitWindowNanos,
@@ -63,6 +67,7 @@
             DoubleSupplier random,
             DecisionLog log,
             Ticker ticker,
+            BooleanSupplier isStoreAvailable,
             BooleanSupplier isAccepting) {
         mFleet = fleet;
         mTicker = ticker;
@@ -78,18 +83,18 @@
                         () ->
                                 fleet.decidingShare(
                                         mCalls.remoteCoordinator().isEmpty(), ticker.nowNanos()));
-        EngineScheduler scheduler =
-                new EngineScheduler(
-                        fleet.self().id(),
-                        state,
-                        loads,
-                        new EnginePlanner(loads, health, random),
-                        queues,
-                        this::othersOnTimeTokens,
-                        mQuarantine,
-                        limiter,
-                        random);
+        EngineScheduler scheduler = createScheduler(state, health, loads, queues, limiter, random);
         mDispatcher = new EngineDispatcher(scheduler, mQuarantine, health, log, ticker);
+        mOrigins =
+                new OriginTracker(
+                        fleet,
+                        state,
+                        store,
+                        mCalls,
+                        () -> isStateCurrent(isStoreAvailable.getAsBoolean()),
+                        random,
+                        log,
+                        ticker);
         mHeartbeats =
                 new HeartbeatExchange(
                         fleet,
@@ -105,6 +110,7 @@
                         mLimits,
                         limiter,
                         queues,
+                        mOrigins,
                         state,
                         peerClient,
                         seeds,
@@ -120,6 +126,34 @@
         mCharging = new LimitCharging(mCalls, quota, updateShare, ticker);
     }
 
+    private EngineScheduler createScheduler(
+            GatewayState state,
+            ServerHealth health,
+            LoadTracker loads,
+            EngineQueues queues,
+            ServerRateLimiter limiter,
+            DoubleSupplier random) {
+        return new EngineScheduler(
+                mFleet.self().id(),
+                state,
+                loads,
+                new EnginePlanner(loads, health, random),
+                queues,
+                this::othersOnTimeTokens,
+                mQuarantine,
+                state.versions(),
+                limiter,
+                random);
+    }
+
+    /** What other hosts know reaches this host within a heartbeat, unless it reaches none. */
+    private boolean isStateCurrent(boolean isStoreAvailable) {
+        boolean reachesHosts =
+                mCalls.remoteCoordinator().isPresent()
+                        || mFleet.reachableCount(mTicker.nowNanos()) > 1;
+        return (isStoreAvailable || reachesHosts) && !mHeartbeats.isBehind();
+    }
+
     /** Returns the tokens queued at other hosts that can still meet their target. */
     private long othersOnTimeTokens(ServiceId service) {
         return mFleet.latestHeartbeats(mTicker.nowNanos()).stream()
@@ -167,6 +201,11 @@
         return mCharging;
     }
 
+    /** Returns what tells at which software version a stream began. */
+    public OriginTracker origins() {
+        return mOrigins;
+    }
+
     /** Returns the exchange of heartbeats. */
     public HeartbeatExchange heartbeats() {
         return mHeartbeats;
@@ -198,6 +237,9 @@
         if (message instanceof PeerMessage.ReportSurvival survival) {
             return Optional.of(Mono.just(mHandler.handle(survival)));
         }
+        if (message instanceof PeerMessage.FindOrigin find) {
+            return Optional.of(mOrigins.handle(find));
+        }
         if (message instanceof PeerMessage.AcquirePermit acquire) {
             return Optional.of(Mono.just(mHandler.handle(acquire)));
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.gateway.fleet;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.peer.message.PeerMessage;
@@ -72,6 +73,7 @@
                 message.promptParts(),
                 message.priority(),
                 Set.copyOf(message.failed()),
+                Optional.ofNullable(message.version()),
                 message.targetMillis(),
                 nowNanos - TimeUnit.MILLISECONDS.toNanos(message.ageMillis()),
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(message.eventLeftMillis()),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -85,6 +85,7 @@
     private final ServerLimits mLimits;
     private final ServerRateLimiter mLimiter;
     private final EngineQueues mQueues;
+    private final OriginTracker mOrigins;
     private final GatewayState mState;
     private final PeerClient mPeerClient;
     private final List<PeerAddress> mSeeds;
@@ -114,6 +115,7 @@
             ServerLimits limits,
             ServerRateLimiter limiter,
             EngineQueues queues,
+            OriginTracker origins,
             GatewayState state,
             PeerClient peerClient,
             List<PeerAddress> seeds,
@@ -133,6 +135,7 @@
         mLimits = limits;
         mLimiter = limiter;
         mQueues = queues;
+        mOrigins = origins;
         mState = state;
         mPeerClient = peerClient;
         mSeeds = List.copyOf(seeds);
@@ -277,7 +280,7 @@
                 mFleet.self(),
                 TimeUnit.NANOSECONDS.toMillis(mQuota.ageNanos(nowNanos)),
                 mIsAccepting.getAsBoolean(),
-                mState.revision(),
+                mState.lastChangeRevision(),
                 mQuota.totalsExcept(receiver, nowNanos),
                 mLoads.localLoadsExcept(receiver),
                 mHeld.grantedBy(receiver),
@@ -285,7 +288,8 @@
                 mQueues.onTimeWork(nowNanos),
                 mState.servers().leaving(),
                 mQuarantine.list(nowNanos),
-                mLimits.list(RECENT_LIMIT_NANOS, nowNanos));
+                mLimits.list(RECENT_LIMIT_NANOS, nowNanos),
+                mOrigins.recent());
     }
 
     private void receive(FleetSummary summary, List<ServerLoad> ownLoads) {
@@ -331,12 +335,13 @@
             mergeQuarantine(heartbeat.quarantined(), nowNanos);
             mState.markLeaving(heartbeat.leaving(), sender.value());
             mergeLimits(heartbeat.limits(), sender, nowNanos);
+            mOrigins.merge(heartbeat.begun());
             catchUp(heartbeat.host(), heartbeat.stateRevision(), nowNanos);
         }
         return new PeerMessage.FleetResponse(
                 new FleetSummary(
                         mFleet.self(),
-                        mState.revision(),
+                        mState.lastChangeRevision(),
                         mFleet.availableHosts(mIsAccepting.getAsBoolean(), nowNanos),
                         request.wantsLoads() ? mLoads.totals() : List.of(),
                         mFleetHealth.failing(nowNanos),
@@ -365,6 +370,11 @@
         }
     }
 
+    /** Returns whether a coordinator or reporting host is known to have a later state. */
+    synchronized boolean isBehind() {
+        return mIsBehind;
+    }
+
     private void catchUp(HostRecord peer, long revision, long nowNanos) {
         if (isBehind(revision, nowNanos) && mCopyInProgress.compareAndSet(false, true)) {
             copyFrom(peer);
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginTracker.java
@@ -0,0 +1,275 @@
+package org.fuchsiaford.entry.gateway.fleet;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.entry.gateway.log.Decision;
+import org.fuchsiaford.entry.gateway.log.DecisionLog;
+import org.fuchsiaford.entry.gateway.state.GatewayState;
+import org.fuchsiaford.fleet.FleetView;
+import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.peer.message.PeerMessage.OriginResponse;
+import org.fuchsiaford.registry.SoftwareVersion;
+import org.fuchsiaford.store.Store;
+import org.fuchsiaford.stream.BegunStreams;
+import org.fuchsiaford.stream.ServedVersions;
+import org.fuchsiaford.stream.StreamKey;
+import org.fuchsiaford.stream.StreamOrigin;
+import org.fuchsiaford.stream.StreamOrigins;
+import org.fuchsiaford.stream.VersionRetention;
+import org.fuchsiaford.time.Ticker;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/**
+ * Knows at which software version a stream began, so that it goes on at no other, whichever host a
+ * caller takes it up at.
+ *
+ * <p>While a service serves one version, nothing is kept of a stream: it began at that version.
+ * While it serves several, hosts report the streams that begin to the coordinators, and the first
+ * coordinator stores them, since all hosts may lose their memory at once.
+ *
+ * <p>Invariant: a version is only stated if it is known; what is not known is not guessed.
+ * Thread-safe.
+ */
+public final class OriginTracker {
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
+
+    /** Interval of checks that find nothing new to record. */
+    private static final long ROUND_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Time for which a stream is reported; several heartbeats, since one may be lost. */
+    private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_600);
+
+    /** With this, the records of a fleet are fewer the more hosts it has. */
+    private static final long FLUSH_NANOS_PER_HOST = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private static final long MAX_FLUSH_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Least time between two reads of all records. */
+    private static final long READ_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** Time within which a coordinator answers, also if it reads the store. */
+    private static final Duration READ_TIMEOUT = Duration.ofMillis(500);
+
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
+
+    private final FleetView mFleet;
+    private final GatewayState mState;
+    private final CoordinatorCalls mCalls;
+    private final BooleanSupplier mIsStateCurrent;
+    private final DecisionLog mLog;
+    private final Ticker mTicker;
+    private final StreamOrigins mOrigins = new StreamOrigins();
+    private final VersionRecorder mRecorder;
+    private final OriginRecords mRecords;
+    private final Set<ServiceId> mMixed = new HashSet<>();
+    private final Disposable.Swap mTicks = Disposables.swap();
+    private long mLastRoundNanos;
+    private long mLastRevision;
+    private long mLastFlushNanos;
+    private boolean mHasRead;
+    private long mLastReadNanos;
+    private Mono<Void> mRead = Mono.empty();
+
+    /**
+     * Creates a tracker; it records nothing in the store until {@link #start}.
+     *
+     * @param isStateCurrent whether the state of this host is up to date, as far as it can tell
+     * @param random a source of uniformly distributed random numbers from 0 to 1
+     */
+    public OriginTracker(
+            FleetView fleet,
+            GatewayState state,
+            Store store,
+            CoordinatorCalls calls,
+            BooleanSupplier isStateCurrent,
+            DoubleSupplier random,
+            DecisionLog log,
+            Ticker ticker) {
+        mFleet = fleet;
+        mState = state;
+        mCalls = calls;
+        mIsStateCurrent = isStateCurrent;
+        mLog = log;
+        mTicker = ticker;
+        mRecorder = new VersionRecorder(store, state, calls::isCoordinator, random, log, ticker);
+        mRecords = new OriginRecords(store, fleet.self().id(), this::retentionNanos, log, ticker);
+    }
+
+    /** Starts to record versions and streams. */
+    public void start() {
+        mTicks.update(Flux.interval(TICK_INTERVAL).subscribe(tick -> tick()));
+    }
+
+    /** Stops to record. */
+    public void stop() {
+        mTicks.dispose();
+    }
+
+    private long retentionNanos() {
+        return VersionRetention.retentionNanos(
+                mState.table().map(table -> table.maxTimeoutMillis()).orElse(0L));
+    }
+
+    private ServedVersions versions() {
+        return mState.versions();
+    }
+
+    private void tick() {
+        long nowNanos = mTicker.nowNanos();
+        boolean isRound = nowNanos - mLastRoundNanos >= ROUND_NANOS;
+        if (isRound || mState.lastChangeRevision() != mLastRevision) {
+            mLastRevision = mState.lastChangeRevision();
+            mRecorder.update();
+            reportStreamsOfMixedServices(nowNanos);
+        }
+        if (isRound) {
+            mLastRoundNanos = nowNanos;
+            mOrigins.removeRecordedBefore(nowNanos - retentionNanos());
+        }
+        if (versions().isAnyMixed() && nowNanos - mLastFlushNanos >= flushNanos(nowNanos)) {
+            mLastFlushNanos = nowNanos;
+            mRecords.flush();
+        }
+    }
+
+    private long flushNanos(long nowNanos) {
+        return Math.min(MAX_FLUSH_NANOS, mFleet.presentCount(nowNanos) * FLUSH_NANOS_PER_HOST);
+    }
+
+    /** Reports the streams of this host that began before their service served two versions. */
+    private synchronized void reportStreamsOfMixedServices(long nowNanos) {
+        versions().services().stream()
+                .filter(service -> versions().isMixed(service) && mMixed.add(service))
+                .forEach(service -> reportAll(service, nowNanos));
+        mMixed.removeIf(service -> !versions().isMixed(service));
+    }
+
+    private void reportAll(ServiceId service, long nowNanos) {
+        List<BegunStreams> begun =
+                mOrigins.recordedSince(
+                        nowNanos - retentionNanos(), origin -> origin.service().equals(service));
+        mOrigins.merge(begun, nowNanos);
+        store(begun);
+    }
+
+    private void store(List<BegunStreams> begun) {
+        if (mCalls.isCoordinator()) {
+            mRecords.add(begun);
+        }
+    }
+
+    /** Records that a stream of this host has begun, or goes on, at a version. */
+    public void record(ServiceId service, StreamKey stream, SoftwareVersion version) {
+        mOrigins.record(stream, new StreamOrigin(service, version), mTicker.nowNanos());
+        if (versions().isMixed(service)) {
+            store(List.of(new BegunStreams(service, version, List.of(stream))));
+        }
+    }
+
+    /** Returns the streams that began lately, for coordinators. */
+    public List<BegunStreams> recent() {
+        return versions().isAnyMixed()
+                ? mOrigins.recordedSince(
+                        mTicker.nowNanos() - REPORT_NANOS,
+                        origin -> versions().isMixed(origin.service()))
+                : List.of();
+    }
+
+    /** Records what another host reports. */
+    public void merge(List<BegunStreams> begun) {
+        if (!begun.isEmpty()) {
+            store(mOrigins.merge(begun, mTicker.nowNanos()));
+        }
+    }
+
+    /** Returns at which version a stream began that a caller takes up at this host. */
+    public Mono<OriginResponse> resolve(ServiceId service, StreamKey stream) {
+        return Mono.defer(
+                () -> {
+                    Optional<OriginResponse> known = known(service, stream);
+                    PeerMessage.FindOrigin message =
+                            new PeerMessage.FindOrigin(mCalls.self().id(), service, stream);
+                    return known.isPresent()
+                            ? Mono.just(known.get())
+                            : mCalls.remoteCoordinator()
+                                    .map(
+                                            coordinator ->
+                                                    mCalls.call(
+                                                            coordinator,
+                                                            message,
+                                                            OriginResponse.class,
+                                                            CALL_TIMEOUT))
+                                    .orElse(Mono.empty())
+                                    .onErrorResume(e -> Mono.empty())
+                                    .switchIfEmpty(Mono.defer(() -> find(service, stream)));
+                });
+    }
+
+    /** Answers another host. */
+    public Mono<PeerMessage> handle(PeerMessage.FindOrigin message) {
+        return find(message.service(), message.stream()).cast(PeerMessage.class);
+    }
+
+    /** Returns what is known in memory, or follows from a single version. */
+    private Optional<OriginResponse> known(ServiceId service, StreamKey stream) {
+        Optional<SoftwareVersion> version =
+                mOrigins.find(stream)
+                        .filter(origin -> origin.service().equals(service))
+                        .map(StreamOrigin::version);
+        if (version.isEmpty() && mIsStateCurrent.getAsBoolean()) {
+            version = versions().only(service, mState.servers().registered(service));
+        }
+        return version.map(known -> new OriginResponse(known, true));
+    }
+
+    private Mono<OriginResponse> find(ServiceId service, StreamKey stream) {
+        long askedNanos = mTicker.nowNanos();
+        return Mono.justOrEmpty(known(service, stream))
+                .switchIfEmpty(
+                        Mono.defer(() -> read(askedNanos))
+                                .then(Mono.fromSupplier(() -> afterRead(service, stream, true)))
+                                .timeout(READ_TIMEOUT)
+                                .onErrorResume(
+                                        e ->
+                                                Mono.fromSupplier(
+                                                        () -> afterRead(service, stream, false))));
+    }
+
+    private OriginResponse afterRead(ServiceId service, StreamKey stream, boolean wasRead) {
+        return known(service, stream).orElseGet(() -> new OriginResponse(null, wasRead));
+    }
+
+    /** Reads all records, unless a read that has begun after a given time serves as well. */
+    private synchronized Mono<Void> read(long sinceNanos) {
+        long nowNanos = mTicker.nowNanos();
+        boolean isRecent = mHasRead && mLastReadNanos - sinceNanos >= 0;
+        if (!isRecent) {
+            long delayNanos =
+                    mHasRead ? Math.max(0, mLastReadNanos + READ_INTERVAL_NANOS - nowNanos) : 0;
+            mHasRead = true;
+            mLastReadNanos = nowNanos + delayNanos;
+            mRead =
+                    Mono.delay(Duration.ofNanos(delayNanos))
+                            .then(Mono.defer(mRecords::read))
+                            .doOnNext(begun -> mOrigins.merge(begun, mTicker.nowNanos()))
+                            .doOnError(
+                                    e ->
+                                            mLog.write(
+                                                    new Decision.OriginRecordsFailed(
+                                                            "read", String.valueOf(e))))
+                            .then()
+                            .cache();
+        }
+        return mRead;
+    }
+}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
@@ -133,6 +133,7 @@
                 context.promptParts(),
                 context.priority(),
                 excludedEngines(context),
+                context.version(),
                 context.route().targetLatencyMillis(),
                 context.arrivedNanos(),
                 context.arrivedNanos() + eventTimeoutNanos,
@@ -202,6 +203,7 @@
                         request.promptParts(),
                         request.priority(),
                         List.copyOf(request.failed()),
+                        request.version().orElse(null),
                         request.targetMillis(),
                         TimeUnit.NANOSECONDS.toMillis(nowNanos - request.arrivedNanos()),
                         TimeUnit.NANOSECONDS.toMillis(request.eventDeadlineNanos() - nowNanos),
@@ -235,7 +237,7 @@
         List<LiveServer> engines =
                 mBackoff.acceptingNow(mPool.usable(request.service(), nowNanos), nowNanos);
         Optional<LiveServer> decode = find(engines, response.decode());
-        if (decode.isEmpty()) {
+        if (decode.isEmpty() || !isOfVersion(decode.get(), request)) {
             cancel(coordinator, request);
             return Optional.empty();
         }
@@ -250,6 +252,11 @@
         return Optional.of(new EngineAssignment(plan, hold, nowNanos));
     }
 
+    /** The coordinator may know another run of the engine than this host. */
+    private static boolean isOfVersion(LiveServer engine, EngineRequest request) {
+        return request.version().isEmpty() || request.version().get().equals(engine.version());
+    }
+
     private static Optional<LiveServer> find(List<LiveServer> engines, BackendServerId id) {
         return engines.stream().filter(engine -> engine.id().equals(id)).findAny();
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -22,6 +22,7 @@
 import org.fuchsiaford.failure.RunState;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.peer.PeerAddress;
+import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.time.Ticker;
 import org.fuchsiaford.workspace.WorkspaceId;
 import org.reactivestreams.Publisher;
@@ -213,7 +214,7 @@
                         caller,
                         body,
                         authorized.route(),
-                        authorized.route().pickService(ThreadLocalRandom.current().nextDouble()),
+                        authorized.route().pickService(draw(caller, authorized.route())),
                         authorized.workspace(),
                         trace.startNanos(),
                         deadline(caller, authorized, trace));
@@ -225,6 +226,13 @@
         return forwarded.doFinally(signal -> refundIfNotRun(context, authorized, charged));
     }
 
+    /** A stream that is taken up is drawn the service that began it. */
+    private static double draw(CallerRequest caller, GatewayRoute route) {
+        return route.kind().isStream()
+                ? RequestContext.streamKey(caller).toFraction()
+                : ThreadLocalRandom.current().nextDouble();
+    }
+
     private static long deadline(
             CallerRequest caller, RouteAdmission.AuthorizedRoute authorized, RequestTrace trace) {
         long routeNanos = TimeUnit.MILLISECONDS.toNanos(authorized.route().timeoutMillis());
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
@@ -90,7 +90,7 @@
             String handle = mProtocol.readKvHandle(response.get().body());
             long fetchMillis = Math.max(0, ttlMillis - FETCH_MARGIN_MILLIS);
             long untilNanos = mTicker.nowNanos() + TimeUnit.MILLISECONDS.toNanos(fetchMillis);
-            return Mono.just(new KvSource(engine.address(), handle, untilNanos));
+            return Mono.just(new KvSource(engine.address(), engine.version(), handle, untilNanos));
         } catch (UnreadableException e) {
             return Mono.error(
                     new BackendCallException(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -18,15 +18,19 @@
 import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.prompt.RequestFingerprint;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.ServerRun;
+import org.fuchsiaford.registry.SoftwareVersion;
+import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.WorkspaceDeclaration;
+import org.fuchsiaford.stream.StreamKey;
 import org.fuchsiaford.workspace.WorkspaceId;
 
 /**
- * An admitted request with its route, deadline and attempts. Only the attempts, the progress of the
- * stream and the send count change. Not thread-safe; the signals of one request arrive
- * sequentially.
+ * An admitted request with its route, deadline and attempts. Only the attempts, the progress and
+ * the software version of the stream, and the send count change. Not thread-safe; the signals of
+ * one request arrive sequentially.
  */
 final class RequestContext {
     /** The token counts assumed for a model request that states none. */
@@ -41,6 +45,8 @@
     private final long mDeadlineNanos;
     private final RequestAttempts mAttempts;
     private final StreamProgress mStreamProgress;
+    private Optional<ServerRun> mBegunBy = Optional.empty();
+    private Optional<SoftwareVersion> mVersion = Optional.empty();
     private int mSendCount;
     private List<PromptPartId> mPromptParts;
 
@@ -102,6 +108,35 @@
         return mPromptParts;
     }
 
+    /** Returns what identifies the stream of a request over all attempts of its caller. */
+    static StreamKey streamKey(CallerRequest caller) {
+        RequestId first = caller.lastEventId().flatMap(id -> caller.resumes()).orElse(caller.id());
+        return StreamKey.of(caller.key(), caller.virtualHost() + caller.uri(), first);
+    }
+
+    /** Records that the stream began at a software version, and may go on at no other. */
+    void bindTo(SoftwareVersion version) {
+        mVersion = Optional.of(version);
+    }
+
+    /** Records that a server has begun the stream, unless it was bound before. */
+    void bindTo(LiveServer server) {
+        if (mVersion.isEmpty()) {
+            mVersion = Optional.of(server.version());
+            mBegunBy = Optional.of(server.run());
+        }
+    }
+
+    /** Returns the software version at which alone the stream may go on, if it has begun. */
+    Optional<SoftwareVersion> version() {
+        return mVersion;
+    }
+
+    /** Returns the run of a server that began the stream for this attempt of the caller. */
+    Optional<ServerRun> begunBy() {
+        return mBegunBy;
+    }
+
     /** Returns the priority; zero is the highest. The workspace overrides the route. */
     int priority() {
         return mWorkspace
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -5,6 +5,8 @@
 import java.util.concurrent.TimeoutException;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.attempt.NextStep;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.entry.gateway.fleet.OriginTracker;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
@@ -13,11 +15,14 @@
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.failure.RefusalException;
+import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.RemoteName;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.fleet.ServerLoad;
+import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerBackoff;
+import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.selection.EnginePlan;
 import org.fuchsiaford.selection.EnginePool;
@@ -54,6 +59,12 @@
      */
     private static final Duration EVENT_TIMEOUT = Duration.ofMillis(1_800);
 
+    /** Retry delay for callers who can only begin their streams anew. */
+    private static final long BEGIN_ANEW_RETRY_MILLIS = 100;
+
+    /** Retry delay for callers while it cannot be found out where their streams began. */
+    private static final long ORIGIN_RETRY_MILLIS = 400;
+
     private final GatewayState mState;
     private final ServerBackoff mBackoff;
     private final RouteAdmission mRouteAdmission;
@@ -62,6 +73,7 @@
     private final LoadTracker mLoads;
     private final ServerClient mClient;
     private final PrefillClient mPrefill;
+    private final OriginTracker mOrigins;
     private final AttemptRecorder mAttempts;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -76,6 +88,7 @@
             LoadTracker loads,
             ServerClient client,
             PrefillClient prefill,
+            OriginTracker origins,
             AttemptRecorder attempts,
             DecisionLog log,
             Ticker ticker) {
@@ -87,6 +100,7 @@
         mLoads = loads;
         mClient = client;
         mPrefill = prefill;
+        mOrigins = origins;
         mAttempts = attempts;
         mLog = log;
         mTicker = ticker;
@@ -97,8 +111,63 @@
      * before the head, and with any exception after it.
      */
     Flux<ResponsePart> run(RequestContext context) {
-        context.caller().lastEventId().ifPresent(id -> logTakenUp(context.caller(), id));
-        return attempt(context, context.streamProgress(), Optional.empty());
+        return takeUp(context)
+                .thenMany(
+                        Flux.defer(
+                                () ->
+                                        attempt(
+                                                context,
+                                                context.streamProgress(),
+                                                Optional.empty())));
+    }
+
+    /** Finds where a stream began that a caller takes up; refuses it if that is not known. */
+    private Mono<Void> takeUp(RequestContext context) {
+        Optional<String> lastEventId = context.caller().lastEventId();
+        if (lastEventId.isEmpty()) {
+            return Mono.empty();
+        }
+        logTakenUp(context.caller(), lastEventId.get());
+        return mOrigins.resolve(context.service(), RequestContext.streamKey(context.caller()))
+                .flatMap(
+                        origin ->
+                                Mono.fromCallable(
+                                        () -> {
+                                            bind(context, origin);
+                                            return origin;
+                                        }))
+                .then();
+    }
+
+    private void bind(RequestContext context, PeerMessage.OriginResponse origin)
+            throws RefusalException {
+        SoftwareVersion version = origin.version();
+        mLog.write(
+                new Decision.OriginFound(
+                        context.caller().id().value(),
+                        version == null ? null : version.value(),
+                        origin.settled()));
+        if (version == null) {
+            throw notResumable(
+                    origin.settled() ? BEGIN_ANEW_RETRY_MILLIS : ORIGIN_RETRY_MILLIS,
+                    "it is not known which software version began the stream");
+        }
+        if (isGone(context.service(), version)) {
+            throw notResumable(
+                    BEGIN_ANEW_RETRY_MILLIS,
+                    "no engine has the software version " + version + " that began the stream");
+        }
+        context.bindTo(version);
+    }
+
+    private boolean isGone(ServiceId service, SoftwareVersion version) {
+        return mPool.usable(service, mTicker.nowNanos()).stream()
+                .noneMatch(engine -> engine.version().equals(version));
+    }
+
+    private static RefusalException notResumable(long retryMillis, String reason) {
+        return RefusalException.notRunRetry(
+                RefusalReason.NOT_RESUMABLE, retryMillis, Step.PLACE, reason);
     }
 
     /**
@@ -143,15 +212,17 @@
 
     private Mono<Optional<KvSource>> kvSource(
             RequestContext context, EngineAssignment assignment, Optional<KvSource> kept) {
-        if (kept.filter(this::isFetchable).isPresent()) {
+        SoftwareVersion version = assignment.plan().decode().version();
+        if (kept.filter(s -> isFetchable(s, version)).isPresent()) {
             assignment.hold().recordPrefillNotNeeded();
             return Mono.just(kept);
         }
         return releaseKvCache(kept).then(Mono.defer(() -> prefillPrompt(context, assignment)));
     }
 
-    private boolean isFetchable(KvSource source) {
-        return mTicker.nowNanos() - source.fetchUntilNanos() < 0;
+    private boolean isFetchable(KvSource source, SoftwareVersion version) {
+        return source.version().equals(version)
+                && mTicker.nowNanos() - source.fetchUntilNanos() < 0;
     }
 
     /** Releases unused KV cache in the background. */
@@ -272,6 +343,7 @@
         LiveServer server = assignment.plan().decode();
         mAttempts.recordSuccess(server, startNanos);
         assignment.hold().recordFirstEvent(sinceGrantNanos(assignment));
+        recordOrigin(context, server);
         Flux<ResponsePart> body =
                 all.skip(1)
                         .map(part -> progress.append(((ResponsePart.Body) part).bytes()))
@@ -287,6 +359,17 @@
         return Flux.concat(Mono.just(head), body);
     }
 
+    /** From here on the stream may only go on at the version of this server. */
+    private void recordOrigin(RequestContext context, LiveServer server) {
+        context.bindTo(server);
+        if (context.route().kind().isRepeatable()) {
+            mOrigins.record(
+                    context.service(),
+                    RequestContext.streamKey(context.caller()),
+                    context.version().get());
+        }
+    }
+
     /** Returns the bytes left to forward; fails if the engine has broken the stream off. */
     private static Mono<byte[]> endOfStream(LiveServer server, StreamProgress progress) {
         return progress.isTruncated()
@@ -353,6 +436,10 @@
     private Flux<ResponsePart> resume(
             RequestContext context, StreamProgress progress, Optional<KvSource> unused) {
         if (progress.isHeadForwarded()) {
+            if (mayHaveRestarted(context)) {
+                return releaseKvCache(unused)
+                        .thenMany(Flux.error(notResumable(0, "the server may have restarted")));
+            }
             mLog.write(
                     new Decision.Resumed(
                             context.caller().id().value(), progress.lastEventId().orElse(null)));
@@ -360,6 +447,11 @@
         return attempt(context, progress, unused);
     }
 
+    /** A server may come back under its ID at another version; then it is not known which began. */
+    private boolean mayHaveRestarted(RequestContext context) {
+        return context.begunBy().filter(run -> mState.servers().isReplaced(run)).isPresent();
+    }
+
     private void logTakenUp(CallerRequest caller, String lastEventId) {
         mLog.write(
                 new Decision.TakenUp(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -70,6 +70,25 @@
      */
     record TakenUp(String request, String resumes, String afterEvent) implements Decision {}
 
+    /**
+     * At which software version a taken-up stream goes on.
+     *
+     * @param version the version that began it; null if it is not known
+     * @param settled whether asking again will not give another answer
+     */
+    record OriginFound(String request, String version, boolean settled) implements Decision {}
+
+    /**
+     * The software versions of a service that serve streams were written to the store.
+     *
+     * @param outcome recorded, outdated if another host has changed them, or the failure
+     */
+    record VersionsRecorded(String service, List<String> versions, String outcome)
+            implements Decision {}
+
+    /** Records of where streams began could not be written or read. */
+    record OriginRecordsFailed(String operation, String reason) implements Decision {}
+
     /**
      * A request has received its final response, or its caller has disconnected.
      *
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/StateDecoder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/StateDecoder.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.entry.gateway.protocol;
 
+import java.util.List;
 import java.util.Optional;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.registry.LiveServer;
@@ -8,6 +9,9 @@
 
 /** Decodes the store entries of operators and backend servers. Implementations are thread-safe. */
 public interface StateDecoder {
+    /** Returns the prefixes of all keys that operators and backend servers write. */
+    List<StoreKey> prefixes();
+
     /** Returns whether the key is that of the operators' routing table. */
     boolean isRoutingTable(StoreKey key);
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.entry.gateway.state;
 
+import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.util.HashMap;
@@ -21,6 +22,7 @@
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.registry.ServerRun;
+import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.RoutingTable;
 import org.fuchsiaford.routing.ServiceDeclaration;
@@ -29,20 +31,23 @@
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
 import org.fuchsiaford.store.StoreKeys;
+import org.fuchsiaford.stream.ServedVersions;
 import org.fuchsiaford.time.Ticker;
 
 /**
  * The state that this host has read from the store: the routing table in force, the backend servers
- * and the registered hosts.
+ * the registered hosts and the software versions that serve streams.
  *
  * <p>Invariant: an entry never reverts to an older revision, whatever its source, and the routing
  * table never reverts to a lower version. Thread-safe.
  */
 public final class GatewayState implements EnginePool {
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final TypeReference<List<SoftwareVersion>> VERSIONS = new TypeReference<>() {};
 
     private final StateDecoder mDecoder;
     private final ServerRegistry mServers;
+    private final ServedVersions mVersions = new ServedVersions();
     private final FleetView mFleet;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -52,6 +57,7 @@
     private final Map<BackendServerId, LiveServer> mLastServers = new HashMap<>();
     private volatile Optional<RoutingTable> mTable = Optional.empty();
     private volatile long mRevision;
+    private volatile long mLastChangeRevision;
 
     /**
      * Creates an empty state.
@@ -83,6 +89,30 @@
         return mRevision;
     }
 
+    /**
+     * Returns the store revision of the latest change that concerns this state. Hosts that have
+     * applied all changes up to it differ in nothing, whatever else has been written since.
+     */
+    public long lastChangeRevision() {
+        return mLastChangeRevision;
+    }
+
+    /** Returns the revision of a known entry, to base a change on. */
+    public synchronized long revisionOf(StoreKey key) {
+        StoreEntry entry = mEntries.get(key);
+        return entry == null ? StoreEntry.ABSENT_REVISION : entry.revision();
+    }
+
+    /** Returns the prefixes of the keys that operators and backend servers write. */
+    List<StoreKey> decodedPrefixes() {
+        return mDecoder.prefixes();
+    }
+
+    /** Returns the software versions that serve streams. */
+    public ServedVersions versions() {
+        return mVersions;
+    }
+
     /** Returns the registry of backend servers. */
     public ServerRegistry servers() {
         return mServers;
@@ -122,12 +152,24 @@
 
     /** Applies a change of the store. */
     public synchronized void apply(StoreChange change) {
+        if (isConcerned(change.key())) {
+            applyConcerned(change);
+        }
+        mRevision = Math.max(mRevision, change.revision());
+    }
+
+    /** Records of streams are read when a caller asks for one, and by coordinators only. */
+    private static boolean isConcerned(StoreKey key) {
+        return !key.value().startsWith(StoreKeys.STREAMS_PREFIX.value());
+    }
+
+    private void applyConcerned(StoreChange change) {
         if (change.isDeletion()) {
             remove(change.key(), change.revision());
         } else {
             put(new StoreEntry(change.key(), change.value(), change.revision()));
         }
-        mRevision = Math.max(mRevision, change.revision());
+        mLastChangeRevision = Math.max(mLastChangeRevision, change.revision());
     }
 
     /**
@@ -147,7 +189,10 @@
                         .filter(key -> !present.contains(key))
                         .toList();
         removedKeys.forEach(key -> remove(key, revision));
-        entries.stream().filter(entry -> !mDecoder.isRoutingTable(entry.key())).forEach(this::put);
+        entries.stream()
+                .filter(entry -> isConcerned(entry.key()))
+                .filter(entry -> !mDecoder.isRoutingTable(entry.key()))
+                .forEach(this::put);
         entries.stream().filter(entry -> mDecoder.isRoutingTable(entry.key())).forEach(this::put);
         mRevision = Math.max(mRevision, revision);
     }
@@ -161,6 +206,7 @@
         }
         mEntries.put(entry.key(), entry);
         mRemovedRevisions.remove(entry.key());
+        mLastChangeRevision = Math.max(mLastChangeRevision, entry.revision());
         try {
             decode(entry);
         } catch (UnreadableException e) {
@@ -182,6 +228,9 @@
             putServer(server.get(), entry);
         } else if (hostId(entry.key()).isPresent()) {
             mFleet.register(MAPPER.readValue(entry.value(), HostRecord.class));
+        } else if (recordedService(entry.key()).isPresent()) {
+            mVersions.replace(
+                    recordedService(entry.key()).get(), MAPPER.readValue(entry.value(), VERSIONS));
         }
     }
 
@@ -231,6 +280,7 @@
         mEntries.remove(key);
         mRemovedRevisions.merge(key, revision, Math::max);
         hostId(key).ifPresent(mFleet::unregister);
+        recordedService(key).ifPresent(mVersions::remove);
         mDecoder.serverId(key).ifPresent(id -> removeServer(id, revision));
     }
 
@@ -242,9 +292,17 @@
     }
 
     private static Optional<HostId> hostId(StoreKey key) {
-        String prefix = StoreKeys.HOST_PREFIX.value();
-        return key.value().startsWith(prefix) && key.value().length() > prefix.length()
-                ? Optional.of(new HostId(key.value().substring(prefix.length())))
+        return nameAfter(StoreKeys.HOST_PREFIX, key).map(HostId::new);
+    }
+
+    private static Optional<ServiceId> recordedService(StoreKey key) {
+        return nameAfter(StoreKeys.VERSIONS_PREFIX, key).map(ServiceId::new);
+    }
+
+    private static Optional<String> nameAfter(StoreKey prefix, StoreKey key) {
+        int length = prefix.value().length();
+        return key.value().startsWith(prefix.value()) && key.value().length() > length
+                ? Optional.of(key.value().substring(length))
                 : Optional.empty();
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.fleet.HostRecord;
@@ -12,9 +14,11 @@
 import org.fuchsiaford.store.StoreKey;
 import org.fuchsiaford.store.StoreKeys;
 import org.fuchsiaford.store.StoreLeaseId;
+import org.fuchsiaford.store.StoreSnapshot;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /**
@@ -45,6 +49,7 @@
     private final Disposable.Swap mRegistration = Disposables.swap();
     private StoreLeaseId mLease = StoreLeaseId.NONE;
     private volatile Duration mReopenDelay = MIN_REOPEN_DELAY;
+    private volatile boolean mWatchesPrefixes;
     private boolean mUnavailable;
 
     /**
@@ -106,7 +111,7 @@
     }
 
     private Mono<Void> readAndWatch() {
-        return mStore.readPrefix(StoreKey.ALL)
+        return readAll()
                 .doOnError(this::markUnavailable)
                 .doOnNext(
                         snapshot -> {
@@ -114,14 +119,58 @@
                             mReopenDelay = MIN_REOPEN_DELAY;
                             mState.applySnapshot(snapshot.revision(), snapshot.entries());
                         })
-                .flatMapMany(snapshot -> mStore.watch(StoreKey.ALL, snapshot.revision() + 1))
+                .flatMapMany(snapshot -> watch(snapshot.revision() + 1))
                 .doOnNext(this::applyChange)
                 .then();
     }
 
+    private List<StoreKey> prefixes() {
+        return Stream.concat(mState.decodedPrefixes().stream(), Stream.of(StoreKeys.WATCHED_PREFIX))
+                .toList();
+    }
+
+    /** Reads all entries that the state consists of, as one snapshot of the oldest revision. */
+    private Mono<StoreSnapshot> readAll() {
+        return Flux.fromIterable(prefixes())
+                .flatMapSequential(mStore::readPrefix)
+                .collectList()
+                .map(
+                        snapshots ->
+                                new StoreSnapshot(
+                                        snapshots.stream()
+                                                .mapToLong(StoreSnapshot::revision)
+                                                .min()
+                                                .orElse(0),
+                                        snapshots.stream()
+                                                .flatMap(s -> s.entries().stream())
+                                                .toList()));
+    }
+
+    /**
+     * Watches the whole store by one call, or by one for each prefix while streams are recorded,
+     * which would wake the watch of the whole store several times a second.
+     */
+    private Flux<StoreChange> watch(long fromRevision) {
+        mWatchesPrefixes = mState.versions().isAnyMixed();
+        return mWatchesPrefixes
+                ? Flux.merge(
+                        prefixes().stream()
+                                .map(prefix -> mStore.watch(prefix, fromRevision))
+                                .toList())
+                : mStore.watch(StoreKey.ALL, fromRevision);
+    }
+
     private void applyChange(StoreChange change) {
         markAvailable(false);
         mState.apply(change);
+        if (mState.versions().isAnyMixed() != mWatchesPrefixes) {
+            openWatch();
+        }
+    }
+
+    /** Returns whether the store has answered the latest call. */
+    public synchronized boolean isStoreAvailable() {
+        return !mUnavailable;
     }
 
     private Mono<Void> renew() {
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
@@ -76,6 +76,11 @@
 
     /** Decodes a fixed routing table and engines named by their keys, whatever the stored value. */
     private static final class FixedDecoder implements StateDecoder {
+        @Override
+        public List<StoreKey> prefixes() {
+            return List.of();
+        }
+
         @Override
         public boolean isRoutingTable(StoreKey key) {
             return key.value().equals("table");
@@ -156,6 +161,7 @@
                         mQueues,
                         service -> 0,
                         quarantine,
+                        state.versions(),
                         new ServerRateLimiter(new ServerLimits(), () -> 1),
                         () -> 0);
         // The host knows no other, so it coordinates itself.
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -82,6 +82,9 @@
         add(
                 "'TakenUp','request':'r','resumes':'q','afterEvent':'e'",
                 new Decision.TakenUp("r", "q", "e"));
+        add(
+                "'OriginFound','request':'r','version':'v','settled':true",
+                new Decision.OriginFound("r", "v", true));
         add(
                 "'Ended','request':'r','route':'t','workspace':'w','outcome':'o','status':1,"
                         + "'reason':'y','sends':2,'elapsedMillis':3,'firstByteMillis':4,"
@@ -103,6 +106,12 @@
         add(
                 "'PromptQuarantined','state':'s','promptParts':['p'],'strikes':1,'millis':2",
                 new Decision.PromptQuarantined("s", List.of(new PromptPartId("p")), 1, 2));
+        add(
+                "'VersionsRecorded','service':'v','versions':['w'],'outcome':'o'",
+                new Decision.VersionsRecorded("v", List.of("w"), "o"));
+        add(
+                "'OriginRecordsFailed','operation':'o','reason':'r'",
+                new Decision.OriginRecordsFailed("o", "r"));
         add("'TableInForce','version':1,'revision':2", new Decision.TableInForce(1, 2));
         add(
                 "'ServerSeen','server':'s','service':'v','state':'t','stage':'g','version':'w',"
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
@@ -40,6 +40,11 @@
                     id -> {});
 
     private final class RecordingDecoder implements StateDecoder {
+        @Override
+        public List<StoreKey> prefixes() {
+            return List.of();
+        }
+
         @Override
         public boolean isRoutingTable(StoreKey key) {
             return key.equals(TABLE);
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -21,11 +21,13 @@
 import org.fuchsiaford.placement.PlacementEvent;
 import org.fuchsiaford.placement.PlacementRequest;
 import org.fuchsiaford.prompt.PromptPartId;
+import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.serverlimit.NamedLimit;
+import org.fuchsiaford.stream.StreamKey;
 import org.fuchsiaford.workspace.GrantId;
 import org.fuchsiaford.workspace.WorkspaceId;
 
@@ -69,6 +71,8 @@
     @JsonSubTypes.Type(value = PeerMessage.AdmitPrompt.class, name = "j"),
     @JsonSubTypes.Type(value = PeerMessage.ReportCrash.class, name = "k"),
     @JsonSubTypes.Type(value = PeerMessage.ReportSurvival.class, name = "y"),
+    @JsonSubTypes.Type(value = PeerMessage.FindOrigin.class, name = "o"),
+    @JsonSubTypes.Type(value = PeerMessage.OriginResponse.class, name = "O"),
     @JsonSubTypes.Type(value = PeerMessage.FetchStoreEntries.class, name = "e"),
     @JsonSubTypes.Type(value = PeerMessage.StoreEntriesResponse.class, name = "E"),
     @JsonSubTypes.Type(value = PeerMessage.Success.class, name = "D"),
@@ -156,6 +160,7 @@
      * Asks a coordinator for engines; answered by {@link EnginesResponse}. Times are relative,
      * since hosts have no common clock.
      *
+     * @param version the software version that began the stream; null if it has not begun
      * @param poll whether the request was sent before and is still waiting
      */
     record AcquireEngines(
@@ -167,6 +172,7 @@
             List<PromptPartId> promptParts,
             int priority,
             List<BackendServerId> failed,
+            SoftwareVersion version,
             long targetMillis,
             long ageMillis,
             long eventLeftMillis,
@@ -257,6 +263,16 @@
     record ReportSurvival(HostId host, List<PromptPartId> promptParts, long ageMillis)
             implements PeerMessage {}
 
+    /** Asks a coordinator where a stream began; answered by {@link OriginResponse}. */
+    record FindOrigin(HostId host, ServiceId service, StreamKey stream) implements PeerMessage {}
+
+    /**
+     * The software version that began a stream; null if it is not known.
+     *
+     * @param settled whether asking again will not give another answer
+     */
+    record OriginResponse(SoftwareVersion version, boolean settled) implements PeerMessage {}
+
     /** Asks for all store entries known to the host; answered by {@link StoreEntriesResponse}. */
     record FetchStoreEntries() implements PeerMessage {}
 
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -47,11 +47,14 @@
 import org.fuchsiaford.prompt.QuarantinedPrompt;
 import org.fuchsiaford.quota.WorkspaceTotal;
 import org.fuchsiaford.registry.ServerRun;
+import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.serverlimit.NamedLimit;
+import org.fuchsiaford.stream.BegunStreams;
+import org.fuchsiaford.stream.StreamKey;
 import org.fuchsiaford.workspace.GrantId;
 import org.fuchsiaford.workspace.WorkspaceId;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
@@ -212,7 +215,7 @@
         add(
                 "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[['w1',2,3]],[['e1',3,4,5]],"
                         + "['r1'],[['e1',8,2]],[['v1',6]],[['e1',9]],[[['p1'],1,8]],"
-                        + "[[['e1',9],1.5,200]]],'wantsLoads':true}]",
+                        + "[[['e1',9],1.5,200]],[['v1','b1',['k1','k2']]]],'wantsLoads':true}]",
                 new PeerMessage.Heartbeat(
                         new HostHeartbeat(
                                 record,
@@ -226,15 +229,17 @@
                                 waiting,
                                 leaving,
                                 quarantined,
-                                limits),
+                                limits,
+                                begunStreams()),
                         true));
         add(
                 "['v',{'pulse':[null,0,false,0,null,null,null,null,null,null,null,"
-                        + "null],"
+                        + "null,null],"
                         + "'wantsLoads':false}]",
                 new PeerMessage.Heartbeat(
                         new HostHeartbeat(
-                                null, 0, false, 0, null, null, null, null, null, null, null, null),
+                                null, 0, false, 0, null, null, null, null, null, null, null, null,
+                                null),
                         false));
         add(
                 "['V',{'summary':[['h1','f1','c:2','p:1',1.5],9,['h1'],[['e1',3,4,5]],"
@@ -250,9 +255,28 @@
                                 quarantined,
                                 limits)));
         addCoordination();
+        addOrigins();
         addStoreEntries();
     }
 
+    private void addOrigins() {
+        add(
+                "['o',{'host':'h1','service':'v1','stream':'k1'}]",
+                new PeerMessage.FindOrigin(host(), new ServiceId("v1"), new StreamKey("k1")));
+        add(
+                "['O',{'version':'b1','settled':true}]",
+                new PeerMessage.OriginResponse(new SoftwareVersion("b1"), true));
+        add("['O',{'settled':false}]", new PeerMessage.OriginResponse(null, false));
+    }
+
+    private static List<BegunStreams> begunStreams() {
+        return List.of(
+                new BegunStreams(
+                        new ServiceId("v1"),
+                        new SoftwareVersion("b1"),
+                        List.of(new StreamKey("k1"), new StreamKey("k2"))));
+    }
+
     private void addStoreEntries() {
         add("['e',{}]", new PeerMessage.FetchStoreEntries());
         add(
@@ -271,8 +295,8 @@
                 "['g',{'host':'h1','domain':'f1','request':'r1','service':'v1',"
                     + "'tokens':{'promptTokens':7,'maxOutputTokens':8,"
                     + "'declaredOutputTokens':9},'promptParts':['p1'],'priority':1,'failed':['e1'],"
-                    + "'targetMillis':2,'ageMillis':3,'eventLeftMillis':4,'leftMillis':5,"
-                    + "'poll':true}]",
+                    + "'version':'b1','targetMillis':2,'ageMillis':3,'eventLeftMillis':4,"
+                    + "'leftMillis':5,'poll':true}]",
                 new PeerMessage.AcquireEngines(
                         host(),
                         new FailureDomainId("f1"),
@@ -282,6 +306,7 @@
                         List.of(new PromptPartId("p1")),
                         1,
                         List.of(engine),
+                        new SoftwareVersion("b1"),
                         2,
                         3,
                         4,
@@ -295,6 +320,11 @@
                 "['G',{'state':'REFUSED','millis':4,'reason':'full'}]",
                 new PeerMessage.EnginesResponse(
                         PeerMessage.EnginesResponse.State.REFUSED, null, null, 4, "full"));
+        addReports();
+    }
+
+    private void addReports() {
+        var engine = new BackendServerId("e1");
         add(
                 "['n',{'host':'h1','events':[['COMPLETED','r1',null,null,6],"
                         + "['CALLED',null,'e1','NOT_RUN',0]]}]",
@@ -377,7 +407,7 @@
         assertThat(PeerMessage.class.getPermittedSubclasses())
                 .containsExactlyInAnyOrderElementsOf(held);
         assertThat(mForms.stream().map(form -> form.json.substring(2, 3)).distinct().sorted())
-                .containsExactly("ACDEGHILPQSTVXabcdefghijklnpqrstuvwy".split(""));
+                .containsExactly("ACDEGHILOPQSTVXabcdefghijklnopqrstuvwy".split(""));
     }
 
     @Example
