Do not let a host ask itself as coordinator before others report to it

Four hosts start and the first coordinator ends two seconds later: the fourth host, to which nobody had reported, counted itself as settled since its own start, asked itself before coordinators that all report to, and refused with 429 what lay inside the limit. Seen in PlatformCoordinationTest, twice in four runs of all tests. A host now settles from when it is one of the coordinators.

CoordinatorTrackerTest.aHostThatBecomesACoordinatorDoesNotAskItselfAtOnce failed before and passes, with the other tests of coordinators and limits.

--- a/core/src/main/java/org/fuchsiaford/fleet/CoordinatorTracker.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/CoordinatorTracker.java
@@ -32,8 +32,9 @@
     private static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final FleetView mFleet;
-    private final long mStartNanos;
     private final Map<HostId, Contact> mContacts = new HashMap<>();
+    private boolean mIsChosen = true;
+    private long mChosenSinceNanos;
 
     private static final class Contact {
         private boolean mFailing;
@@ -49,7 +50,7 @@
      */
     public CoordinatorTracker(FleetView fleet, long startNanos) {
         mFleet = fleet;
-        mStartNanos = startNanos;
+        mChosenSinceNanos = startNanos;
     }
 
     /** Records a response of a host. */
@@ -100,12 +101,21 @@
      */
     public synchronized Optional<HostRecord> primary(long nowNanos) {
         List<HostRecord> coordinators = coordinators();
+        recordChosen(coordinators.stream().anyMatch(this::isSelf), nowNanos);
         return coordinators.stream()
                 .filter(host -> isSettled(host, nowNanos))
                 .findFirst()
                 .or(() -> coordinators.stream().filter(this::isReached).findFirst());
     }
 
+    /** Other hosts report to this one only from when it is one of the coordinators. */
+    private void recordChosen(boolean isChosen, long nowNanos) {
+        if (isChosen && !mIsChosen) {
+            mChosenSinceNanos = nowNanos;
+        }
+        mIsChosen = isChosen;
+    }
+
     /** Returns whether this host is the coordinator that it asks itself. */
     public boolean isPrimary(long nowNanos) {
         return primary(nowNanos).map(HostRecord::id).equals(Optional.of(mFleet.self().id()));
@@ -134,7 +144,7 @@
     private boolean isSettled(HostRecord host, long nowNanos) {
         long sinceNanos =
                 isSelf(host)
-                        ? mStartNanos
+                        ? mChosenSinceNanos
                         : isReached(host) ? mContacts.get(host.id()).mReachedSinceNanos : nowNanos;
         return nowNanos - sinceNanos >= SETTLE_NANOS;
     }
--- a/core/src/test/java/org/fuchsiaford/fleet/CoordinatorTrackerTest.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/CoordinatorTrackerTest.java
@@ -5,12 +5,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.IntStream;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.host.HostId;
 
 /** Fleets of up to 1,000 hosts in virtual time, whose hosts and coordinators die and pause. */
@@ -92,6 +94,35 @@
         }
     }
 
+    /** Nobody reports to a host that is no coordinator, however long it has been running. */
+    @Example
+    void aHostThatBecomesACoordinatorDoesNotAskItselfAtOnce() {
+        List<HostRecord> ranked =
+                CoordinatorRanking.choose(
+                        IntStream.range(0, 4).mapToObj(i -> host("h" + i)).toList());
+        HostRecord self =
+                IntStream.range(0, 4)
+                        .mapToObj(i -> host("h" + i))
+                        .filter(host -> !ranked.contains(host))
+                        .findFirst()
+                        .orElseThrow();
+        FleetView view = new FleetView(self);
+        CoordinatorTracker tracker = new CoordinatorTracker(view, 0);
+        ranked.forEach(view::register);
+        long nowNanos = CoordinatorTracker.SETTLE_NANOS;
+        ranked.forEach(host -> tracker.recordSuccess(host.id(), nowNanos - 1));
+        assertThat(tracker.primary(nowNanos)).contains(ranked.get(0));
+
+        tracker.recordFailure(ranked.get(0).id(), nowNanos + 1);
+
+        assertThat(tracker.primary(nowNanos + 1)).contains(ranked.get(1));
+        assertThat(tracker.primary(nowNanos + CoordinatorTracker.SETTLE_NANOS)).isPresent();
+    }
+
+    private static HostRecord host(String id) {
+        return new HostRecord(new HostId(id), new FailureDomainId("d"), id, id, 1);
+    }
+
     @Example
     void theMessagesOfAHostDoNotDependOnTheNumberOfHosts() {
         for (int hosts : new int[] {9, 95, 390, 1_000}) {
