--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Compiles the stand-ins and the drivers of the cases. Needs only the JDK 17 that the project needs.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p review/target/classes
+javac -Xlint:all,-serial -d review/target/classes review/standin/*.java
