--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 
-/** The frame of a case: exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. */
+/** The frame of a case: exits with 1 if the rule was broken, 0 if it held, 2 if it cannot run. */
 abstract class Case {
     private static final int MAX_SECONDS = 115;
 
--- a/review/standin/EndlessAnswer.java
+++ b/review/standin/EndlessAnswer.java
@@ -125,7 +125,13 @@
                         1,
                         List.of(
                                 Deployment.route(
-                                        HOST, "/note/", "streaming", ROUTE_TIMEOUT_MILLIS, 900, "notes", 1)),
+                                        HOST,
+                                        "/note/",
+                                        "streaming",
+                                        ROUTE_TIMEOUT_MILLIS,
+                                        900,
+                                        "notes",
+                                        1)),
                         List.of(Deployment.engineService("notes")),
                         List.of(Deployment.workspace("macon", KEY))),
                 "the first");
--- a/review/standin/PlatformStore.java
+++ b/review/standin/PlatformStore.java
@@ -247,7 +247,10 @@
         for (Object row : (List<?>) body.get("puts")) {
             Map<?, ?> put = (Map<?, ?>) row;
             Object lease = put.get("lease");
-            put((String) put.get("key"), (String) put.get("value"), lease == null ? 0 : (Long) lease);
+            put(
+                    (String) put.get("key"),
+                    (String) put.get("value"),
+                    lease == null ? 0 : (Long) lease);
         }
         for (Object key : (List<?>) body.get("remove")) {
             delete((String) key);
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -18,7 +18,8 @@
     private static final int EVENT_GAP_MILLIS = 30;
 
     /** A request that began to run, or an order that arrived. */
-    record Run(double second, String id, String path, String workspace, long fence, String holder) {}
+    record Run(
+            double second, String id, String path, String workspace, long fence, String holder) {}
 
     private final String mId;
     private final String mService;
