--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec java -Xmx256m -cp review/target/classes review.DrillManifest "$PWD" "$PWD/review/3"
+exec java -Xmx256m -cp target/review review.DrillManifest "$PWD" "$PWD/review/3"
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,5 +2,5 @@
 # Compiles the stand-ins and the drivers of the cases. Needs only the JDK 17 that the project needs.
 set -eu
 cd "$(dirname "$0")/.."
-mkdir -p review/target/classes
-javac -Xlint:all,-serial -d review/target/classes review/standin/*.java
+mkdir -p target/review
+javac -Xlint:all,-serial -d target/review review/*.java
