--- a/review/EntryProcess.java
+++ b/review/EntryProcess.java
@@ -19,7 +19,8 @@
     private final Path mFolder;
     private final String mName;
     private final String mZone;
-    private final List<String> mAddresses;
+    private final List<String> mAddresses = new ArrayList<>();
+    private final List<ServerSocket> mReserved = new ArrayList<>();
     private Process mProcess;
 
     EntryProcess(Path root, Path folder, String name, String zone) {
@@ -27,29 +28,20 @@
         mFolder = folder;
         mName = name;
         mZone = zone;
-        mAddresses = freeAddresses(5);
+        reservePorts(5);
     }
 
-    /** Picks ports below those that the system gives to outgoing connections. */
-    private static List<String> freeAddresses(int count) {
-        List<String> addresses = new ArrayList<>();
-        while (addresses.size() < count) {
+    /** Reserves ports below those that the system gives to outgoing connections. */
+    private void reservePorts(int count) {
+        while (mReserved.size() < count) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
-            String address = "127.0.0.1:" + port;
-            if (!addresses.contains(address) && isFree(port)) {
-                addresses.add(address);
+            try {
+                mReserved.add(new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1")));
+                mAddresses.add("127.0.0.1:" + port);
+            } catch (IOException e) {
+                // The port is in use; another one is tried.
             }
         }
-        return addresses;
-    }
-
-    private static boolean isFree(int port) {
-        try (ServerSocket socket =
-                new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.isBound();
-        } catch (IOException e) {
-            return false;
-        }
     }
 
     String name() {
@@ -119,6 +111,9 @@
         builder.environment().put("FUCHSIAFORD_CONFIG", settings.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()));
+        for (ServerSocket reserved : mReserved) {
+            reserved.close();
+        }
         mProcess = builder.start();
     }
 
