Review case 1: the body without end comes in small chunks

Cause: a host collects the body of a rejection without a limit. With chunks of 16 bytes the heap fills up to the last byte, and a thread dump shows one full collection after the other.

The engine now sends chunks of 16 bytes; nothing else of the case changed.

--- a/review/EndlessAnswer.java
+++ b/review/EndlessAnswer.java
@@ -23,7 +23,9 @@
     /** The link of a machine in the sheet: 1,000 Mbit/s. */
     private static final long LINK_BYTES_PER_SECOND = 125_000_000;
 
-    private static final int PIECE_BYTES = 65_536;
+    /** A chunk of 16 bytes, over and over: a body that does not end. */
+    private static final byte[] PIECE = Bytes.of("10\r\nerror in step 4\n\r\n".repeat(2_978));
+
     private static final int EVENTS = 68;
     private static final int EVENT_GAP_MILLIS = 25;
 
@@ -84,14 +86,13 @@
         }
 
         private void sendWithoutEnd(HttpMessage request, OutputStream out) throws IOException {
-            out.write(Bytes.of(head(500, request, "", -1)));
-            byte[] piece = new byte[PIECE_BYTES];
+            out.write(Bytes.of(head(500, request, "Transfer-Encoding: chunked\r\n", -1)));
             long sent = 0;
             try {
                 while (true) {
                     awaitLink();
-                    out.write(piece);
-                    sent += piece.length;
+                    out.write(PIECE);
+                    sent += PIECE.length;
                 }
             } catch (IOException e) {
                 record().line(
@@ -102,7 +103,7 @@
 
         /** All connections of the worker share its link. */
         private void awaitLink() {
-            long pieceNanos = PIECE_BYTES * 1_000_000_000L / LINK_BYTES_PER_SECOND;
+            long pieceNanos = PIECE.length * 1_000_000_000L / LINK_BYTES_PER_SECOND;
             long now = System.nanoTime();
             long slot =
                     mFreeAtNanos.updateAndGet(
