Apply the store's changes after it was restored from a copy

Callers saw: after a drill of the store, a manifest that withdrew a key and moved a route was ignored by all hosts; the key worked on and the route led to the former service until the end of the case.

Cause: hosts compared bare revisions. A restored store numbers its changes again from those of its copy, so that each change had a lower revision than the one known and was ignored, in the host and in what hosts copy from each other. Nothing read the header by which the store names its era.

Change: the store client orders revisions by era and number; responses, watches, expected revisions and leases of a former era no longer count. Hosts read everything again in a new era, register again under a new lease, and keep what the copy has forgotten: higher declarations, servers that drained or were removed, versions that served streams. Hosts exchange the era in new last fields, which the former release ignores and leaves out.

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
@@ -13,13 +13,14 @@
  * Immutable.
  *
  * @param coordinator the sender
- * @param stateRevision the store revision of the latest change of its state
+ * @param stateRevision the store revision of the latest change of its state, within its era
  * @param available the hosts that it hears from and that accept new callers, itself included
  * @param loads the load of all hosts on each backend server
  * @param failing the servers that fail a notable part of their calls
  * @param leaving the servers that have told a host that they are leaving
  * @param quarantined the parts of prompts that it refuses, since they crash engines
  * @param limits what servers have said about the requests that they take
+ * @param stateEra the era of the store revision; zero if the sender does not know eras
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -30,7 +31,8 @@
     "failing",
     "leaving",
     "quarantined",
-    "limits"
+    "limits",
+    "stateEra"
 })
 public record FleetSummary(
         HostRecord coordinator,
@@ -40,4 +42,5 @@
         List<FailureRate> failing,
         List<ServerRun> leaving,
         List<QuarantinedPrompt> quarantined,
-        List<NamedLimit> limits) {}
+        List<NamedLimit> limits,
+        long stateEra) {}
--- a/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
@@ -20,7 +20,7 @@
  * @param host the sender
  * @param ageMillis the age of its process, in milliseconds
  * @param accepting whether it accepts new callers
- * @param stateRevision the store revision of the latest change of its state
+ * @param stateRevision the store revision of the latest change of its state, within its era
  * @param admitted the tokens that it has admitted for each workspace
  * @param loads its load in progress on backend servers
  * @param held its requests that hold engines granted by the receiver
@@ -31,6 +31,7 @@
  * @param quarantined the parts of prompts that it refuses, since they crash engines
  * @param limits what servers have said about the requests that they take
  * @param begun its streams that began lately, of services that serve several software versions
+ * @param stateEra the era of the store revision; zero if the sender does not know eras
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -46,7 +47,8 @@
     "leaving",
     "quarantined",
     "limits",
-    "begun"
+    "begun",
+    "stateEra"
 })
 public record HostHeartbeat(
         HostRecord host,
@@ -61,7 +63,8 @@
         List<ServerRun> leaving,
         List<QuarantinedPrompt> quarantined,
         List<NamedLimit> limits,
-        List<BegunStreams> begun) {
+        List<BegunStreams> begun,
+        long stateEra) {
 
     /** Returns the tokens queued for a service that can still meet their target. */
     public long waitingTokens(ServiceId service) {
--- a/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
@@ -15,13 +15,20 @@
  * entries are removed while not draining are retained for {@link #RETENTION_NANOS}, since servers
  * whose leases expired during the outage register again within that time; otherwise they are
  * dropped immediately. A run of a server that has said it is leaving is not used again, whatever
- * its entry says. Thread-safe.
+ * its entry says. A run whose entry had been removed and that a restored store lists again is not
+ * used until the entry changes, or for {@link #SUSPENSION_NANOS}. Thread-safe.
  */
 public final class ServerRegistry {
     /** Servers register again within 2 s after an outage; the remainder is reaction time. */
     public static final long RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
 
+    /**
+     * A server that has ended does not renew its entry, which the store removes within this time.
+     */
+    public static final long SUSPENSION_NANOS = TimeUnit.SECONDS.toNanos(4);
+
     private final Map<BackendServerId, Entry> mEntries = new HashMap<>();
+    private final Map<BackendServerId, Long> mSuspendedUntilNanos = new HashMap<>();
     private final Map<BackendServerId, Long> mLeavingRuns = new HashMap<>();
     private long mRetainUntilNanos;
     private boolean mRetaining;
@@ -47,6 +54,7 @@
             return false;
         }
         mEntries.put(server.id(), new Entry(server, revision, false, 0));
+        mSuspendedUntilNanos.remove(server.id());
         mLeavingRuns.computeIfPresent(
                 server.id(), (id, run) -> run == server.startedMillis() ? run : null);
         return true;
@@ -68,6 +76,16 @@
         return last == null && !entry.server().draining();
     }
 
+    /** Suspends a run of a server until its entry changes, or for {@link #SUSPENSION_NANOS}. */
+    public synchronized void suspend(ServerRun run, long nowNanos) {
+        mSuspendedUntilNanos.put(run.id(), nowNanos + SUSPENSION_NANOS);
+    }
+
+    private boolean isSuspended(LiveServer server, long nowNanos) {
+        Long untilNanos = mSuspendedUntilNanos.get(server.id());
+        return untilNanos != null && nowNanos - untilNanos < 0;
+    }
+
     /** Returns the registered servers that have said they are leaving, to tell other hosts. */
     public synchronized List<ServerRun> leaving() {
         return mLeavingRuns.entrySet().stream()
@@ -107,6 +125,7 @@
                 .filter(entry -> entry.isUsable(nowNanos))
                 .map(Entry::server)
                 .filter(server -> server.service().equals(service) && !isLeaving(server))
+                .filter(server -> !isSuspended(server, nowNanos))
                 .toList();
     }
 
@@ -141,6 +160,7 @@
                 .filter(entry -> entry.isUsable(nowNanos))
                 .map(Entry::server)
                 .filter(now -> now.startedMillis() == server.startedMillis() && !isLeaving(now))
+                .filter(now -> !isSuspended(now, nowNanos))
                 .isPresent();
     }
 }
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
@@ -124,7 +124,8 @@
                                     List.of(),
                                     List.of(),
                                     List.of(),
-                                    List.of()),
+                                    List.of(),
+                                    0),
                             mNowNanos);
         }
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -35,6 +35,7 @@
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
+import org.fuchsiaford.store.StoreRevision;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
@@ -280,7 +281,7 @@
                 mFleet.self(),
                 TimeUnit.NANOSECONDS.toMillis(mQuota.ageNanos(nowNanos)),
                 mIsAccepting.getAsBoolean(),
-                mState.lastChangeRevision(),
+                lastChange().number(),
                 mQuota.totalsExcept(receiver, nowNanos),
                 mLoads.localLoadsExcept(receiver),
                 mHeld.grantedBy(receiver),
@@ -289,7 +290,12 @@
                 mState.servers().leaving(),
                 mQuarantine.list(nowNanos),
                 mLimits.list(RECENT_LIMIT_NANOS, nowNanos),
-                mOrigins.recent());
+                mOrigins.recent(),
+                lastChange().era());
+    }
+
+    private StoreRevision lastChange() {
+        return StoreRevision.ofOrdered(mState.lastChangeRevision());
     }
 
     private void receive(FleetSummary summary, List<ServerLoad> ownLoads) {
@@ -308,7 +314,10 @@
             mLoads.replaceFleetLoads(summary.loads(), ownLoads);
             mHealth.replaceFleetRates(summary.failing(), nowNanos);
         }
-        catchUp(coordinator, summary.stateRevision(), nowNanos);
+        catchUp(
+                coordinator,
+                new StoreRevision(summary.stateEra(), summary.stateRevision()),
+                nowNanos);
     }
 
     /** Processes the heartbeat of another host and responds with a summary of the fleet. */
@@ -336,12 +345,15 @@
             mState.markLeaving(heartbeat.leaving(), sender.value());
             mergeLimits(heartbeat.limits(), sender, nowNanos);
             mOrigins.merge(heartbeat.begun());
-            catchUp(heartbeat.host(), heartbeat.stateRevision(), nowNanos);
+            catchUp(
+                    heartbeat.host(),
+                    new StoreRevision(heartbeat.stateEra(), heartbeat.stateRevision()),
+                    nowNanos);
         }
         return new PeerMessage.FleetResponse(
                 new FleetSummary(
                         mFleet.self(),
-                        mState.lastChangeRevision(),
+                        lastChange().number(),
                         mFleet.availableHosts(mIsAccepting.getAsBoolean(), nowNanos),
                         request.wantsLoads() ? mLoads.totals() : List.of(),
                         mFleetHealth.failing(nowNanos),
@@ -349,7 +361,8 @@
                         mQuarantine.list(nowNanos),
                         mLimits.list(
                                 request.wantsLoads() ? Long.MAX_VALUE : RECENT_LIMIT_NANOS,
-                                nowNanos)));
+                                nowNanos),
+                        lastChange().era()));
     }
 
     private void mergeLimits(List<NamedLimit> reported, HostId source, long nowNanos) {
@@ -375,8 +388,8 @@
         return mIsBehind;
     }
 
-    private void catchUp(HostRecord peer, long revision, long nowNanos) {
-        if (isBehind(revision, nowNanos) && mCopyInProgress.compareAndSet(false, true)) {
+    private void catchUp(HostRecord peer, StoreRevision revision, long nowNanos) {
+        if (isBehind(revision.ordered(), nowNanos) && mCopyInProgress.compareAndSet(false, true)) {
             copyFrom(peer);
         }
     }
@@ -402,14 +415,16 @@
                         new PeerMessage.FetchStoreEntries(),
                         PeerMessage.StoreEntriesResponse.class,
                         COPY_TIMEOUT)
-                .doOnNext(copy -> mState.applySnapshot(copy.revision(), toStoreEntries(copy)))
-                .doOnNext(copy -> logCopy(peer, fromRevision, copy.revision()))
+                .doOnNext(copy -> applyCopy(peer, fromRevision, copy))
                 .doFinally(signal -> mCopyInProgress.set(false))
                 .subscribe(copy -> {}, e -> logCopyFailure(peer, e));
     }
 
-    private void logCopy(HostRecord peer, long fromRevision, long toRevision) {
-        mLog.write(new Decision.StateCopied(peer.id().value(), fromRevision, toRevision));
+    private void applyCopy(
+            HostRecord peer, long fromRevision, PeerMessage.StoreEntriesResponse copy) {
+        long revision = new StoreRevision(copy.era(), copy.revision()).ordered();
+        mState.applySnapshot(revision, toStoreEntries(copy));
+        mLog.write(new Decision.StateCopied(peer.id().value(), fromRevision, revision));
     }
 
     private void logCopyFailure(HostRecord peer, Throwable cause) {
@@ -422,20 +437,27 @@
 
     private static List<StoreEntry> toStoreEntries(PeerMessage.StoreEntriesResponse copy) {
         return copy.entries().stream()
-                .map(e -> new StoreEntry(new StoreKey(e.key()), e.value(), e.revision()))
+                .map(
+                        e ->
+                                new StoreEntry(
+                                        new StoreKey(e.key()),
+                                        e.value(),
+                                        new StoreRevision(e.era(), e.revision()).ordered()))
                 .toList();
     }
 
     /** Returns the store entries known to this host, for a host with an earlier revision. */
     public PeerMessage.StoreEntriesResponse storeEntries() {
-        long revision = mState.revision();
+        StoreRevision revision = StoreRevision.ofOrdered(mState.revision());
         return new PeerMessage.StoreEntriesResponse(
-                revision,
-                mState.entries().stream()
-                        .map(
-                                e ->
-                                        new PeerMessage.StoreEntryCopy(
-                                                e.key().value(), e.value(), e.revision()))
-                        .toList());
+                revision.number(),
+                mState.entries().stream().map(HeartbeatExchange::toCopy).toList(),
+                revision.era());
+    }
+
+    private static PeerMessage.StoreEntryCopy toCopy(StoreEntry entry) {
+        StoreRevision revision = StoreRevision.ofOrdered(entry.revision());
+        return new PeerMessage.StoreEntryCopy(
+                entry.key().value(), entry.value(), revision.number(), revision.era());
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/VersionRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/VersionRecorder.java
@@ -104,9 +104,10 @@
                         registered,
                         VersionRetention.retentionNanos(maxTimeoutMillis()),
                         nowNanos);
-        boolean isIncomplete = !Set.copyOf(recorded).containsAll(registered);
-        if (changed.isPresent() && isDue(service, isIncomplete, nowNanos)) {
-            write(service, changed.get());
+        boolean isLost = mState.isVersionRecordIncomplete(service);
+        boolean isIncomplete = isLost || !Set.copyOf(recorded).containsAll(registered);
+        if ((changed.isPresent() || isLost) && isDue(service, isIncomplete, nowNanos)) {
+            write(service, changed.orElse(recorded));
         }
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.entry.gateway.log.Decision;
@@ -30,6 +31,7 @@
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
 import org.fuchsiaford.store.StoreKeys;
+import org.fuchsiaford.store.StoreRevision;
 import org.fuchsiaford.stream.ServedVersions;
 import org.fuchsiaford.time.Ticker;
 
@@ -38,7 +40,9 @@
  * the registered hosts and the software versions that serve streams.
  *
  * <p>Invariant: an entry never reverts to an older revision, whatever its source, and the routing
- * table never reverts to a lower version. Thread-safe.
+ * table never reverts to a lower version. In a new era of the store, entries may be older copies:
+ * what has been known of a run of a server that was leaving or gone, and of versions that served
+ * streams, then still holds. Thread-safe.
  */
 public final class GatewayState implements EnginePool {
     private static final JsonMapper MAPPER = JsonMapper.builder().build();
@@ -54,6 +58,8 @@
     private final Map<StoreKey, StoreEntry> mEntries = new HashMap<>();
     private final Map<StoreKey, Long> mRemovedRevisions = new HashMap<>();
     private final Map<BackendServerId, LiveServer> mLastServers = new HashMap<>();
+    private final Map<BackendServerId, ServerRun> mEndedRuns = new HashMap<>();
+    private final Set<ServiceId> mIncompleteVersions = ConcurrentHashMap.newKeySet();
     private volatile Optional<RoutingTable> mTable = Optional.empty();
     private volatile long mRevision;
     private volatile long mLastChangeRevision;
@@ -112,6 +118,11 @@
         return mVersions;
     }
 
+    /** Returns whether the store has lost versions of a service that this host still knows. */
+    public boolean isVersionRecordIncomplete(ServiceId service) {
+        return mIncompleteVersions.contains(service);
+    }
+
     /** Returns the registry of backend servers. */
     public ServerRegistry servers() {
         return mServers;
@@ -203,11 +214,12 @@
                 || last != null && last.revision() >= entry.revision()) {
             return;
         }
+        boolean isOfNewEra = isOfNewEra(entry.revision(), last, removedRevision);
         mEntries.put(entry.key(), entry);
         mRemovedRevisions.remove(entry.key());
         mLastChangeRevision = Math.max(mLastChangeRevision, entry.revision());
         try {
-            decode(entry);
+            decode(entry, isOfNewEra);
         } catch (UnreadableException e) {
             mLog.write(
                     new Decision.EntryUnreadable(
@@ -219,17 +231,38 @@
         }
     }
 
-    private void decode(StoreEntry entry) throws UnreadableException, IOException {
+    /** Returns whether what was known of a key before is of a former era of the store. */
+    private static boolean isOfNewEra(long revision, StoreEntry last, long removedRevision) {
+        long knownRevision = last == null ? removedRevision : last.revision();
+        return StoreRevision.eraOf(revision) > StoreRevision.eraOf(knownRevision);
+    }
+
+    private void decode(StoreEntry entry, boolean isOfNewEra)
+            throws UnreadableException, IOException {
         Optional<BackendServerId> server = mDecoder.serverId(entry.key());
         if (mDecoder.isRoutingTable(entry.key())) {
             putTable(mDecoder.readRoutingTable(entry.value()), entry.revision());
         } else if (server.isPresent()) {
-            putServer(server.get(), entry);
+            putServer(server.get(), entry, isOfNewEra);
         } else if (hostId(entry.key()).isPresent()) {
             mFleet.register(MAPPER.readValue(entry.value(), HostRecord.class));
         } else if (recordedService(entry.key()).isPresent()) {
-            mVersions.replace(
-                    recordedService(entry.key()).get(), MAPPER.readValue(entry.value(), VERSIONS));
+            putVersions(
+                    recordedService(entry.key()).get(),
+                    MAPPER.readValue(entry.value(), VERSIONS),
+                    isOfNewEra);
+        }
+    }
+
+    private void putVersions(
+            ServiceId service, List<SoftwareVersion> versions, boolean isOfNewEra) {
+        Set<SoftwareVersion> known = new HashSet<>(isOfNewEra ? mVersions.of(service) : List.of());
+        known.addAll(versions);
+        mVersions.replace(service, List.copyOf(known));
+        if (known.size() > Set.copyOf(versions).size()) {
+            mIncompleteVersions.add(service);
+        } else {
+            mIncompleteVersions.remove(service);
         }
     }
 
@@ -241,7 +274,8 @@
         mLog.write(new Decision.TableInForce(table.version(), revision));
     }
 
-    private void putServer(BackendServerId id, StoreEntry entry) throws UnreadableException {
+    private void putServer(BackendServerId id, StoreEntry entry, boolean isOfNewEra)
+            throws UnreadableException {
         LiveServer server;
         try {
             server = mDecoder.readServer(id, entry.value());
@@ -251,7 +285,14 @@
             throw e;
         }
         mServers.put(server, entry.revision());
+        ServerRun endedRun = mEndedRuns.remove(id);
+        if (isOfNewEra && server.run().equals(endedRun)) {
+            mServers.suspend(server.run(), mTicker.nowNanos());
+        }
         LiveServer last = mLastServers.put(id, server);
+        if (isOfNewEra && last != null && last.draining() && last.run().equals(server.run())) {
+            mServers.markLeaving(server.run());
+        }
         if (last == null || last.startedMillis() != server.startedMillis()) {
             mOnServerStarted.serverStarted(server, Optional.ofNullable(last));
         }
@@ -279,13 +320,23 @@
         mEntries.remove(key);
         mRemovedRevisions.merge(key, revision, Math::max);
         hostId(key).ifPresent(mFleet::unregister);
-        recordedService(key).ifPresent(mVersions::remove);
+        recordedService(key).ifPresent(service -> removeVersions(service, last, revision));
         mDecoder.serverId(key).ifPresent(id -> removeServer(id, revision));
     }
 
+    private void removeVersions(ServiceId service, StoreEntry last, long revision) {
+        if (last != null && isOfNewEra(revision, last, 0)) {
+            mIncompleteVersions.add(service);
+        } else {
+            mIncompleteVersions.remove(service);
+            mVersions.remove(service);
+        }
+    }
+
     private void removeServer(BackendServerId id, long revision) {
         if (mServers.remove(id, revision, mTicker.nowNanos())) {
-            mLastServers.remove(id);
+            Optional.ofNullable(mLastServers.remove(id))
+                    .ifPresent(server -> mEndedRuns.put(id, server.run()));
             mLog.write(new Decision.ServerSeen(id.value(), null, "gone", null, null, revision));
         }
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
@@ -10,10 +10,10 @@
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.store.Store;
 import org.fuchsiaford.store.StoreChange;
-import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
 import org.fuchsiaford.store.StoreKeys;
 import org.fuchsiaford.store.StoreLeaseId;
+import org.fuchsiaford.store.StoreRevision;
 import org.fuchsiaford.store.StoreSnapshot;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.Disposable;
@@ -26,6 +26,7 @@
  *
  * <p>Invariant: when the store responds again after an outage, the registry is first told to retain
  * removed servers until they have had time to register again, and then the whole store is read
+ * again. The same holds when a new era of the store begins, in which this host also registers
  * again. Thread-safe.
  */
 public final class StateFollower {
@@ -50,6 +51,7 @@
     private StoreLeaseId mLease = StoreLeaseId.NONE;
     private volatile Duration mReopenDelay = MIN_REOPEN_DELAY;
     private volatile boolean mWatchesPrefixes;
+    private volatile long mEra = StoreRevision.FIRST_ERA;
     private boolean mUnavailable;
 
     /**
@@ -117,6 +119,7 @@
                         snapshot -> {
                             markAvailable(false);
                             mReopenDelay = MIN_REOPEN_DELAY;
+                            followEra();
                             mState.applySnapshot(snapshot.revision(), snapshot.entries());
                         })
                 .flatMapMany(snapshot -> watch(snapshot.revision() + 1))
@@ -124,6 +127,20 @@
                 .then();
     }
 
+    /** Returns whether a new era has begun; servers that it lacks have time to register again. */
+    private boolean followEra() {
+        long era = mStore.era();
+        synchronized (this) {
+            if (era == mEra) {
+                return false;
+            }
+            mEra = era;
+        }
+        mLog.write(new Decision.StoreSeen("restored", "era " + era));
+        mState.servers().retainRemoved(mTicker.nowNanos());
+        return true;
+    }
+
     private List<StoreKey> prefixes() {
         return Stream.concat(mState.decodedPrefixes().stream(), Stream.of(StoreKeys.WATCHED_PREFIX))
                 .toList();
@@ -186,42 +203,43 @@
                                 setLease(StoreLeaseId.NONE);
                             }
                         })
+                .doFinally(signal -> reopenInNewEra())
                 .filter(alive -> !alive)
                 .flatMap(ended -> register());
     }
 
+    /** A watch of a former era may stay open without ever reporting a change. */
+    private void reopenInNewEra() {
+        if (followEra()) {
+            openWatch();
+        }
+    }
+
+    /** Registers under a new lease; a record under a former lease of this host is replaced. */
     private Mono<Void> register() {
         StoreKey key = StoreKeys.HOST_PREFIX.append(mSelf.id().value());
-        return Mono.fromCallable(this::encodeSelf)
+        return mStore.grantLease(mRegistrationSeconds)
                 .flatMap(
-                        value ->
-                                mStore.grantLease(mRegistrationSeconds)
-                                        .flatMap(
-                                                lease ->
-                                                        mStore.compareAndSwap(
-                                                                        key,
-                                                                        StoreEntry.ABSENT_REVISION,
-                                                                        value,
-                                                                        lease)
-                                                                .doOnNext(
-                                                                        created ->
-                                                                                keepLease(
-                                                                                        lease,
-                                                                                        created))))
+                        lease ->
+                                mStore.read(List.of(key))
+                                        .flatMap(former -> writeSelf(key, former, lease))
+                                        .doOnNext(written -> keepLease(lease, written)))
                 .then();
     }
 
+    private Mono<Boolean> writeSelf(StoreKey key, StoreSnapshot former, StoreLeaseId lease) {
+        return Mono.fromCallable(this::encodeSelf)
+                .flatMap(value -> mStore.compareAndSwap(key, former.revisionOf(key), value, lease));
+    }
+
     private byte[] encodeSelf() throws JsonProcessingException {
         return MAPPER.writeValueAsBytes(mSelf);
     }
 
-    /**
-     * Keeps the lease of a new registration. If a registration under a former lease still exists,
-     * it disappears when that lease expires, and the next renewal registers again.
-     */
-    private void keepLease(StoreLeaseId lease, boolean created) {
+    /** Keeps the lease of a registration that was written; else the next renewal tries again. */
+    private void keepLease(StoreLeaseId lease, boolean written) {
         markAvailable(true);
-        setLease(created ? lease : StoreLeaseId.NONE);
+        setLease(written ? lease : StoreLeaseId.NONE);
     }
 
     private synchronized StoreLeaseId lease() {
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -276,12 +276,20 @@
     /** Asks for all store entries known to the host; answered by {@link StoreEntriesResponse}. */
     record FetchStoreEntries() implements PeerMessage {}
 
-    /** Store entries, and the store revision up to which they are complete. */
-    record StoreEntriesResponse(long revision, List<StoreEntryCopy> entries)
+    /**
+     * Store entries, and the store revision up to which they are complete.
+     *
+     * @param era the era of the revision; zero if the sender does not know eras
+     */
+    record StoreEntriesResponse(long revision, List<StoreEntryCopy> entries, long era)
             implements PeerMessage {}
 
-    /** A store entry as known to a host; the revision is that of its last change. */
-    record StoreEntryCopy(String key, byte[] value, long revision) {}
+    /**
+     * A store entry as known to a host; the revision is that of its last change.
+     *
+     * @param era the era of the revision; zero if the sender does not know eras
+     */
+    record StoreEntryCopy(String key, byte[] value, long revision, long era) {}
 
     /** Confirms that the request has been carried out. */
     record Success() implements PeerMessage {}
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -215,7 +215,7 @@
         add(
                 "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[['w1',2,3]],[['e1',3,4,5]],"
                         + "['r1'],[['e1',8,2]],[['v1',6]],[['e1',9]],[[['p1'],1,8]],"
-                        + "[[['e1',9],1.5,200]],[['v1','b1',['k1','k2']]]],'wantsLoads':true}]",
+                        + "[[['e1',9],1.5,200]],[['v1','b1',['k1','k2']]],2],'wantsLoads':true}]",
                 new PeerMessage.Heartbeat(
                         new HostHeartbeat(
                                 record,
@@ -230,20 +230,21 @@
                                 leaving,
                                 quarantined,
                                 limits,
-                                begunStreams()),
+                                begunStreams(),
+                                2),
                         true));
         add(
                 "['v',{'pulse':[null,0,false,0,null,null,null,null,null,null,null,"
-                        + "null,null],"
+                        + "null,null,0],"
                         + "'wantsLoads':false}]",
                 new PeerMessage.Heartbeat(
                         new HostHeartbeat(
                                 null, 0, false, 0, null, null, null, null, null, null, null, null,
-                                null),
+                                null, 0),
                         false));
         add(
                 "['V',{'summary':[['h1','f1','c:2','p:1',1.5],9,['h1'],[['e1',3,4,5]],"
-                        + "[['e1',0.25]],[['e1',9]],[[['p1'],1,8]],[[['e1',9],1.5,200]]]}]",
+                        + "[['e1',0.25]],[['e1',9]],[[['p1'],1,8]],[[['e1',9],1.5,200]],2]}]",
                 new PeerMessage.FleetResponse(
                         new FleetSummary(
                                 record,
@@ -253,7 +254,8 @@
                                 failing,
                                 leaving,
                                 quarantined,
-                                limits)));
+                                limits,
+                                2)));
         addCoordination();
         addOrigins();
         addStoreEntries();
@@ -280,13 +282,14 @@
     private void addStoreEntries() {
         add("['e',{}]", new PeerMessage.FetchStoreEntries());
         add(
-                "['E',{'revision':4,'entries':[{'key':'k','value':'AQ==','revision':3},"
-                        + "{'key':'l','revision':4}]}]",
+                "['E',{'revision':4,'entries':[{'key':'k','value':'AQ==','revision':3,"
+                        + "'era':2},{'key':'l','revision':4,'era':2}],'era':2}]",
                 new PeerMessage.StoreEntriesResponse(
                         4,
                         List.of(
-                                new PeerMessage.StoreEntryCopy("k", new byte[] {1}, 3),
-                                new PeerMessage.StoreEntryCopy("l", null, 4))));
+                                new PeerMessage.StoreEntryCopy("k", new byte[] {1}, 3, 2),
+                                new PeerMessage.StoreEntryCopy("l", null, 4, 2)),
+                        2));
     }
 
     private void addCoordination() {
@@ -394,6 +397,26 @@
         }
     }
 
+    /** Hosts of the release before eras of the store leave them out. */
+    @Example
+    void messagesWithoutEraAreRead() throws IOException {
+        var heartbeat =
+                "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[],[],[],[],[],[],[],[],[]],"
+                        + "'wantsLoads':true}]";
+        assertThat(read(heartbeat, PeerMessage.Heartbeat.class).pulse().stateEra()).isZero();
+        var summary = "['V',{'summary':[['h1','f1','c:2','p:1',1.5],9,[],[],[],[],[],[]]}]";
+        assertThat(read(summary, PeerMessage.FleetResponse.class).summary().stateEra()).isZero();
+        var copy = "['E',{'revision':4,'entries':[{'key':'k','revision':3}]}]";
+        var entries = read(copy, PeerMessage.StoreEntriesResponse.class);
+        assertThat(entries.era()).isZero();
+        assertThat(entries.entries().get(0).era()).isZero();
+    }
+
+    private static <T extends PeerMessage> T read(String json, Class<T> type) throws IOException {
+        var bytes = new Form(json.replace('\'', '"'), null).bytes();
+        return type.cast(PeerCodec.decode(Unpooled.wrappedBuffer(bytes)).message());
+    }
+
     @Example
     void anUnknownFieldIsIgnored() throws IOException {
         var bytes = MESSAGE_PACK.writeValueAsBytes(JSON.readTree("[7,true,[\"D\",{\"new\":1}]]"));
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
@@ -26,12 +26,14 @@
 
 /**
  * An in-memory stand-in for the store of the users' platform, with revisions, long-polling watches,
- * transactions, leases and fault injection. Thread-safe.
+ * transactions, leases, drills in which it is restored from a copy, and fault injection.
+ * Thread-safe.
  */
 public final class PlatformStoreStandin implements Standin {
     private static final Duration WATCH_POLL = Duration.ofMillis(5);
     private static final Duration EXPIRY_POLL = Duration.ofMillis(50);
     private static final String JSON_KEY = "key";
+    private static final String ERA_HEADER = "Store-Era";
 
     private final TreeMap<String, Item> mItems = new TreeMap<>();
     private final List<Event> mEvents = new ArrayList<>();
@@ -40,6 +42,7 @@
     private long mLastLease;
     private long mCalls;
     private long mCompactedRevision;
+    private long mEra = 1;
     private volatile FaultMode mFault = FaultMode.NONE;
     private volatile Duration mDelay = Duration.ZERO;
 
@@ -49,6 +52,22 @@
 
     private record Lease(long ttlMillis, long deadlineNanos) {}
 
+    /** A copy of the content of the store at one moment. Immutable. */
+    public static final class Copy {
+        private final Map<String, Item> mItems;
+        private final Map<Long, Lease> mLeases;
+        private final long mRevision;
+        private final long mLastLease;
+
+        private Copy(
+                Map<String, Item> items, Map<Long, Lease> leases, long revision, long lastLease) {
+            mItems = Map.copyOf(items);
+            mLeases = Map.copyOf(leases);
+            mRevision = revision;
+            mLastLease = lastLease;
+        }
+    }
+
     /** Sets the fault to simulate for subsequent calls. */
     public void setFault(FaultMode fault) {
         mFault = fault;
@@ -77,6 +96,27 @@
         mCompactedRevision = mRevision;
     }
 
+    /** Copies the content, for a later drill. */
+    public synchronized Copy copy() {
+        return new Copy(mItems, mLeases, mRevision, mLastLease);
+    }
+
+    /**
+     * Restores the content from a copy and begins a new era, in which revisions and leases are
+     * numbered again from those of the copy.
+     */
+    public synchronized void restore(Copy copy) {
+        mItems.clear();
+        mItems.putAll(copy.mItems);
+        mLeases.clear();
+        copy.mLeases.forEach((id, lease) -> mLeases.put(id, lease(lease.ttlMillis())));
+        mEvents.clear();
+        mRevision = copy.mRevision;
+        mCompactedRevision = copy.mRevision;
+        mLastLease = copy.mLastLease;
+        mEra++;
+    }
+
     /** Returns the keys that start with a prefix. */
     public synchronized List<String> keys(String prefix) {
         return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
@@ -202,17 +242,25 @@
     }
 
     private Mono<Void> send(HttpServerResponse response, Reply reply) {
+        long era = era();
         return Mono.delay(mDelay)
                 .then(
                         Mono.defer(
                                 () ->
                                         Mono.from(
                                                 Json.send(
-                                                        response, reply.status(), reply.body()))));
+                                                        response.header(
+                                                                ERA_HEADER, Long.toString(era)),
+                                                        reply.status(),
+                                                        reply.body()))));
+    }
+
+    private synchronized long era() {
+        return mEra;
     }
 
     private synchronized Reply watchReply(String prefix, long after) {
-        return after < mCompactedRevision
+        return after < mCompactedRevision || after > mRevision
                 ? new Reply(410, Json.object())
                 : new Reply(200, events(prefix, after));
     }
--- a/store/src/main/java/org/fuchsiaford/store/Store.java
+++ b/store/src/main/java/org/fuchsiaford/store/Store.java
@@ -8,10 +8,18 @@
  * A client of the platform's key-value service. Reads are linearizable.
  *
  * <p>Every publisher fails with {@link StoreException} if the service does not respond in time or
- * responds with an error; a write that failed this way may have taken effect. Implementations are
- * thread-safe.
+ * responds with an error; a write that failed this way may have taken effect.
+ *
+ * <p>Invariant: revisions rise over all eras of the service, see {@link StoreRevision}. A lease or
+ * an expected revision of a former era counts as ended or changed, and a response from a former era
+ * that arrives late is an error. Implementations are thread-safe.
  */
 public interface Store {
+    /** Returns the latest era that a response has named. */
+    default long era() {
+        return StoreRevision.FIRST_ERA;
+    }
+
     /** Reads several keys in one consistent read. */
     Mono<StoreSnapshot> read(List<StoreKey> keys);
 
@@ -40,7 +48,8 @@
 
     /**
      * Watches all keys with a prefix for changes. Completes after some minutes; the caller then
-     * reads the keys again and opens a new watch.
+     * reads the keys again and opens a new watch. Fails if a new era has begun since the first
+     * revision.
      *
      * @param fromRevision the first revision to report
      */
