End the term of an order holder with the era of the store

Servers saw: after a drill of the store an engine got an order with a lower fencing token than the one before.

Cause: the token is the store's revision of the holder's record, and a restored store gives its revisions out again. A holder also went on with a term whose record and lease might be gone with the copy.

--- a/core/src/main/java/org/fuchsiaford/order/OrderLeaseTerm.java
+++ b/core/src/main/java/org/fuchsiaford/order/OrderLeaseTerm.java
@@ -8,6 +8,7 @@
  * in which the last order of a former holder arrives, nor in the last part of the lease. Immutable.
  *
  * @param fence fencing token: the store revision of the holder's record, higher for later holders
+ *     over all eras of the store
  * @param fromNanos from when orders may be sent
  * @param untilNanos until when orders may be sent unless the lease is renewed
  */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/OrderLease.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/OrderLease.java
@@ -19,7 +19,8 @@
  * whose record is in the store; the record is bound to a lease of the store.
  *
  * <p>Invariant: on this host's monotonic clock a term ends before the lease can expire at the
- * store; a renewal whose response is lost does not extend the term. Thread-safe.
+ * store; a renewal whose response is lost does not extend the term. A term ends with the era of the
+ * store in which it began, since the record may be lost with it. Thread-safe.
  */
 final class OrderLease {
     /**
@@ -49,9 +50,8 @@
 
     /** Returns the term of this host, if it has one that has not ended. */
     synchronized Optional<OrderLeaseTerm> currentTerm() {
-        if (mTerm.filter(t -> mTicker.nowNanos() - t.untilNanos() < 0).isEmpty()) {
-            mTerm = Optional.empty();
-        }
+        boolean isInEra = mLease.era() == mStore.era();
+        mTerm = mTerm.filter(t -> isInEra && mTicker.nowNanos() - t.untilNanos() < 0);
         return mTerm;
     }
 
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/order/OrderLeaseTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/order/OrderLeaseTest.java
@@ -43,6 +43,7 @@
         private long mEntryLease;
         private long mLastRevision;
         private boolean mLoseResponses;
+        private long mEra = 1;
 
         private void expire() {
             if (mEntry != null && mLeaseEndNanos.getOrDefault(mEntryLease, 0L) <= mNowNanos) {
@@ -56,6 +57,11 @@
                     : Mono.just(value);
         }
 
+        @Override
+        public long era() {
+            return mEra;
+        }
+
         @Override
         public Mono<StoreSnapshot> read(List<StoreKey> keys) {
             expire();
@@ -158,6 +164,16 @@
         assertThat(second.fence()).isGreaterThan(first.fence());
     }
 
+    /** A restored store may have lost the record, so that another host holds the lease. */
+    @Example
+    void aTermEndsWhenANewEraOfTheStoreBegins() {
+        acquire(mFirst);
+        renewFor(mFirst, 4_000);
+        assertThat(mayOrder(mFirst)).isTrue();
+        mStore.mEra = 2;
+        assertThat(mayOrder(mFirst)).isFalse();
+    }
+
     /**
      * For any sequence of renewals, lost responses and takeovers, no two hosts may send orders
      * within the duration of one lease.
