Bound what a host keeps of responses that do not end

Callers saw: an engine that sent an error response without end filled the heap of the host that called it; the host answered nothing any more, and its process lived on.

Cause: responses that are not streams were kept as lists of parts without a limit in bytes, and a call that ended early left its connection open, which the client library reads on.

Change: responses are joined up to a limit each (setting maxResponseBytes) and up to an eighth of the heap together; events of resumable streams and reports of engines are limited too; each call closes its connection when it ends early, in all clients of servers.

--- a/core/src/main/java/org/fuchsiaford/request/SseEventBuffer.java
+++ b/core/src/main/java/org/fuchsiaford/request/SseEventBuffer.java
@@ -44,6 +44,11 @@
         return mScanner.isInsideEvent();
     }
 
+    /** Returns the number of bytes after the last complete event. */
+    public int pendingSize() {
+        return mPending.size();
+    }
+
     /** Returns the bytes after the last complete event, which a finished stream may end with. */
     public byte[] pendingBytes() {
         return mPending.toByteArray();
--- a/entry/src/main/java/org/fuchsiaford/entry/backend/CompletionsEngineClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/backend/CompletionsEngineClient.java
@@ -15,6 +15,8 @@
 import org.fuchsiaford.bundle.BackendServer;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.placement.EngineLoad;
+import org.fuchsiaford.store.http.BoundedBody;
+import org.fuchsiaford.store.http.CallConnection;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -43,6 +45,7 @@
 
     private static final Duration BETWEEN_TOKENS_TIMEOUT = Duration.ofSeconds(1);
     private static final int MAX_LINE_BYTES = 1024 * 1024;
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
     private static final String SSE_DATA_PREFIX = "data: ";
     private static final String END_MARKER = "[DONE]";
 
@@ -57,14 +60,22 @@
 
     @Override
     public Mono<EngineLoad> load(BackendServer engine) {
-        return mClient.get()
-                .uri(engine.url() + "/load")
-                .responseContent()
-                .aggregate()
-                .asByteArray()
-                .timeout(LOAD_TIMEOUT)
-                .flatMap(bytes -> Mono.fromCallable(() -> toLoad(engine, bytes)))
-                .onErrorMap(e -> failed(Step.PLACE, engine, false, e));
+        return Mono.defer(
+                () -> {
+                    CallConnection connection = new CallConnection();
+                    return connection.closeAtEnd(
+                            connection
+                                    .track(mClient)
+                                    .get()
+                                    .uri(engine.url() + "/load")
+                                    .responseContent()
+                                    .asByteArray()
+                                    .as(body -> BoundedBody.join(body, MAX_BODY_BYTES))
+                                    .timeout(LOAD_TIMEOUT)
+                                    .flatMap(
+                                            bytes -> Mono.fromCallable(() -> toLoad(engine, bytes)))
+                                    .onErrorMap(e -> failed(Step.PLACE, engine, false, e)));
+                });
     }
 
     private EngineLoad toLoad(BackendServer engine, byte[] bytes) throws IOException {
@@ -89,14 +100,24 @@
     public Mono<PrefillResult> prefill(BackendServer engine, EngineRequest request) {
         ObjectNode body = body(request).put("stream", false).put("max_tokens", 1);
         body.putObject("kv_transfer_params").put("do_remote_decode", true);
-        AtomicBoolean sent = new AtomicBoolean();
-        return post(mClient, engine, request, body, sent)
-                .responseSingle(
-                        (response, content) ->
-                                check(Step.PREFILL, engine, response).then(content.asByteArray()))
-                .timeout(prefillTimeout(engine, request))
-                .flatMap(bytes -> Mono.fromCallable(() -> toResult(bytes)))
-                .onErrorMap(e -> failed(Step.PREFILL, engine, sent.get(), e));
+        return Mono.defer(
+                () -> {
+                    AtomicBoolean sent = new AtomicBoolean();
+                    CallConnection connection = new CallConnection();
+                    return connection.closeAtEnd(
+                            post(connection.track(mClient), engine, request, body, sent)
+                                    .response(
+                                            (response, content) ->
+                                                    check(Step.PREFILL, engine, response)
+                                                            .then(
+                                                                    BoundedBody.join(
+                                                                            content.asByteArray(),
+                                                                            MAX_BODY_BYTES)))
+                                    .single()
+                                    .timeout(prefillTimeout(engine, request))
+                                    .flatMap(bytes -> Mono.fromCallable(() -> toResult(bytes)))
+                                    .onErrorMap(e -> failed(Step.PREFILL, engine, sent.get(), e)));
+                });
     }
 
     /** Uses the number of characters as an upper bound on the number of tokens in the prompt. */
@@ -122,8 +143,18 @@
         body.putObject("stream_options")
                 .put("include_usage", true)
                 .put("continuous_usage_stats", true);
+        return Flux.defer(
+                () -> {
+                    CallConnection connection = new CallConnection();
+                    return connection.closeAtEnd(
+                            decode(connection.track(mStreamClient), engine, request, body));
+                });
+    }
+
+    private Flux<CompletionChunk> decode(
+            HttpClient client, BackendServer engine, EngineRequest request, ObjectNode body) {
         AtomicBoolean sent = new AtomicBoolean();
-        return post(mStreamClient, engine, request, body, sent)
+        return post(client, engine, request, body, sent)
                 .response(
                         (response, content) ->
                                 check(Step.DECODE, engine, response)
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -16,6 +16,7 @@
 import org.fuchsiaford.entry.gateway.forward.EngineAdmission;
 import org.fuchsiaford.entry.gateway.forward.GatewayServer;
 import org.fuchsiaford.entry.gateway.forward.PrefillClient;
+import org.fuchsiaford.entry.gateway.forward.ResponseMemory;
 import org.fuchsiaford.entry.gateway.forward.RetryBudgets;
 import org.fuchsiaford.entry.gateway.forward.RouteAdmission;
 import org.fuchsiaford.entry.gateway.forward.ServerClient;
@@ -74,6 +75,9 @@
     /** Part of the grace period that is reserved for the exit of the process. */
     private static final long EXIT_RESERVE_MILLIS = 500;
 
+    /** Part of the heap that large responses may use together; joining them takes twice as much. */
+    private static final int RESPONSE_HEAP_DIVISOR = 8;
+
     private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(200);
 
@@ -174,6 +178,10 @@
         ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
         ServerNotices notices = createNotices(backoff, serviceMetrics);
         ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
+        ResponseMemory memory =
+                new ResponseMemory(
+                        mSettings.maxResponseBytes(),
+                        Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR);
         RetryBudgets budgets =
                 new RetryBudgets(
                         mSettings.retryWindowMillis(),
@@ -185,7 +193,7 @@
         ServerSelector selector =
                 new ServerSelector(domain, loads, health, GatewayHost::randomFraction);
         PrefillClient prefill =
-                new PrefillClient(client, mAdapter.serverProtocol(), attempts, mTicker);
+                new PrefillClient(client, memory, mAdapter.serverProtocol(), attempts, mTicker);
         return new GatewayServer(
                 mSettings.callerAddress(),
                 mAdapter.callerProtocol(),
@@ -199,6 +207,7 @@
                         selector,
                         loads,
                         client,
+                        memory,
                         attempts,
                         GatewayHost::randomFraction,
                         mLog,
@@ -211,6 +220,7 @@
                         mState,
                         loads,
                         client,
+                        memory,
                         prefill,
                         mCoordination.origins(),
                         attempts,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -28,6 +28,8 @@
  * @param limitWindowMillis the length of the window in which rate limits are counted, in
  *     milliseconds
  * @param orderLeaseSeconds the duration of the lease for sending stage orders, in seconds
+ * @param maxResponseBytes the maximum size of a response that is kept in memory until it is
+ *     complete, in bytes
  */
 public record GatewaySettings(
         String adapter,
@@ -48,4 +50,5 @@
         double retryRatio,
         double retrySlack,
         long limitWindowMillis,
-        long orderLeaseSeconds) {}
+        long orderLeaseSeconds,
+        int maxResponseBytes) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -24,6 +24,9 @@
     /** Window of the rate limits where none is stated. */
     private static final long DEFAULT_LIMIT_WINDOW_MILLIS = 1_000;
 
+    /** Maximum size of a response that is kept in memory where none is stated. */
+    private static final int DEFAULT_MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+
     private static final double MIN_CORES = 0.001;
     private static final double MAX_CORES = 1_024;
 
@@ -79,7 +82,10 @@
                 root.has("limitWindowSeconds")
                         ? millis(root, "limitWindowSeconds")
                         : DEFAULT_LIMIT_WINDOW_MILLIS,
-                root.number("orderLeaseSeconds", 1, MAX_SECONDS));
+                root.number("orderLeaseSeconds", 1, MAX_SECONDS),
+                root.has("maxResponseBytes")
+                        ? (int) root.number("maxResponseBytes", 1, Integer.MAX_VALUE)
+                        : DEFAULT_MAX_RESPONSE_BYTES);
     }
 
     private static double cores(JsonObjectReader root) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -56,6 +56,7 @@
     private final ServerSelector mSelector;
     private final LoadTracker mLoads;
     private final ServerClient mClient;
+    private final ResponseMemory mMemory;
     private final AttemptRecorder mAttempts;
     private final DoubleSupplier mRandom;
     private final DecisionLog mLog;
@@ -75,6 +76,7 @@
             ServerSelector selector,
             LoadTracker loads,
             ServerClient client,
+            ResponseMemory memory,
             AttemptRecorder attempts,
             DoubleSupplier random,
             DecisionLog log,
@@ -87,6 +89,7 @@
         mSelector = selector;
         mLoads = loads;
         mClient = client;
+        mMemory = memory;
         mAttempts = attempts;
         mRandom = random;
         mLog = log;
@@ -168,6 +171,7 @@
         logPlaced(context, server, previousSends, remainingMillis);
         ServerLoad load = new ServerLoad(server.id(), 1, 0, 0);
         mLoads.add(load);
+        RemoteName remote = new RemoteName(server.id().value());
         return mClient.exchange(
                         context.serverRequest(
                                 server,
@@ -178,8 +182,7 @@
                         context.body(),
                         Step.FORWARD,
                         attemptTimeout(context, remainingMillis))
-                .collectList()
-                .flatMap(parts -> complete(server, parts))
+                .as(parts -> mMemory.collect(Step.FORWARD, remote, parts))
                 .doFinally(signal -> mLoads.remove(load))
                 .flatMap(response -> handleResponse(context, server, response, startNanos))
                 .onErrorResume(BackendCallException.class, e -> handleFailure(context, server, e));
@@ -198,19 +201,6 @@
         return Duration.ofMillis(Math.max(1, millis));
     }
 
-    private static Mono<CompleteResponse> complete(LiveServer server, List<ResponsePart> parts) {
-        return CompleteResponse.of(parts)
-                .map(Mono::just)
-                .orElseGet(
-                        () ->
-                                Mono.error(
-                                        new BackendCallException(
-                                                Step.FORWARD,
-                                                new RemoteName(server.id().value()),
-                                                AttemptOutcome.UNKNOWN,
-                                                "the response is empty")));
-    }
-
     private Mono<CompleteResponse> handleResponse(
             RequestContext context, LiveServer server, CompleteResponse response, long startNanos) {
         ResponseHead head = response.head();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
@@ -1,7 +1,6 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.attempt.AttemptOutcome;
@@ -27,14 +26,20 @@
     private static final long FETCH_MARGIN_MILLIS = 100;
 
     private final ServerClient mClient;
+    private final ResponseMemory mMemory;
     private final ServerProtocol mProtocol;
     private final AttemptRecorder mAttempts;
     private final Ticker mTicker;
 
     /** Creates a client. */
     public PrefillClient(
-            ServerClient client, ServerProtocol protocol, AttemptRecorder attempts, Ticker ticker) {
+            ServerClient client,
+            ResponseMemory memory,
+            ServerProtocol protocol,
+            AttemptRecorder attempts,
+            Ticker ticker) {
         mClient = client;
+        mMemory = memory;
         mProtocol = protocol;
         mAttempts = attempts;
         mTicker = ticker;
@@ -50,6 +55,7 @@
     Mono<Optional<KvSource>> prefill(
             RequestContext context, LiveServer engine, long timeoutMillis, long ttlMillis) {
         long startNanos = mTicker.nowNanos();
+        RemoteName remote = new RemoteName(engine.id().value());
         long callMillis = Math.max(1, Math.min(timeoutMillis, context.remainingMillis(startNanos)));
         return mClient.exchange(
                         context.serverRequest(
@@ -61,8 +67,8 @@
                         context.body(),
                         Step.PREFILL,
                         Duration.ofMillis(callMillis))
-                .collectList()
-                .flatMap(parts -> readKvSource(engine, parts, ttlMillis))
+                .as(parts -> mMemory.collect(Step.PREFILL, remote, parts))
+                .flatMap(response -> readKvSource(engine, response, ttlMillis))
                 .doOnNext(source -> mAttempts.recordSuccess(engine, startNanos))
                 .map(Optional::of)
                 .onErrorResume(
@@ -74,20 +80,18 @@
     }
 
     private Mono<KvSource> readKvSource(
-            LiveServer engine, List<ResponsePart> parts, long ttlMillis) {
+            LiveServer engine, CompleteResponse response, long ttlMillis) {
         RemoteName remote = new RemoteName(engine.id().value());
-        Optional<CompleteResponse> response = CompleteResponse.of(parts);
-        if (response.isEmpty() || response.get().head().status() != 200) {
-            AttemptOutcome outcome =
-                    response.map(complete -> complete.head().outcome())
-                            .orElse(AttemptOutcome.UNKNOWN);
-            String reason =
-                    response.map(complete -> "status " + complete.head().status())
-                            .orElse("no response");
-            return Mono.error(new BackendCallException(Step.PREFILL, remote, outcome, reason));
+        if (response.head().status() != 200) {
+            return Mono.error(
+                    new BackendCallException(
+                            Step.PREFILL,
+                            remote,
+                            response.head().outcome(),
+                            "status " + response.head().status()));
         }
         try {
-            String handle = mProtocol.readKvHandle(response.get().body());
+            String handle = mProtocol.readKvHandle(response.body());
             long fetchMillis = Math.max(0, ttlMillis - FETCH_MARGIN_MILLIS);
             long untilNanos = mTicker.nowNanos() + TimeUnit.MILLISECONDS.toNanos(fetchMillis);
             return Mono.just(new KvSource(engine.address(), engine.version(), handle, untilNanos));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
@@ -16,6 +16,7 @@
 import org.fuchsiaford.failure.RemoteName;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.registry.ServerAddress;
+import org.fuchsiaford.store.http.CallConnection;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -53,7 +54,7 @@
     }
 
     /**
-     * Sends a request. Cancelling the subscription closes the connection.
+     * Sends a request. The connection is closed when the response ends, fails or is cancelled.
      *
      * @param body the body of the caller's request
      * @param step the step that errors are reported for
@@ -63,6 +64,7 @@
     Flux<ResponsePart> exchange(ServerRequest request, byte[] body, Step step, Duration timeout) {
         return Flux.defer(
                 () -> {
+                    CallConnection connection = new CallConnection();
                     AtomicBoolean sent = new AtomicBoolean();
                     Mono<Void> deadline =
                             Mono.delay(timeout)
@@ -71,17 +73,19 @@
                                                     new TimeoutException(
                                                             "no complete response within the"
                                                                     + " timeout")));
-                    return send(request, body, sent)
-                            .takeUntilOther(deadline)
-                            .onErrorMap(e -> failure(request, step, sent.get(), e));
+                    return connection.closeAtEnd(
+                            send(connection.track(mClient), request, body, sent)
+                                    .takeUntilOther(deadline)
+                                    .onErrorMap(e -> failure(request, step, sent.get(), e)));
                 });
     }
 
-    private Flux<ResponsePart> send(ServerRequest request, byte[] body, AtomicBoolean sent) {
+    private Flux<ResponsePart> send(
+            HttpClient client, ServerRequest request, byte[] body, AtomicBoolean sent) {
         HttpMethod method = request.caller().method();
         boolean hasBody = body.length > 0 || !method.equals(HttpMethod.GET);
         HttpClient.RequestSender sender =
-                mClient.doOnRequest((r, connection) -> sent.set(true))
+                client.doOnRequest((r, connection) -> sent.set(true))
                         .headers(
                                 headers -> {
                                     headers.set(mProtocol.headers(request));
@@ -133,11 +137,18 @@
      */
     Mono<Void> releaseKvCache(KvSource source) {
         ServerAddress address = source.address();
-        return mClient.delete()
-                .uri("http://" + address + mProtocol.releasePath(source))
-                .response()
-                .timeout(RELEASE_TIMEOUT)
-                .then()
-                .onErrorResume(e -> Mono.empty());
+        return Mono.defer(
+                () -> {
+                    CallConnection connection = new CallConnection();
+                    return connection.closeAtEnd(
+                            connection
+                                    .track(mClient)
+                                    .delete()
+                                    .uri("http://" + address + mProtocol.releasePath(source))
+                                    .response()
+                                    .timeout(RELEASE_TIMEOUT)
+                                    .then()
+                                    .onErrorResume(e -> Mono.empty()));
+                });
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -11,7 +11,6 @@
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
 import org.fuchsiaford.entry.gateway.protocol.KvSource;
-import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.failure.RefusalException;
@@ -30,6 +29,7 @@
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.SynchronousSink;
 
 /**
  * Forwards requests whose responses are event streams of model engines: acquires engines, calls a
@@ -59,6 +59,9 @@
      */
     private static final Duration EVENT_TIMEOUT = Duration.ofMillis(1_800);
 
+    /** Maximum size of an event of a resumable stream, which is kept until it is complete. */
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
+
     /** Retry delay for callers who can only begin their streams anew. */
     private static final long BEGIN_ANEW_RETRY_MILLIS = 100;
 
@@ -72,6 +75,7 @@
     private final EnginePool mPool;
     private final LoadTracker mLoads;
     private final ServerClient mClient;
+    private final RejectionReader mRejections;
     private final PrefillClient mPrefill;
     private final OriginTracker mOrigins;
     private final AttemptRecorder mAttempts;
@@ -87,6 +91,7 @@
             EnginePool pool,
             LoadTracker loads,
             ServerClient client,
+            ResponseMemory memory,
             PrefillClient prefill,
             OriginTracker origins,
             AttemptRecorder attempts,
@@ -99,6 +104,7 @@
         mPool = pool;
         mLoads = loads;
         mClient = client;
+        mRejections = new RejectionReader(memory);
         mPrefill = prefill;
         mOrigins = origins;
         mAttempts = attempts;
@@ -294,7 +300,8 @@
                                                 head,
                                                 all,
                                                 startNanos)
-                                        : readRejection(server, all))
+                                        : mRejections.read(
+                                                new RemoteName(server.id().value()), all))
                 .onErrorResume(
                         BackendCallException.class,
                         e -> handleFailure(context, progress, assignment, e, source));
@@ -346,7 +353,7 @@
         recordOrigin(context, server);
         Flux<ResponsePart> body =
                 all.skip(1)
-                        .map(part -> progress.append(((ResponsePart.Body) part).bytes()))
+                        .<byte[]>handle((part, sink) -> append(server, progress, part, sink))
                         .concatWith(Mono.defer(() -> endOfStream(server, progress)))
                         .filter(ready -> ready.length > 0)
                         .map(ResponsePart.Body::new);
@@ -359,6 +366,24 @@
         return Flux.concat(Mono.just(head), body);
     }
 
+    private static void append(
+            LiveServer server,
+            StreamProgress progress,
+            ResponsePart part,
+            SynchronousSink<byte[]> sink) {
+        byte[] ready = progress.append(((ResponsePart.Body) part).bytes());
+        if (progress.partialEventBytes() > MAX_EVENT_BYTES) {
+            sink.error(
+                    new BackendCallException(
+                            Step.DECODE,
+                            new RemoteName(server.id().value()),
+                            AttemptOutcome.UNKNOWN,
+                            "an event exceeds " + MAX_EVENT_BYTES + " bytes"));
+        } else {
+            sink.next(ready);
+        }
+    }
+
     /** From here on the stream may only go on at the version of this server. */
     private void recordOrigin(RequestContext context, LiveServer server) {
         context.bindTo(server);
@@ -380,25 +405,6 @@
                 : Mono.fromSupplier(progress::remainingBytes);
     }
 
-    /** Reads a rejection completely and fails with an exception that contains its parts. */
-    private static Flux<ResponsePart> readRejection(LiveServer server, Flux<ResponsePart> all) {
-        return all.collectList()
-                .flatMapMany(
-                        parts -> {
-                            Optional<ResponseHead> head =
-                                    CompleteResponse.of(parts).map(CompleteResponse::head);
-                            return Flux.error(
-                                    new BackendCallException(
-                                            Step.DECODE,
-                                            new RemoteName(server.id().value()),
-                                            head.map(ResponseHead::outcome)
-                                                    .orElse(AttemptOutcome.UNKNOWN),
-                                            head.map(h -> "status " + h.status())
-                                                    .orElse("no response"),
-                                            parts));
-                        });
-    }
-
     private Flux<ResponsePart> handleFailure(
             RequestContext context,
             StreamProgress progress,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamProgress.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamProgress.java
@@ -56,6 +56,11 @@
         return bytes;
     }
 
+    /** Returns the size of the part of an event that is kept until the event is complete. */
+    int partialEventBytes() {
+        return mBuffer.pendingSize();
+    }
+
     /** Returns whether the bytes appended so far end with an incomplete event. */
     boolean isInsideEvent() {
         return mHasEvents && (mResumable ? mBuffer.isInsideEvent() : mScanner.isInsideEvent());
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/OrderClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/OrderClient.java
@@ -12,14 +12,19 @@
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.order.StageOrder;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.store.http.BoundedBody;
+import org.fuchsiaford.store.http.CallConnection;
 import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
 import reactor.netty.resources.ConnectionProvider;
 
 /** A client that reads the reports of engines and sends them stage orders. Thread-safe. */
 final class OrderClient {
     private static final Duration TIMEOUT = Duration.ofMillis(500);
     private static final int OK = 200;
+    private static final int MAX_REPORT_BYTES = 1024 * 1024;
 
     private final OrderProtocol mProtocol;
     private final HostId mSelf;
@@ -36,16 +41,30 @@
 
     /** Returns the report of an engine; fails if none is received within the timeout. */
     Mono<EngineReport> readReport(LiveServer engine) {
-        return mClient.get()
-                .uri("http://" + engine.address() + mProtocol.reportPath())
-                .responseSingle(
-                        (response, body) ->
-                                response.status().code() == OK
-                                        ? body.asByteArray()
-                                        : Mono.error(
-                                                unexpectedStatus(engine, response.status().code())))
-                .flatMap(bytes -> Mono.fromCallable(() -> mProtocol.readReport(bytes)))
-                .timeout(TIMEOUT);
+        return Mono.defer(
+                () -> {
+                    CallConnection connection = new CallConnection();
+                    return connection.closeAtEnd(
+                            connection
+                                    .track(mClient)
+                                    .get()
+                                    .uri("http://" + engine.address() + mProtocol.reportPath())
+                                    .response((head, body) -> readBody(engine, head, body))
+                                    .single()
+                                    .flatMap(
+                                            bytes ->
+                                                    Mono.fromCallable(
+                                                            () -> mProtocol.readReport(bytes)))
+                                    .timeout(TIMEOUT));
+                });
+    }
+
+    private static Mono<byte[]> readBody(
+            LiveServer engine, HttpClientResponse head, ByteBufFlux body) {
+        int status = head.status().code();
+        return status == OK
+                ? BoundedBody.join(body.asByteArray(), MAX_REPORT_BYTES)
+                : Mono.error(unexpectedStatus(engine, status));
     }
 
     private static UnreadableException unexpectedStatus(LiveServer engine, int status) {
@@ -63,15 +82,27 @@
      */
     Mono<Integer> sendOrder(StageOrder order, long fence, long acceptedOrders) {
         byte[] body = mProtocol.writeOrder(order, mSelf, fence, acceptedOrders);
-        return mClient.headers(
-                        headers ->
-                                headers.set(mProtocol.orderHeaders(order))
-                                        .set(HttpHeaderNames.CONTENT_LENGTH, body.length))
-                .post()
-                .uri("http://" + order.engine().address() + mProtocol.orderPath())
-                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
-                .response()
-                .map(response -> response.status().code())
-                .timeout(TIMEOUT);
+        return Mono.defer(
+                () -> {
+                    CallConnection connection = new CallConnection();
+                    return connection.closeAtEnd(
+                            connection
+                                    .track(mClient)
+                                    .headers(
+                                            headers ->
+                                                    headers.set(mProtocol.orderHeaders(order))
+                                                            .set(
+                                                                    HttpHeaderNames.CONTENT_LENGTH,
+                                                                    body.length))
+                                    .post()
+                                    .uri(
+                                            "http://"
+                                                    + order.engine().address()
+                                                    + mProtocol.orderPath())
+                                    .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+                                    .response()
+                                    .map(response -> response.status().code())
+                                    .timeout(TIMEOUT));
+                });
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/http/RequestBody.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/http/RequestBody.java
@@ -2,12 +2,13 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.timeout.ReadTimeoutException;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.concurrent.TimeoutException;
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.store.http.BodyTooLargeException;
+import org.fuchsiaford.store.http.BoundedBody;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 
@@ -35,11 +36,7 @@
         if (contentLength(request) > maxBytes) {
             return Mono.error(tooLarge(maxBytes));
         }
-        return request.receive()
-                .asByteArray()
-                .reduceWith(
-                        ByteArrayOutputStream::new, (body, bytes) -> append(body, bytes, maxBytes))
-                .map(ByteArrayOutputStream::toByteArray)
+        return BoundedBody.join(request.receive().asByteArray(), maxBytes)
                 .timeout(READ_TIMEOUT)
                 .onErrorMap(TimeoutException.class, e -> tooSlow())
                 .onErrorMap(ReadTimeoutException.class, e -> tooSlow())
@@ -56,25 +53,11 @@
         }
     }
 
-    private static ByteArrayOutputStream append(
-            ByteArrayOutputStream body, byte[] bytes, int maxBytes) {
-        if (body.size() + bytes.length > maxBytes) {
-            throw new BodyTooLargeException();
-        }
-        body.writeBytes(bytes);
-        return body;
-    }
-
     private static RefusalException tooLarge(int maxBytes) {
         return RefusalException.notRun(
                 RefusalReason.TOO_LARGE, Step.ADMIT, "the body exceeds " + maxBytes + " bytes");
     }
 
-    /** Unchecked, since reactive operators cannot throw checked exceptions. */
-    private static final class BodyTooLargeException extends RuntimeException {
-        private static final long serialVersionUID = 1L;
-    }
-
     private static RefusalException tooSlow() {
         return RefusalException.notRun(
                 RefusalReason.CALLER_TOO_SLOW, Step.ADMIT, "the body was not received in time");
--- a/entry/src/main/java/org/fuchsiaford/entry/service/ServiceClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/service/ServiceClient.java
@@ -6,6 +6,8 @@
 import org.fuchsiaford.bundle.BackendServer;
 import org.fuchsiaford.entry.backend.BackendException;
 import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.store.http.BoundedBody;
+import org.fuchsiaford.store.http.CallConnection;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
@@ -19,6 +21,7 @@
  * <p>Thread-safe.
  */
 public final class ServiceClient {
+    private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
     private final HttpClient mClient =
@@ -34,18 +37,31 @@
      */
     public Mono<ServiceResponse> call(
             BackendServer server, ServiceRequest request, Runnable beforeSending) {
-        return mClient.headers(headers -> headers.add(request.headers()))
+        return Mono.defer(
+                () -> {
+                    CallConnection connection = new CallConnection();
+                    return connection.closeAtEnd(
+                            send(connection.track(mClient), server, request, beforeSending)
+                                    .timeout(Duration.ofMillis(request.route().timeoutMillis()))
+                                    .onErrorMap(e -> failed(server, e)));
+                });
+    }
+
+    private static Mono<ServiceResponse> send(
+            HttpClient client,
+            BackendServer server,
+            ServiceRequest request,
+            Runnable beforeSending) {
+        return client.headers(headers -> headers.add(request.headers()))
                 .doOnRequest((httpRequest, connection) -> beforeSending.run())
                 .request(request.method())
                 .uri(server.url() + request.uri())
                 .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(request.body())))
-                .responseSingle(
+                .response(
                         (response, content) ->
-                                content.asByteArray()
-                                        .defaultIfEmpty(new byte[0])
+                                BoundedBody.join(content.asByteArray(), MAX_RESPONSE_BYTES)
                                         .map(body -> serviceResponse(response, body)))
-                .timeout(Duration.ofMillis(request.route().timeoutMillis()))
-                .onErrorMap(e -> failed(server, e));
+                .single();
     }
 
     private static ServiceResponse serviceResponse(HttpClientResponse response, byte[] body) {
--- a/store/src/main/java/org/fuchsiaford/store/hostlist/HttpHostList.java
+++ b/store/src/main/java/org/fuchsiaford/store/hostlist/HttpHostList.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.time.Duration;
 import java.util.List;
+import org.fuchsiaford.store.http.BoundedBody;
+import org.fuchsiaford.store.http.CallConnection;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
@@ -13,6 +15,8 @@
 public final class HttpHostList implements HostList {
     private static final Duration READ_TIMEOUT = Duration.ofMillis(1_000);
 
+    private static final int MAX_LIST_BYTES = 4 * 1024 * 1024;
+
     private final JsonMapper mMapper =
             JsonMapper.builder().enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS).build();
     private final HttpClient mClient =
@@ -26,14 +30,21 @@
 
     @Override
     public Mono<List<ListedHost>> read() {
-        return mClient.get()
-                .uri(mUrl)
-                .responseContent()
-                .aggregate()
-                .asByteArray()
-                .timeout(READ_TIMEOUT)
-                .flatMap(bytes -> Mono.fromCallable(() -> parse(bytes)))
-                .onErrorMap(HostListException::new);
+        return Mono.defer(
+                () -> {
+                    CallConnection connection = new CallConnection();
+                    return connection.closeAtEnd(
+                            connection
+                                    .track(mClient)
+                                    .get()
+                                    .uri(mUrl)
+                                    .responseContent()
+                                    .asByteArray()
+                                    .as(body -> BoundedBody.join(body, MAX_LIST_BYTES))
+                                    .timeout(READ_TIMEOUT)
+                                    .flatMap(bytes -> Mono.fromCallable(() -> parse(bytes)))
+                                    .onErrorMap(HostListException::new));
+                });
     }
 
     private List<ListedHost> parse(byte[] bytes) throws java.io.IOException {
