--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -11,7 +12,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiFunction;
 import org.fuchsiaford.standin.FaultMode;
 import org.fuchsiaford.standin.Json;
@@ -19,6 +22,7 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -43,6 +47,8 @@
     private long mCalls;
     private long mCompactedRevision;
     private long mEra = 1;
+    private final Set<Channel> mConnections = ConcurrentHashMap.newKeySet();
+    private final Set<Channel> mSilentConnections = ConcurrentHashMap.newKeySet();
     private volatile FaultMode mFault = FaultMode.NONE;
     private volatile Duration mDelay = Duration.ZERO;
 
@@ -78,6 +84,11 @@
         mDelay = delay;
     }
 
+    /** Lets the open connections fall silent for good; new ones work. */
+    public void silenceOpenConnections() {
+        mSilentConnections.addAll(mConnections);
+    }
+
     /** Writes a key without a lease, as an operator or a backend server would. */
     public synchronized void put(String key, String value) {
         byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
@@ -143,6 +154,7 @@
                 HttpServer.create()
                         .host("127.0.0.1")
                         .port(port)
+                        .doOnConnection(this::track)
                         .route(
                                 routes ->
                                         routes.get("/api/kv-key", call(this::readKey))
@@ -161,6 +173,17 @@
         return server;
     }
 
+    private void track(Connection connection) {
+        mConnections.add(connection.channel());
+        connection.onDispose(() -> mConnections.remove(connection.channel()));
+    }
+
+    private boolean isSilent(HttpServerResponse response) {
+        Channel[] channel = new Channel[1];
+        response.withConnection(connection -> channel[0] = connection.channel());
+        return mSilentConnections.contains(channel[0]);
+    }
+
     private record Reply(int status, ObjectNode body) {}
 
     private interface Operation {
@@ -242,6 +265,9 @@
     }
 
     private Mono<Void> send(HttpServerResponse response, Reply reply) {
+        if (isSilent(response)) {
+            return Mono.never();
+        }
         long era = era();
         return Mono.delay(mDelay)
                 .then(
