Do not keep servers that left after a slow call of the store

Cause, reproduced here: one call without answer in 0.7 s was taken for an outage of the store. After it, removed servers were kept for up to 2.3 s as if their leases had expired in the outage, longer than a leaving server expects requests.

Change: servers are retained only after 2 s without a served call; one whose entry is seen to be removed is kept for 1.8 s at most. Prefill calls check that the engine is still usable. The check of the registry's retention is split: a missing entry keeps the former bound, a removed one has the shorter one. The store's stand-in no longer answers watches while it is down.

--- a/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
@@ -11,12 +11,14 @@
 /**
  * The registered backend servers, as reported by the store.
  *
- * <p>Invariant: an entry never reverts to an older revision. After a store outage, servers whose
- * entries are removed while not draining are retained for {@link #RETENTION_NANOS}, since servers
- * whose leases expired during the outage register again within that time; otherwise they are
- * dropped immediately. A run of a server that has said it is leaving is not used again, whatever
- * its entry says. A run whose entry had been removed and that a restored store lists again is not
- * used until the entry changes, or for {@link #SUSPENSION_NANOS}. Thread-safe.
+ * <p>Invariant: an entry never reverts to an older revision. Servers that are not draining and are
+ * missing after a store outage are retained for {@link #RETENTION_NANOS}, since servers whose
+ * leases expired during the outage register again within that time. A server whose entry is seen to
+ * be removed in this time may as well be leaving, so it is retained for {@link
+ * #REMOVED_RETENTION_NANOS} only. Otherwise servers are dropped immediately. A run of a server that
+ * has said it is leaving is not used again, whatever its entry says. A run whose entry had been
+ * removed and that a restored store lists again is not used until the entry changes, or for {@link
+ * #SUSPENSION_NANOS}. Thread-safe.
  */
 public final class ServerRegistry {
     /** Servers register again within 2 s after an outage; the remainder is reaction time. */
@@ -27,6 +29,9 @@
      */
     public static final long SUSPENSION_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    /** Shorter than the time in which a server that leaves still expects requests, at least 2 s. */
+    public static final long REMOVED_RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
+
     private final Map<BackendServerId, Entry> mEntries = new HashMap<>();
     private final Map<BackendServerId, Long> mSuspendedUntilNanos = new HashMap<>();
     private final Map<BackendServerId, Long> mLeavingRuns = new HashMap<>();
@@ -103,17 +108,35 @@
      * is the same or newer.
      */
     public synchronized boolean remove(BackendServerId id, long revision, long nowNanos) {
+        long retainUntilNanos = nowNanos + REMOVED_RETENTION_NANOS;
+        return remove(
+                id,
+                revision,
+                nowNanos,
+                mRetainUntilNanos - retainUntilNanos < 0 ? mRetainUntilNanos : retainUntilNanos);
+    }
+
+    /**
+     * Records that an entry is missing, maybe since it expired during an outage. Returns false if
+     * the entry is unknown or its known revision is the same or newer.
+     */
+    public synchronized boolean removeMissing(BackendServerId id, long revision, long nowNanos) {
+        return remove(id, revision, nowNanos, mRetainUntilNanos);
+    }
+
+    private boolean remove(
+            BackendServerId id, long revision, long nowNanos, long retainUntilNanos) {
         Entry last = mEntries.get(id);
         if (last == null || last.revision() >= revision) {
             return false;
         }
         boolean retained = mRetaining && nowNanos - mRetainUntilNanos < 0 && last.server() != null;
         LiveServer kept = retained && !last.server().draining() ? last.server() : null;
-        mEntries.put(id, new Entry(kept, revision, true, mRetainUntilNanos));
+        mEntries.put(id, new Entry(kept, revision, true, retainUntilNanos));
         return true;
     }
 
-    /** Retains servers whose entries are removed, until {@link #RETENTION_NANOS} from now. */
+    /** Retains servers whose entries are missing, until {@link #RETENTION_NANOS} from now. */
     public synchronized void retainRemoved(long nowNanos) {
         mRetaining = true;
         mRetainUntilNanos = nowNanos + RETENTION_NANOS;
--- a/core/src/test/java/org/fuchsiaford/registry/ServerRegistryTest.java
+++ b/core/src/test/java/org/fuchsiaford/registry/ServerRegistryTest.java
@@ -34,16 +34,35 @@
     }
 
     @Example
-    void aServerRemovedAfterAnOutageIsRetainedForTheRetentionTime() {
+    void aServerMissingAfterAnOutageIsRetainedForTheRetentionTime() {
         mRegistry.put(mServer, 1);
         mRegistry.retainRemoved(0);
-        mRegistry.remove(mServer.id(), 2, MILLI);
+        mRegistry.removeMissing(mServer.id(), 2, MILLI);
         assertThat(mRegistry.usable(SERVICE, 2_000 * MILLI)).containsExactly(mServer);
         assertThat(mRegistry.isUsable(mServer, 2_000 * MILLI)).isTrue();
         assertThat(mRegistry.usable(SERVICE, 2_400 * MILLI)).isEmpty();
         assertThat(mRegistry.isUsable(mServer, 2_400 * MILLI)).isFalse();
     }
 
+    /** Guards against requests to a server that left after the store was taken to be away. */
+    @Example
+    void aServerRemovedAfterAnOutageIsRetainedForLessThanItsDrainTime() {
+        mRegistry.put(mServer, 1);
+        mRegistry.retainRemoved(0);
+        mRegistry.remove(mServer.id(), 2, 400 * MILLI);
+        assertThat(mRegistry.usable(SERVICE, 2_100 * MILLI)).containsExactly(mServer);
+        assertThat(mRegistry.usable(SERVICE, 2_200 * MILLI)).isEmpty();
+        assertThat(mRegistry.isUsable(mServer, 2_200 * MILLI)).isFalse();
+    }
+
+    @Example
+    void aServerRemovedLaterThanTheRetentionTimeIsDroppedAtOnce() {
+        mRegistry.put(mServer, 1);
+        mRegistry.retainRemoved(0);
+        mRegistry.remove(mServer.id(), 2, 2_400 * MILLI);
+        assertThat(mRegistry.usable(SERVICE, 2_400 * MILLI)).isEmpty();
+    }
+
     @Example
     void aDrainingServerIsNotRetained() {
         mRegistry.put(mDraining, 1);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -255,14 +255,19 @@
     }
 
     private Mono<Optional<KvSource>> callPrefill(RequestContext context, EnginePlan plan) {
-        boolean paused = mBackoff.isActive(plan.prefill().get(), mTicker.nowNanos());
-        if (paused || !mAttempts.allowsPrefillCall(context)) {
+        LiveServer engine = plan.prefill().get();
+        long nowNanos = mTicker.nowNanos();
+        // The plan may come from a coordinator that does not yet know that the engine is leaving.
+        boolean unusable = !mState.servers().isUsable(engine, nowNanos);
+        if (unusable
+                || mBackoff.isActive(engine, nowNanos)
+                || !mAttempts.allowsPrefillCall(context)) {
             return Mono.just(Optional.empty());
         }
         long timeoutMillis =
                 (long) (context.route().targetLatencyMillis() * PREFILL_TIMEOUT_FACTOR);
         long ttlMillis = mPool.capacity(context.service()).handleTtlMillis();
-        return mPrefill.prefill(context, plan.prefill().get(), timeoutMillis, ttlMillis);
+        return mPrefill.prefill(context, engine, timeoutMillis, ttlMillis);
     }
 
     private Flux<ResponsePart> decode(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -175,7 +175,7 @@
 
     private void applyConcerned(StoreChange change) {
         if (change.isDeletion()) {
-            remove(change.key(), change.revision());
+            remove(change.key(), change.revision(), false);
         } else {
             put(new StoreEntry(change.key(), change.value(), change.revision()));
         }
@@ -198,7 +198,7 @@
                         .map(StoreEntry::key)
                         .filter(key -> !present.contains(key))
                         .toList();
-        removedKeys.forEach(key -> remove(key, revision));
+        removedKeys.forEach(key -> remove(key, revision, true));
         entries.stream()
                 .filter(entry -> isConcerned(entry.key()))
                 .filter(entry -> !mDecoder.isRoutingTable(entry.key()))
@@ -312,7 +312,7 @@
                         revision));
     }
 
-    private void remove(StoreKey key, long revision) {
+    private void remove(StoreKey key, long revision, boolean isMissing) {
         StoreEntry last = mEntries.get(key);
         if (last != null && last.revision() > revision) {
             return;
@@ -321,7 +321,7 @@
         mRemovedRevisions.merge(key, revision, Math::max);
         hostId(key).ifPresent(mFleet::unregister);
         recordedService(key).ifPresent(service -> removeVersions(service, last, revision));
-        mDecoder.serverId(key).ifPresent(id -> removeServer(id, revision));
+        mDecoder.serverId(key).ifPresent(id -> removeServer(id, revision, isMissing));
     }
 
     private void removeVersions(ServiceId service, StoreEntry last, long revision) {
@@ -333,8 +333,12 @@
         }
     }
 
-    private void removeServer(BackendServerId id, long revision) {
-        if (mServers.remove(id, revision, mTicker.nowNanos())) {
+    private void removeServer(BackendServerId id, long revision, boolean isMissing) {
+        boolean isNews =
+                isMissing
+                        ? mServers.removeMissing(id, revision, mTicker.nowNanos())
+                        : mServers.remove(id, revision, mTicker.nowNanos());
+        if (isNews) {
             Optional.ofNullable(mLastServers.remove(id))
                     .ifPresent(server -> mEndedRuns.put(id, server.run()));
             mLog.write(new Decision.ServerSeen(id.value(), null, "gone", null, null, revision));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
@@ -24,15 +26,18 @@
 /**
  * Keeps a {@link GatewayState} up to date from the store, and this host registered there.
  *
- * <p>Invariant: when the store responds again after an outage, the registry is first told to retain
- * removed servers until they have had time to register again, and then the whole store is read
- * again. The same holds when a new era of the store begins, in which this host also registers
- * again. Thread-safe.
+ * <p>Invariant: when the store responds again after an outage in which leases may have expired, the
+ * registry is first told to retain missing servers until they have had time to register again, and
+ * then the whole store is read again. The same holds when a new era of the store begins, in which
+ * this host also registers again. Thread-safe.
  */
 public final class StateFollower {
     /** An unavailable store is detected within this time plus the timeout of a call. */
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(2_000);
 
+    /** Leases do not expire in a shorter time without contact, and a slow call is no outage. */
+    private static final long MIN_OUTAGE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private static final Duration MIN_REOPEN_DELAY = Duration.ofMillis(200);
 
     /** A store that rejects reads is retried about once a second. */
@@ -53,6 +58,7 @@
     private volatile boolean mWatchesPrefixes;
     private volatile long mEra = StoreRevision.FIRST_ERA;
     private boolean mUnavailable;
+    private boolean mMayHaveExpired;
 
     /**
      * Creates a follower; it is inactive until {@link #start} is called.
@@ -113,6 +119,7 @@
     }
 
     private Mono<Void> readAndWatch() {
+        recordSilence();
         return readAll()
                 .doOnError(this::markUnavailable)
                 .doOnNext(
@@ -191,6 +198,7 @@
     }
 
     private Mono<Void> renew() {
+        recordSilence();
         StoreLeaseId lease = lease();
         if (lease.equals(StoreLeaseId.NONE)) {
             return register();
@@ -258,6 +266,14 @@
         mLog.write(new Decision.StoreSeen("watch-ended", String.valueOf(cause.getMessage())));
     }
 
+    /** Records whether the store has been silent for long; must be called before each call. */
+    private synchronized void recordSilence() {
+        OptionalLong lastResponseNanos = mStore.lastResponseNanos();
+        mMayHaveExpired |=
+                lastResponseNanos.isEmpty()
+                        || mTicker.nowNanos() - lastResponseNanos.getAsLong() >= MIN_OUTAGE_NANOS;
+    }
+
     private synchronized void markUnavailable(Throwable cause) {
         if (!mUnavailable) {
             mUnavailable = true;
@@ -272,14 +288,19 @@
      *     before may never report a change
      */
     private void markAvailable(boolean reopen) {
+        boolean mayHaveExpired;
         synchronized (this) {
+            mayHaveExpired = mMayHaveExpired;
+            mMayHaveExpired = false;
             if (!mUnavailable) {
                 return;
             }
             mUnavailable = false;
         }
         mLog.write(new Decision.StoreSeen("regained", null));
-        mState.servers().retainRemoved(mTicker.nowNanos());
+        if (mayHaveExpired) {
+            mState.servers().retainRemoved(mTicker.nowNanos());
+        }
         if (reopen) {
             openWatch();
         }
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformStoreStandin.java
@@ -260,10 +260,18 @@
                 .map(tick -> watchReply(prefix, after))
                 .filter(reply -> reply.status() != 200 || !reply.body().path("events").isEmpty())
                 .next()
-                .timeout(timeout, Mono.fromSupplier(() -> watchReply(prefix, after)))
+                .timeout(timeout, Mono.defer(() -> emptyWatchReply(prefix, after)))
                 .flatMap(reply -> send(response, reply));
     }
 
+    private Mono<Reply> emptyWatchReply(String prefix, long after) {
+        return switch (mFault) {
+            case NONE -> Mono.just(watchReply(prefix, after));
+            case DOWN -> Mono.just(new Reply(503, Json.object()));
+            default -> Mono.never();
+        };
+    }
+
     private Mono<Void> send(HttpServerResponse response, Reply reply) {
         if (isSilent(response)) {
             return Mono.never();
--- a/store/src/main/java/org/fuchsiaford/store/Store.java
+++ b/store/src/main/java/org/fuchsiaford/store/Store.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.store;
 
 import java.util.List;
+import java.util.OptionalLong;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
@@ -20,6 +21,14 @@
         return StoreRevision.FIRST_ERA;
     }
 
+    /**
+     * Returns when the service last served a call, on the monotonic clock; empty if it is not
+     * known.
+     */
+    default OptionalLong lastResponseNanos() {
+        return OptionalLong.empty();
+    }
+
     /** Reads several keys in one consistent read. */
     Mono<StoreSnapshot> read(List<StoreKey> keys);
 
