Go on beside odd entries among those of hosts

Entries of servers were sound here. Among the registrations of hosts an entry such as "null" or one without addresses ended the watch, and one without a valid address ended the exchange of heartbeats for good: the hosts did not find each other any more.

Cause: only unreadable bytes were expected, not readable ones that are no registration; an exception in a round of heartbeats ended all later rounds.

Change: registrations are checked when read (HostEntry); whatever an entry decodes to, a failure is logged and the others hold. Ports out of range are no addresses. The same for records of streams.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginRecords.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginRecords.java
@@ -161,8 +161,9 @@
 
     private List<BegunStreams> decode(StoreEntry entry) {
         try {
-            return MAPPER.readValue(entry.value(), BATCH);
-        } catch (IOException e) {
+            return List.copyOf(MAPPER.readValue(entry.value(), BATCH));
+        } catch (IOException | RuntimeException e) {
+            // Entries of other writers may decode to anything.
             mLog.write(
                     new Decision.EntryUnreadable(
                             entry.key().value(), entry.revision(), e.getMessage()));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -17,7 +17,6 @@
 import org.fuchsiaford.entry.gateway.protocol.StateDecoder;
 import org.fuchsiaford.entry.gateway.protocol.UnreadableException;
 import org.fuchsiaford.fleet.FleetView;
-import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerRegistry;
@@ -224,7 +223,8 @@
             mLog.write(
                     new Decision.EntryUnreadable(
                             entry.key().value(), entry.revision(), e.getMessage()));
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) {
+            // Entries of other writers may decode to anything; none of them may end the watch.
             mLog.write(
                     new Decision.EntryUnreadable(
                             entry.key().value(), entry.revision(), String.valueOf(e)));
@@ -245,7 +245,7 @@
         } else if (server.isPresent()) {
             putServer(server.get(), entry, isOfNewEra);
         } else if (hostId(entry.key()).isPresent()) {
-            mFleet.register(MAPPER.readValue(entry.value(), HostRecord.class));
+            mFleet.register(HostEntry.read(hostId(entry.key()).get(), entry.value()));
         } else if (recordedService(entry.key()).isPresent()) {
             putVersions(
                     recordedService(entry.key()).get(),
--- a/peer/src/main/java/org/fuchsiaford/peer/PeerAddress.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/PeerAddress.java
@@ -7,6 +7,15 @@
  * @param port the TCP port
  */
 public record PeerAddress(String host, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Creates an address; throws IllegalArgumentException if the port is out of range. */
+    public PeerAddress {
+        if (port < 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("port out of range: " + port);
+        }
+    }
+
     /**
      * Parses an address of the form {@code ip:port}.
      *
