Log requests that are rejected before they can be read

A head that is malformed, or not complete in time, was answered 400 or 408 without a line in the decision log, so a report of proper requests turned away could not be told from one of malformed ones. Each such answer now leaves a RequestRejected line with the caller's address, the status and the reason.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ConflictingLengthHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ConflictingLengthHandler.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.entry.gateway.forward;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.util.function.BiConsumer;
 import reactor.netty.NettyPipeline;
 
 /**
@@ -20,15 +22,26 @@
  * connection.
  */
 final class ConflictingLengthHandler extends ChannelInboundHandlerAdapter {
-    private ConflictingLengthHandler() {}
+    private final BiConsumer<Channel, Throwable> mOnMalformed;
 
-    /** Replaces the HTTP codec of a connection and adds the check after it. */
-    static void addTo(ChannelPipeline pipeline, HttpDecoderConfig decoder) {
+    private ConflictingLengthHandler(BiConsumer<Channel, Throwable> onMalformed) {
+        mOnMalformed = onMalformed;
+    }
+
+    /**
+     * Replaces the HTTP codec of a connection and adds the check after it.
+     *
+     * @param onMalformed called for each request that the codec or this check finds malformed
+     */
+    static void addTo(
+            ChannelPipeline pipeline,
+            HttpDecoderConfig decoder,
+            BiConsumer<Channel, Throwable> onMalformed) {
         HttpDecoderConfig recording =
                 decoder.clone().setHeadersFactory(new RecordingHeadersFactory());
         pipeline.replace(
                 NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, new HttpServerCodec(recording));
-        pipeline.addAfter(NettyPipeline.HttpCodec, null, new ConflictingLengthHandler());
+        pipeline.addAfter(NettyPipeline.HttpCodec, null, new ConflictingLengthHandler(onMalformed));
     }
 
     @Override
@@ -41,6 +54,9 @@
                             new IllegalArgumentException(
                                     "both Content-Length and Transfer-Encoding")));
         }
+        if (message instanceof HttpRequest request && request.decoderResult().isFailure()) {
+            mOnMalformed.accept(context.channel(), request.decoderResult().cause());
+        }
         context.fireChannelRead(message);
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
@@ -8,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.CallerProtocol;
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
@@ -98,14 +100,31 @@
                 .idleTimeout(IDLE_TIMEOUT)
                 .doOnChannelInit(
                         (observer, channel, address) -> {
-                            ConflictingLengthHandler.addTo(channel.pipeline(), DECODER);
+                            ConflictingLengthHandler.addTo(
+                                    channel.pipeline(), DECODER, this::logMalformed);
                             HeaderTimeout.addTo(
-                                    channel.pipeline(), mAdmission::headerTimeoutMillis);
+                                    channel.pipeline(),
+                                    mAdmission::headerTimeoutMillis,
+                                    this::logTooSlow);
                         })
                 .handle(this::handle)
                 .bind();
     }
 
+    private void logMalformed(Channel channel, Throwable cause) {
+        logRejected(channel, RefusalReason.MALFORMED, String.valueOf(cause));
+    }
+
+    private void logTooSlow(Channel channel) {
+        logRejected(channel, RefusalReason.CALLER_TOO_SLOW, "the head was not received in time");
+    }
+
+    private void logRejected(Channel channel, RefusalReason reason, String detail) {
+        mLog.write(
+                new Decision.RequestRejected(
+                        String.valueOf(channel.remoteAddress()), reason.status(), detail));
+    }
+
     /**
      * Starts draining: from now on, connections are closed after each response. New requests are
      * accepted only until the given time, since later ones might not complete before the process
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HeaderTimeout.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HeaderTimeout.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -11,6 +12,7 @@
 import io.netty.util.concurrent.Future;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import reactor.netty.NettyPipeline;
 
@@ -27,11 +29,13 @@
             "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
     private final LongSupplier mTimeoutMillis;
+    private final Consumer<Channel> mOnTimeout;
     private boolean mHeadExpected = true;
     private Future<?> mTimer;
 
-    private HeaderTimeout(LongSupplier timeoutMillis) {
+    private HeaderTimeout(LongSupplier timeoutMillis, Consumer<Channel> onTimeout) {
         mTimeoutMillis = timeoutMillis;
+        mOnTimeout = onTimeout;
     }
 
     /**
@@ -39,9 +43,11 @@
      *
      * @param timeoutMillis the longest time from the first byte to the end of a head, in
      *     milliseconds; read for each request
+     * @param onTimeout called with each connection that is closed
      */
-    static void addTo(ChannelPipeline pipeline, LongSupplier timeoutMillis) {
-        HeaderTimeout timeout = new HeaderTimeout(timeoutMillis);
+    static void addTo(
+            ChannelPipeline pipeline, LongSupplier timeoutMillis, Consumer<Channel> onTimeout) {
+        HeaderTimeout timeout = new HeaderTimeout(timeoutMillis, onTimeout);
         pipeline.addFirst(timeout.new ByteHandler());
         pipeline.addAfter(NettyPipeline.HttpCodec, null, timeout.new MessageHandler());
     }
@@ -88,7 +94,8 @@
         }
     }
 
-    private static void closeWithTimeout(ChannelHandlerContext context) {
+    private void closeWithTimeout(ChannelHandlerContext context) {
+        mOnTimeout.accept(context.channel());
         byte[] response = TIMEOUT_RESPONSE.getBytes(StandardCharsets.US_ASCII);
         context.writeAndFlush(Unpooled.wrappedBuffer(response))
                 .addListener(ChannelFutureListener.CLOSE);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -179,7 +179,10 @@
      */
     record SchedulerChanged(String request, String from, String to) implements Decision {}
 
-    /** The store became unavailable or available, or a watch of it ended. */
+    /** A request was rejected before its head could be read, so that it has no ID. */
+    record RequestRejected(String caller, int status, String reason) implements Decision {}
+
+    /** The store became unavailable or available, was restored, or a watch of it ended. */
     record StoreSeen(String state, String reason) implements Decision {}
 
     /** The process started, is stopping or has stopped, or its settings file was checked again. */
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -136,6 +136,9 @@
         add(
                 "'SchedulerChanged','request':'r','from':'a','to':'b'",
                 new Decision.SchedulerChanged("r", "a", "b"));
+        add(
+                "'RequestRejected','caller':'c','status':400,'reason':'r'",
+                new Decision.RequestRejected("c", 400, "r"));
         add("'StoreSeen','state':'s','reason':'r'", new Decision.StoreSeen("s", "r"));
         add("'Lifecycle','state':'s','detail':'d'", new Decision.Lifecycle("s", "d"));
         add("'Lifecycle','state':'s'", new Decision.Lifecycle("s", null));
