Look for the tests that documents name among the sources only

FaultMatrixTest took the first file of a name, also below target/, where a build of an earlier commit leaves its sources; it then missed tests that exist. It now leaves target/ out, so a test has to exist in this tree.

Measured: fails with such a folder before, passes with it now.

--- a/entry/src/test/java/org/fuchsiaford/entry/docs/FaultMatrixTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/docs/FaultMatrixTest.java
@@ -33,6 +33,7 @@
         try (Stream<Path> files = Files.walk(ROOT)) {
             Path file =
                     files.filter(path -> path.endsWith(testClass + ".java"))
+                            .filter(path -> !path.toString().contains("/target/"))
                             .findFirst()
                             .orElseThrow(() -> new AssertionError("no class " + testClass));
             return Files.readString(file);
