--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -22,12 +23,16 @@
 import org.fuchsiaford.routing.RoutingTable;
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
+import org.fuchsiaford.store.StoreKeys;
+import org.fuchsiaford.store.StoreRevision;
 
 /** Tests the order in which a host applies the entries of a store snapshot. */
 class GatewayStateTest {
     private static final FailureDomainId DOMAIN = new FailureDomainId("z");
     private static final StoreKey TABLE = new StoreKey("table");
 
+    private static final ServiceId SERVICE = new ServiceId("app");
+
     private final List<String> mDecoded = new ArrayList<>();
     private final GatewayState mState =
             new GatewayState(
@@ -52,7 +57,7 @@
 
         @Override
         public Optional<BackendServerId> serverId(StoreKey key) {
-            return isRoutingTable(key)
+            return isRoutingTable(key) || key.value().startsWith("/fuchsiaford/")
                     ? Optional.empty()
                     : Optional.of(new BackendServerId(key.value()));
         }
@@ -68,7 +73,7 @@
             mDecoded.add(id.value());
             return new LiveServer(
                     id,
-                    new ServiceId("app"),
+                    SERVICE,
                     new ServerAddress("127.0.0.1", 1),
                     DOMAIN,
                     new SoftwareVersion("v1"),
@@ -79,6 +84,35 @@
         }
     }
 
+    private static StoreEntry versions(long era, long number, String versions) {
+        return new StoreEntry(
+                StoreKeys.versions(SERVICE),
+                versions.getBytes(StandardCharsets.UTF_8),
+                new StoreRevision(era, number).ordered());
+    }
+
+    private List<String> knownVersions() {
+        return mState.versions().of(SERVICE).stream().map(SoftwareVersion::value).toList();
+    }
+
+    /** Guards against streams of two versions: what a restored store forgets has still served. */
+    @Example
+    void versionsThatARestoredStoreLacksAreKeptUntilTheyAreWrittenAgain() {
+        StoreEntry both = versions(1, 90, "[\"v1\",\"v2\"]");
+        mState.applySnapshot(both.revision(), List.of(both));
+        StoreEntry former = versions(2, 20, "[\"v1\"]");
+        mState.applySnapshot(former.revision(), List.of(former));
+        assertThat(knownVersions()).containsExactly("v1", "v2");
+        assertThat(mState.isVersionRecordIncomplete(SERVICE)).isTrue();
+
+        StoreEntry again = versions(2, 21, "[\"v1\",\"v2\"]");
+        mState.applySnapshot(again.revision(), List.of(again));
+        assertThat(mState.isVersionRecordIncomplete(SERVICE)).isFalse();
+        mState.applySnapshot(new StoreRevision(3, 5).ordered(), List.of());
+        assertThat(knownVersions()).containsExactly("v1", "v2");
+        assertThat(mState.isVersionRecordIncomplete(SERVICE)).isTrue();
+    }
+
     /**
      * A host is ready once it has a routing table. If it applied the routing table first, requests
      * would arrive while no servers are known.
--- a/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
@@ -46,6 +46,22 @@
         assertThat(GatewaySettingsReader.isFor(renderedTemplate())).isTrue();
     }
 
+    @Example
+    void theSizeOfResponsesMayBeLimited() throws IOException, SettingsException {
+        GatewaySettingsReader reader = new GatewaySettingsReader();
+        assertThat(reader.read(renderedTemplate()).maxResponseBytes()).isEqualTo(4 * 1024 * 1024);
+        String limit = "\"orderLeaseSeconds\": 3, \"maxResponseBytes\": ";
+        assertThat(reader.read(withOrderLease(limit + "65536")).maxResponseBytes())
+                .isEqualTo(65_536);
+        assertThatThrownBy(() -> reader.read(withOrderLease(limit + "0")))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("maxResponseBytes");
+    }
+
+    private static String withOrderLease(String replacement) throws IOException {
+        return renderedTemplate().replace("\"orderLeaseSeconds\": 3", replacement);
+    }
+
     @Example
     void boundsMayBeFractions() throws IOException, SettingsException {
         String fractions =
