Close connections of calls in one place

CallConnection now takes the call and closes the connection itself, for connections of their own, for streams and for those of a pool. StoreRevision loses an order that nobody used.

--- a/entry/src/main/java/org/fuchsiaford/entry/backend/CompletionsEngineClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/backend/CompletionsEngineClient.java
@@ -60,22 +60,17 @@
 
     @Override
     public Mono<EngineLoad> load(BackendServer engine) {
-        return Mono.defer(
-                () -> {
-                    CallConnection connection = new CallConnection();
-                    return connection.closeAtEnd(
-                            connection
-                                    .track(mClient)
-                                    .get()
-                                    .uri(engine.url() + "/load")
-                                    .responseContent()
-                                    .asByteArray()
-                                    .as(body -> BoundedBody.join(body, MAX_BODY_BYTES))
-                                    .timeout(LOAD_TIMEOUT)
-                                    .flatMap(
-                                            bytes -> Mono.fromCallable(() -> toLoad(engine, bytes)))
-                                    .onErrorMap(e -> failed(Step.PLACE, engine, false, e)));
-                });
+        return CallConnection.own(
+                mClient,
+                client ->
+                        client.get()
+                                .uri(engine.url() + "/load")
+                                .responseContent()
+                                .asByteArray()
+                                .as(body -> BoundedBody.join(body, MAX_BODY_BYTES))
+                                .timeout(LOAD_TIMEOUT)
+                                .flatMap(bytes -> Mono.fromCallable(() -> toLoad(engine, bytes)))
+                                .onErrorMap(e -> failed(Step.PLACE, engine, false, e)));
     }
 
     private EngineLoad toLoad(BackendServer engine, byte[] bytes) throws IOException {
@@ -100,23 +95,22 @@
     public Mono<PrefillResult> prefill(BackendServer engine, EngineRequest request) {
         ObjectNode body = body(request).put("stream", false).put("max_tokens", 1);
         body.putObject("kv_transfer_params").put("do_remote_decode", true);
-        return Mono.defer(
-                () -> {
+        return CallConnection.own(
+                mClient,
+                client -> {
                     AtomicBoolean sent = new AtomicBoolean();
-                    CallConnection connection = new CallConnection();
-                    return connection.closeAtEnd(
-                            post(connection.track(mClient), engine, request, body, sent)
-                                    .response(
-                                            (response, content) ->
-                                                    check(Step.PREFILL, engine, response)
-                                                            .then(
-                                                                    BoundedBody.join(
-                                                                            content.asByteArray(),
-                                                                            MAX_BODY_BYTES)))
-                                    .single()
-                                    .timeout(prefillTimeout(engine, request))
-                                    .flatMap(bytes -> Mono.fromCallable(() -> toResult(bytes)))
-                                    .onErrorMap(e -> failed(Step.PREFILL, engine, sent.get(), e)));
+                    return post(client, engine, request, body, sent)
+                            .response(
+                                    (response, content) ->
+                                            check(Step.PREFILL, engine, response)
+                                                    .then(
+                                                            BoundedBody.join(
+                                                                    content.asByteArray(),
+                                                                    MAX_BODY_BYTES)))
+                            .single()
+                            .timeout(prefillTimeout(engine, request))
+                            .flatMap(bytes -> Mono.fromCallable(() -> toResult(bytes)))
+                            .onErrorMap(e -> failed(Step.PREFILL, engine, sent.get(), e));
                 });
     }
 
@@ -143,12 +137,8 @@
         body.putObject("stream_options")
                 .put("include_usage", true)
                 .put("continuous_usage_stats", true);
-        return Flux.defer(
-                () -> {
-                    CallConnection connection = new CallConnection();
-                    return connection.closeAtEnd(
-                            decode(connection.track(mStreamClient), engine, request, body));
-                });
+        return CallConnection.ownStream(
+                mStreamClient, client -> decode(client, engine, request, body));
     }
 
     private Flux<CompletionChunk> decode(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
@@ -62,9 +62,9 @@
      * @return the parts of the response; fails with {@link BackendCallException}
      */
     Flux<ResponsePart> exchange(ServerRequest request, byte[] body, Step step, Duration timeout) {
-        return Flux.defer(
-                () -> {
-                    CallConnection connection = new CallConnection();
+        return CallConnection.ownStream(
+                mClient,
+                client -> {
                     AtomicBoolean sent = new AtomicBoolean();
                     Mono<Void> deadline =
                             Mono.delay(timeout)
@@ -73,10 +73,9 @@
                                                     new TimeoutException(
                                                             "no complete response within the"
                                                                     + " timeout")));
-                    return connection.closeAtEnd(
-                            send(connection.track(mClient), request, body, sent)
-                                    .takeUntilOther(deadline)
-                                    .onErrorMap(e -> failure(request, step, sent.get(), e)));
+                    return send(client, request, body, sent)
+                            .takeUntilOther(deadline)
+                            .onErrorMap(e -> failure(request, step, sent.get(), e));
                 });
     }
 
@@ -137,18 +136,14 @@
      */
     Mono<Void> releaseKvCache(KvSource source) {
         ServerAddress address = source.address();
-        return Mono.defer(
-                () -> {
-                    CallConnection connection = new CallConnection();
-                    return connection.closeAtEnd(
-                            connection
-                                    .track(mClient)
-                                    .delete()
-                                    .uri("http://" + address + mProtocol.releasePath(source))
-                                    .response()
-                                    .timeout(RELEASE_TIMEOUT)
-                                    .then()
-                                    .onErrorResume(e -> Mono.empty()));
-                });
+        return CallConnection.own(
+                mClient,
+                client ->
+                        client.delete()
+                                .uri("http://" + address + mProtocol.releasePath(source))
+                                .response()
+                                .timeout(RELEASE_TIMEOUT)
+                                .then()
+                                .onErrorResume(e -> Mono.empty()));
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/OrderClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/OrderClient.java
@@ -41,22 +41,18 @@
 
     /** Returns the report of an engine; fails if none is received within the timeout. */
     Mono<EngineReport> readReport(LiveServer engine) {
-        return Mono.defer(
-                () -> {
-                    CallConnection connection = new CallConnection();
-                    return connection.closeAtEnd(
-                            connection
-                                    .track(mClient)
-                                    .get()
-                                    .uri("http://" + engine.address() + mProtocol.reportPath())
-                                    .response((head, body) -> readBody(engine, head, body))
-                                    .single()
-                                    .flatMap(
-                                            bytes ->
-                                                    Mono.fromCallable(
-                                                            () -> mProtocol.readReport(bytes)))
-                                    .timeout(TIMEOUT));
-                });
+        return CallConnection.own(
+                mClient,
+                client ->
+                        client.get()
+                                .uri("http://" + engine.address() + mProtocol.reportPath())
+                                .response((head, body) -> readBody(engine, head, body))
+                                .single()
+                                .flatMap(
+                                        bytes ->
+                                                Mono.fromCallable(
+                                                        () -> mProtocol.readReport(bytes)))
+                                .timeout(TIMEOUT));
     }
 
     private static Mono<byte[]> readBody(
@@ -82,27 +78,20 @@
      */
     Mono<Integer> sendOrder(StageOrder order, long fence, long acceptedOrders) {
         byte[] body = mProtocol.writeOrder(order, mSelf, fence, acceptedOrders);
-        return Mono.defer(
-                () -> {
-                    CallConnection connection = new CallConnection();
-                    return connection.closeAtEnd(
-                            connection
-                                    .track(mClient)
-                                    .headers(
-                                            headers ->
-                                                    headers.set(mProtocol.orderHeaders(order))
-                                                            .set(
-                                                                    HttpHeaderNames.CONTENT_LENGTH,
-                                                                    body.length))
-                                    .post()
-                                    .uri(
-                                            "http://"
-                                                    + order.engine().address()
-                                                    + mProtocol.orderPath())
-                                    .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
-                                    .response()
-                                    .map(response -> response.status().code())
-                                    .timeout(TIMEOUT));
-                });
+        return CallConnection.own(
+                mClient,
+                client ->
+                        client.headers(
+                                        headers ->
+                                                headers.set(mProtocol.orderHeaders(order))
+                                                        .set(
+                                                                HttpHeaderNames.CONTENT_LENGTH,
+                                                                body.length))
+                                .post()
+                                .uri("http://" + order.engine().address() + mProtocol.orderPath())
+                                .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(body)))
+                                .response()
+                                .map(response -> response.status().code())
+                                .timeout(TIMEOUT));
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/service/ServiceClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/service/ServiceClient.java
@@ -37,14 +37,12 @@
      */
     public Mono<ServiceResponse> call(
             BackendServer server, ServiceRequest request, Runnable beforeSending) {
-        return Mono.defer(
-                () -> {
-                    CallConnection connection = new CallConnection();
-                    return connection.closeAtEnd(
-                            send(connection.track(mClient), server, request, beforeSending)
-                                    .timeout(Duration.ofMillis(request.route().timeoutMillis()))
-                                    .onErrorMap(e -> failed(server, e)));
-                });
+        return CallConnection.own(
+                mClient,
+                client ->
+                        send(client, server, request, beforeSending)
+                                .timeout(Duration.ofMillis(request.route().timeoutMillis()))
+                                .onErrorMap(e -> failed(server, e)));
     }
 
     private static Mono<ServiceResponse> send(
--- a/store/src/main/java/org/fuchsiaford/store/StoreRevision.java
+++ b/store/src/main/java/org/fuchsiaford/store/StoreRevision.java
@@ -11,7 +11,7 @@
  * @param era the era, counted from {@link #FIRST_ERA}
  * @param number the number that the store assigned in this era
  */
-public record StoreRevision(long era, long number) implements Comparable<StoreRevision> {
+public record StoreRevision(long era, long number) {
     /** The era of a store that has never been restored, or that names none. */
     public static final long FIRST_ERA = 1;
 
@@ -42,9 +42,4 @@
     public long ordered() {
         return (era - FIRST_ERA) * NUMBERS_PER_ERA + number;
     }
-
-    @Override
-    public int compareTo(StoreRevision other) {
-        return Long.compare(ordered(), other.ordered());
-    }
 }
--- a/store/src/main/java/org/fuchsiaford/store/hostlist/HttpHostList.java
+++ b/store/src/main/java/org/fuchsiaford/store/hostlist/HttpHostList.java
@@ -30,21 +30,17 @@
 
     @Override
     public Mono<List<ListedHost>> read() {
-        return Mono.defer(
-                () -> {
-                    CallConnection connection = new CallConnection();
-                    return connection.closeAtEnd(
-                            connection
-                                    .track(mClient)
-                                    .get()
-                                    .uri(mUrl)
-                                    .responseContent()
-                                    .asByteArray()
-                                    .as(body -> BoundedBody.join(body, MAX_LIST_BYTES))
-                                    .timeout(READ_TIMEOUT)
-                                    .flatMap(bytes -> Mono.fromCallable(() -> parse(bytes)))
-                                    .onErrorMap(HostListException::new));
-                });
+        return CallConnection.own(
+                mClient,
+                client ->
+                        client.get()
+                                .uri(mUrl)
+                                .responseContent()
+                                .asByteArray()
+                                .as(body -> BoundedBody.join(body, MAX_LIST_BYTES))
+                                .timeout(READ_TIMEOUT)
+                                .flatMap(bytes -> Mono.fromCallable(() -> parse(bytes)))
+                                .onErrorMap(HostListException::new));
     }
 
     private List<ListedHost> parse(byte[] bytes) throws java.io.IOException {
