Log why an attempt is the last one, and what arrives at a stopping host

Cause: the logs could not tell the hypotheses apart: FAIL said nothing of kind, deadline or budget, and no line related a request to the stop signal. Change: AttemptFailed names the obstacle to another attempt and the time left; Ended says how long after the stop signal the request arrived; leaving says until when requests are accepted. Measured: DecisionFormTest passes with the new forms.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -361,7 +361,13 @@
         mStageController.stop().timeout(STORE_TIMEOUT).onErrorComplete().subscribe();
         mLog.write(
                 new Decision.Lifecycle(
-                        "leaving", mGatewayServer.inFlightRequests() + " in flight"));
+                        "leaving",
+                        mGatewayServer.inFlightRequests()
+                                + " in flight, requests are accepted for "
+                                + acceptMillis
+                                + " ms, the process ends within "
+                                + endMillis
+                                + " ms"));
         return mCoordination
                 .heartbeats()
                 .sendNow()
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -1,9 +1,11 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.attempt.NextStep;
+import org.fuchsiaford.attempt.RetryObstacle;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.metrics.ServiceMetrics;
@@ -100,7 +102,9 @@
                         failure.outcome().name(),
                         failure.getMessage(),
                         null,
-                        counted ? "decode-reads-prompt" : "decode-reads-prompt, budget used up"));
+                        counted ? "decode-reads-prompt" : "decode-reads-prompt, budget used up",
+                        null,
+                        context.remainingMillis(mTicker.nowNanos())));
     }
 
     /** Records an attempt whose response is not forwarded, and returns how to proceed. */
@@ -128,7 +132,8 @@
             List<PromptPartId> promptParts) {
         recordServerFailure(server, outcome);
         context.attempts().record(server.id(), outcome);
-        NextStep next = context.attempts().nextStep(outcome, mayRetry(context, outcome));
+        Optional<RetryObstacle> obstacle = findObstacle(context, outcome);
+        NextStep next = context.attempts().nextStep(outcome, obstacle.isEmpty());
         mLog.write(
                 new Decision.AttemptFailed(
                         context.caller().id().value(),
@@ -136,7 +141,9 @@
                         outcome.name(),
                         reason,
                         promptParts,
-                        next.name()));
+                        next.name(),
+                        obstacle.map(RetryObstacle::name).orElse(null),
+                        context.remainingMillis(mTicker.nowNanos())));
         return next;
     }
 
@@ -148,12 +155,17 @@
         mOnFailed.accept(server, outcome);
     }
 
-    private boolean mayRetry(RequestContext context, AttemptOutcome outcome) {
-        if (!context.attempts().mayRetry()
-                || context.remainingMillis(mTicker.nowNanos()) < MIN_RETRY_TIME_MILLIS) {
-            return false;
+    /** Returns what prevents another attempt. If nothing does, the attempt is in the budget. */
+    private Optional<RetryObstacle> findObstacle(RequestContext context, AttemptOutcome outcome) {
+        if (!context.attempts().mayRetry()) {
+            return Optional.of(RetryObstacle.ATTEMPTS);
+        }
+        if (context.remainingMillis(mTicker.nowNanos()) < MIN_RETRY_TIME_MILLIS) {
+            return Optional.of(RetryObstacle.DEADLINE);
         }
-        return outcome == AttemptOutcome.NOT_SENT || mBudgets.tryAcquireRetry(context.service());
+        return outcome == AttemptOutcome.NOT_SENT || mBudgets.tryAcquireRetry(context.service())
+                ? Optional.empty()
+                : Optional.of(RetryObstacle.BUDGET);
     }
 
     /**
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -70,6 +70,7 @@
     private final Ticker mTicker;
     private final AtomicInteger mInFlightRequests = new AtomicInteger();
     private volatile boolean mDraining;
+    private volatile long mDrainStartNanos;
     private volatile long mAcceptUntilNanos;
 
     /** Creates a server; it listens once {@link #start} is called. */
@@ -134,6 +135,7 @@
      *     to other hosts
      */
     public void startDraining(long acceptUntilNanos) {
+        mDrainStartNanos = mTicker.nowNanos();
         mAcceptUntilNanos = acceptUntilNanos;
         mDraining = true;
     }
@@ -147,6 +149,7 @@
         RequestTrace trace = new RequestTrace(mTicker.nowNanos());
         mInFlightRequests.incrementAndGet();
         if (mDraining) {
+            trace.recordStopping(mDrainStartNanos);
             response.keepAlive(false);
         }
         return Mono.fromCallable(() -> read(request, trace))
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
@@ -27,6 +27,7 @@
     private long mRetryAfterMillis;
     private long mTableVersion;
     private long mFirstByteNanos = NO_FIRST_BYTE;
+    private Long mAfterStopMillis;
     private RequestContext mContext;
 
     RequestTrace(long startNanos) {
@@ -37,6 +38,11 @@
         return mStartNanos;
     }
 
+    /** Records that the request arrived after this host was told to stop. */
+    void recordStopping(long stopNanos) {
+        mAfterStopMillis = TimeUnit.NANOSECONDS.toMillis(mStartNanos - stopNanos);
+    }
+
     void recordRequest(String request) {
         mRequest = request;
     }
@@ -115,7 +121,8 @@
                 mRetryAfterMillis,
                 mTableVersion,
                 mFraming,
-                endsInsideEvent() ? true : null);
+                endsInsideEvent() ? true : null,
+                mAfterStopMillis);
     }
 
     private boolean endsInsideEvent() {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -49,6 +49,8 @@
      * @param promptParts the parts of the prompt and the fingerprint of the request if the server
      *     broke the response off; else null
      * @param next the step that follows
+     * @param retryObstacle why there is no other attempt; null if there is one or none is needed
+     * @param leftMillis the time until the deadline of the request
      */
     record AttemptFailed(
             String request,
@@ -56,7 +58,9 @@
             String outcome,
             String reason,
             List<PromptPartId> promptParts,
-            String next)
+            String next,
+            String retryObstacle,
+            long leftMillis)
             implements Decision {}
 
     /** A stream is resumed at another server after the given event. */
@@ -94,6 +98,7 @@
      *
      * @param framing how the backend server marked the end of the response
      * @param insideEvent true if the response is a stream that ended inside an event; else null
+     * @param afterStopMillis how long after the stop signal the request arrived; null if before it
      */
     record Ended(
             String request,
@@ -108,7 +113,8 @@
             long retryAfterMillis,
             long tableVersion,
             String framing,
-            Boolean insideEvent)
+            Boolean insideEvent,
+            Long afterStopMillis)
             implements Decision {}
 
     /**
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -75,9 +75,9 @@
                 new Decision.OrderHolder("s", 1, "r"));
         add(
                 "'AttemptFailed','request':'r','server':'s','outcome':'o','reason':'w',"
-                        + "'promptParts':['p'],'next':'n'",
+                        + "'promptParts':['p'],'next':'n','retryObstacle':'b','leftMillis':1",
                 new Decision.AttemptFailed(
-                        "r", "s", "o", "w", List.of(new PromptPartId("p")), "n"));
+                        "r", "s", "o", "w", List.of(new PromptPartId("p")), "n", "b", 1));
         add("'Resumed','request':'r','afterEvent':'e'", new Decision.Resumed("r", "e"));
         add(
                 "'TakenUp','request':'r','resumes':'q','afterEvent':'e'",
@@ -88,8 +88,9 @@
         add(
                 "'Ended','request':'r','route':'t','workspace':'w','outcome':'o','status':1,"
                         + "'reason':'y','sends':2,'elapsedMillis':3,'firstByteMillis':4,"
-                        + "'retryAfterMillis':5,'tableVersion':6,'framing':'f','insideEvent':true",
-                new Decision.Ended("r", "t", "w", "o", 1, "y", 2, 3, 4, 5, 6, "f", true));
+                        + "'retryAfterMillis':5,'tableVersion':6,'framing':'f',"
+                        + "'insideEvent':true,'afterStopMillis':7",
+                new Decision.Ended("r", "t", "w", "o", 1, "y", 2, 3, 4, 5, 6, "f", true, 7L));
     }
 
     private void addBeliefs() {
