--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.fuchsiaford.standin.Json;
 import org.fuchsiaford.standin.Standin;
@@ -48,6 +49,9 @@
     private volatile Duration mPrefillDelay = Duration.ZERO;
     private volatile ServerBehaviour mBehaviour = ServerBehaviour.ANSWER;
     private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
+    private volatile Function<String, Duration> mPlainTime = uri -> Duration.ZERO;
+    private volatile Function<String, Duration> mStreamTime =
+            uri -> EVENT_GAP.multipliedBy(STREAM_EVENTS);
     private volatile String mCrashingPart = "";
     private volatile String mCrashingBody = "";
     private volatile String mRetryAfter = "";
@@ -93,6 +97,17 @@
         mPrefillDelay = delay;
     }
 
+    /**
+     * Sets how long requests take: a plain one until its response, a stream from first to last
+     * event.
+     *
+     * @param workTime returns the time for the path and query of a request
+     */
+    public void setWorkTime(Function<String, Duration> workTime) {
+        mPlainTime = workTime;
+        mStreamTime = workTime;
+    }
+
     /** Sets the part of a prompt that crashes this server once it sends the first event for it. */
     public void setCrashingPart(String part) {
         mCrashingPart = part;
@@ -283,10 +298,16 @@
             default ->
                     request.requestHeaders().contains("Fuchsiaford-Token-Counts")
                             ? stream(request, response, behaviour)
-                            : respondPlain(response, behaviour);
+                            : workPlain(request)
+                                    .then(Mono.defer(() -> respondPlain(response, behaviour)));
         };
     }
 
+    private Mono<Void> workPlain(HttpServerRequest request) {
+        Duration time = mPlainTime.apply(request.uri());
+        return time.isZero() ? Mono.empty() : Mono.delay(time).then();
+    }
+
     private Mono<Void> respondPlain(HttpServerResponse response, ServerBehaviour behaviour) {
         String body = BODY_PREFIX + mId;
         if (behaviour == ServerBehaviour.BREAK_OFF) {
@@ -305,7 +326,7 @@
         Flux<byte[]> events =
                 Flux.fromStream(IntStream.range(firstEvent, firstEvent + count).boxed())
                         .map(PlatformServerStandin::event)
-                        .delayElements(EVENT_GAP);
+                        .delayElements(mStreamTime.apply(request.uri()).dividedBy(STREAM_EVENTS));
         response.header("Content-Type", "text/event-stream");
         if (hasCrashingPart(request)) {
             return send(response, events.take(1)).then(crash());
