Send requests at a stopping host only if they end before it does

What callers saw: requests that came late in the grace were run and cut without an answer when the process ended, requests that run once at most among them. Cause: a stopping host compared nothing with the time that was left: it took requests until a fixed time after the signal, whatever they might take, closed what still ran, and told only callers of later requests to leave the connection. Change: HostShutdown sends a request only if its deadline, or twice the longest duration of its route lately plus a silence, fits before the end; others are refused at once as not run. The check stands before each first send, so requests that waited for a place are held to it too. At the end the listeners close first, then each request in progress without a head is answered (503 if it was not sent, else 502), then the process ends; an eighth of the grace is left for that. Every response of a stopping host closes its connection, and a refusal is sent after the rest of the body was read, since closing earlier resets it. Why it works: nothing starts that cannot end, and what is cut is told so.

--- /dev/null
+++ b/core/src/main/java/org/fuchsiaford/shutdown/ShutdownPolicy.java
@@ -0,0 +1,38 @@
+package org.fuchsiaford.shutdown;
+
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides which requests a host that is stopping may still send to backend servers.
+ *
+ * <p>Invariant: a request is sent only if its deadline passes before the host ends its requests, or
+ * if it would end before that even at twice the longest duration lately and after a silence of its
+ * server. Immutable, hence thread-safe.
+ */
+public final class ShutdownPolicy {
+    /** Requests may take this many times as long as the longest one lately. */
+    private static final long DURATION_FACTOR = 2;
+
+    /** A sound server may be silent for about a second and go on. */
+    private static final long SILENCE_ALLOWANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+    private ShutdownPolicy() {}
+
+    /**
+     * Returns whether a request that is sent now ends in time.
+     *
+     * @param deadlineNanos the deadline of the request; it is answered by then in any case
+     * @param longestNanos the longest duration of such requests lately, if there were any
+     * @param endNanos when the host ends the requests that are still in progress
+     */
+    public static boolean endsInTime(
+            long nowNanos, long deadlineNanos, OptionalLong longestNanos, long endNanos) {
+        if (deadlineNanos - endNanos <= 0) {
+            return true;
+        }
+        return longestNanos.isPresent()
+                && longestNanos.getAsLong() * DURATION_FACTOR + SILENCE_ALLOWANCE_NANOS
+                        <= endNanos - nowNanos;
+    }
+}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -15,6 +15,7 @@
 import org.fuchsiaford.entry.gateway.forward.BufferedForwarder;
 import org.fuchsiaford.entry.gateway.forward.EngineAdmission;
 import org.fuchsiaford.entry.gateway.forward.GatewayServer;
+import org.fuchsiaford.entry.gateway.forward.HostShutdown;
 import org.fuchsiaford.entry.gateway.forward.PrefillClient;
 import org.fuchsiaford.entry.gateway.forward.ResponseMemory;
 import org.fuchsiaford.entry.gateway.forward.RetryBudgets;
@@ -72,8 +73,8 @@
      */
     private static final long CALLER_MARGIN_MILLIS = 700;
 
-    /** Part of the grace period that is reserved for the exit of the process. */
-    private static final long EXIT_RESERVE_MILLIS = 500;
+    /** Part of the grace period, after the requests were ended, for the exit of the process. */
+    private static final int EXIT_RESERVE_DIVISOR = 8;
 
     /** Part of the heap that large responses may use together; joining them takes twice as much. */
     private static final int RESPONSE_HEAP_DIVISOR = 8;
@@ -81,9 +82,13 @@
     private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(200);
 
+    /** Time for callers to receive the responses to requests that were ended. */
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(150);
+
     private final GatewaySettings mSettings;
     private final Adapter mAdapter;
     private final Ticker mTicker = Ticker.SYSTEM;
+    private final HostShutdown mShutdown = new HostShutdown(mTicker);
     private final EntryMetrics mMetrics = new EntryMetrics();
     private final DecisionLog mLog;
     private final FleetView mFleet;
@@ -171,17 +176,15 @@
     }
 
     private GatewayServer createServer(ServerHealth health, LoadTracker loads) {
-        RouteAdmission routeAdmission = new RouteAdmission(mState, mCoordination.charging());
+        RouteAdmission routeAdmission =
+                new RouteAdmission(mState, mCoordination.charging(), mShutdown);
         ServerBackoff backoff = new ServerBackoff();
         EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
         FailureDomainId domain = mSettings.failureDomain();
         ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
         ServerNotices notices = createNotices(backoff, serviceMetrics);
         ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
-        ResponseMemory memory =
-                new ResponseMemory(
-                        mSettings.maxResponseBytes(),
-                        Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR);
+        ResponseMemory memory = createResponseMemory();
         RetryBudgets budgets =
                 new RetryBudgets(
                         mSettings.retryWindowMillis(),
@@ -226,11 +229,18 @@
                         attempts,
                         mLog,
                         mTicker),
+                mShutdown,
                 mMetrics,
                 mLog,
                 mTicker);
     }
 
+    private ResponseMemory createResponseMemory() {
+        return new ResponseMemory(
+                mSettings.maxResponseBytes(),
+                Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR);
+    }
+
     private AttemptRecorder createAttemptRecorder(
             ServerHealth health, RetryBudgets budgets, ServiceMetrics serviceMetrics) {
         return new AttemptRecorder(
@@ -347,49 +357,60 @@
 
     /**
      * Shuts down gracefully: withdraws the host's address at once, continues to serve until callers
-     * have switched to other hosts or the grace period ends, then closes.
+     * have switched to other hosts or the grace period ends, then ends what is in progress and
+     * closes.
      */
     public Mono<Void> stop() {
         long startNanos = mTicker.nowNanos();
-        long callerDrainMillis =
-                TimeUnit.SECONDS.toMillis(mSettings.addressLifeSeconds()) * CALLER_CACHE_FACTOR
-                        + CALLER_MARGIN_MILLIS;
-        long endMillis = mSettings.graceMillis() - EXIT_RESERVE_MILLIS;
+        long switchedNanos =
+                startNanos
+                        + TimeUnit.SECONDS.toNanos(
+                                mSettings.addressLifeSeconds() * CALLER_CACHE_FACTOR)
+                        + TimeUnit.MILLISECONDS.toNanos(CALLER_MARGIN_MILLIS);
+        long endMillis = mSettings.graceMillis() - mSettings.graceMillis() / EXIT_RESERVE_DIVISOR;
+        long endNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(endMillis);
         mShuttingDown = true;
-        long acceptMillis = Math.min(callerDrainMillis, endMillis - EXIT_RESERVE_MILLIS);
-        mGatewayServer.startDraining(startNanos + TimeUnit.MILLISECONDS.toNanos(acceptMillis));
+        mShutdown.begin(endNanos);
         mStageController.stop().timeout(STORE_TIMEOUT).onErrorComplete().subscribe();
         mLog.write(
                 new Decision.Lifecycle(
                         "leaving",
                         mGatewayServer.inFlightRequests()
-                                + " in flight, requests are accepted for "
-                                + acceptMillis
-                                + " ms, the process ends within "
+                                + " in flight, which may take up to "
                                 + endMillis
                                 + " ms"));
         return mCoordination
                 .heartbeats()
                 .sendNow()
                 .onErrorResume(e -> Mono.empty())
-                .then(Mono.defer(() -> waitUntilIdle(startNanos, callerDrainMillis, endMillis)))
+                .then(Mono.defer(() -> waitUntilIdle(switchedNanos, endNanos)))
+                .then(Mono.defer(this::endRequests))
                 .then(Mono.defer(this::close));
     }
 
-    private Mono<Void> waitUntilIdle(long startNanos, long callerDrainMillis, long endMillis) {
+    /** Waits until callers have switched and all requests are answered, or until the end. */
+    private Mono<Void> waitUntilIdle(long switchedNanos, long endNanos) {
         return Mono.delay(IDLE_POLL_INTERVAL)
                 .repeat(
                         () -> {
                             long nowNanos = mTicker.nowNanos();
-                            long waitedMillis =
-                                    TimeUnit.NANOSECONDS.toMillis(nowNanos - startNanos);
                             boolean idle = mGatewayServer.inFlightRequests() == 0;
-                            boolean done = waitedMillis >= callerDrainMillis && idle;
-                            return !done && waitedMillis < endMillis;
+                            boolean done = nowNanos - switchedNanos >= 0 && idle;
+                            return !done && nowNanos - endNanos < 0;
                         })
                 .then();
     }
 
+    /** Ends the requests that are still in progress, and waits until they are answered. */
+    private Mono<Void> endRequests() {
+        mLog.write(
+                new Decision.Lifecycle("ending", mGatewayServer.inFlightRequests() + " in flight"));
+        mBoundServers.forEach(DisposableServer::dispose);
+        mShutdown.end();
+        long nowNanos = mTicker.nowNanos();
+        return waitUntilIdle(nowNanos, nowNanos + RESPONSE_TIMEOUT.toNanos());
+    }
+
     /** Stops at once, aborting requests in progress; completes once all ports are closed. */
     public Mono<Void> close() {
         mCoordination.heartbeats().stop();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -38,8 +38,7 @@
  * HTTP server that accepts the requests of callers and answers each exactly once.
  *
  * <p>Invariant: if a stream breaks off, its connection is closed, so that it never looks complete.
- * A draining host still serves requests for a while but closes connections after the response.
- * Thread-safe.
+ * A stopping host closes connections after the response. Thread-safe.
  */
 public final class GatewayServer {
     /** Longer than any idle timeout in a routing table, so that callers close connections first. */
@@ -55,8 +54,8 @@
                     .setMaxInitialLineLength(MAX_LINE_BYTES)
                     .setMaxHeaderSize(MAX_HEADER_BYTES);
 
-    /** Retry delay for callers of a stopping host, who look up other hosts and retry there. */
-    private static final long DRAINING_RETRY_MILLIS = 50;
+    /** Time in which a caller that is refused sends the rest of its request. */
+    private static final Duration DISCARD_TIMEOUT = Duration.ofMillis(500);
 
     private static final WorkspaceId NO_WORKSPACE = new WorkspaceId("none");
 
@@ -65,13 +64,11 @@
     private final RouteAdmission mAdmission;
     private final BufferedForwarder mBufferedForwarder;
     private final StreamForwarder mStreamForwarder;
+    private final HostShutdown mShutdown;
     private final EntryMetrics mMetrics;
     private final DecisionLog mLog;
     private final Ticker mTicker;
     private final AtomicInteger mInFlightRequests = new AtomicInteger();
-    private volatile boolean mDraining;
-    private volatile long mDrainStartNanos;
-    private volatile long mAcceptUntilNanos;
 
     /** Creates a server; it listens once {@link #start} is called. */
     public GatewayServer(
@@ -80,6 +77,7 @@
             RouteAdmission admission,
             BufferedForwarder bufferedForwarder,
             StreamForwarder streamForwarder,
+            HostShutdown shutdown,
             EntryMetrics metrics,
             DecisionLog log,
             Ticker ticker) {
@@ -88,6 +86,7 @@
         mAdmission = admission;
         mBufferedForwarder = bufferedForwarder;
         mStreamForwarder = streamForwarder;
+        mShutdown = shutdown;
         mMetrics = metrics;
         mLog = log;
         mTicker = ticker;
@@ -126,20 +125,6 @@
                         String.valueOf(channel.remoteAddress()), reason.status(), detail));
     }
 
-    /**
-     * Starts draining: from now on, connections are closed after each response. New requests are
-     * accepted only until the given time, since later ones might not complete before the process
-     * ends.
-     *
-     * @param acceptUntilNanos the time, on the monotonic clock, by which callers must have switched
-     *     to other hosts
-     */
-    public void startDraining(long acceptUntilNanos) {
-        mDrainStartNanos = mTicker.nowNanos();
-        mAcceptUntilNanos = acceptUntilNanos;
-        mDraining = true;
-    }
-
     /** Returns the number of requests whose response is not complete. */
     public int inFlightRequests() {
         return mInFlightRequests.get();
@@ -148,25 +133,22 @@
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
         RequestTrace trace = new RequestTrace(mTicker.nowNanos());
         mInFlightRequests.incrementAndGet();
-        if (mDraining) {
-            trace.recordStopping(mDrainStartNanos);
-            response.keepAlive(false);
+        if (mShutdown.isStopping()) {
+            trace.recordStopping(mShutdown.startNanos());
         }
         return Mono.fromCallable(() -> read(request, trace))
                 .flatMap(caller -> serve(caller, request, response, trace))
-                .onErrorResume(e -> handleError(e, response, trace))
+                .takeUntilOther(
+                        mShutdown
+                                .ended()
+                                .then(Mono.error(() -> HostShutdown.refusalAtEnd(trace.isSent()))))
+                .onErrorResume(e -> handleError(e, request, response, trace))
                 .doFinally(signal -> end(trace));
     }
 
     private CallerRequest read(HttpServerRequest request, RequestTrace trace)
             throws RefusalException {
-        if (mDraining && trace.startNanos() - mAcceptUntilNanos > 0) {
-            throw RefusalException.notRunRetry(
-                    RefusalReason.HOST_NOT_SERVING,
-                    DRAINING_RETRY_MILLIS,
-                    Step.ADMIT,
-                    "this host is shutting down; use another one");
-        }
+        mShutdown.requireOpen();
         return mProtocol.read(request, trace.startNanos());
     }
 
@@ -182,6 +164,7 @@
             RequestTrace trace) {
         trace.recordRequest(caller.id().value());
         return Mono.fromCallable(() -> authorize(caller, trace))
+                .doOnNext(authorized -> trace.recordBodyRequested())
                 .flatMap(
                         authorized ->
                                 RequestBody.read(
@@ -279,14 +262,14 @@
                 .switchIfEmpty(Mono.error(GatewayServer::noResponse))
                 .flatMap(
                         complete -> {
-                            mProtocol.writeHead(response, complete.head());
+                            writeHead(response, complete.head());
                             response.header(
                                     HttpHeaderNames.CONTENT_LENGTH,
                                     Integer.toString(complete.body().length));
                             recordHead(Timing.SERVICE_CALL, context, complete.head(), trace);
                             return response.sendByteArray(Mono.just(complete.body())).then();
                         })
-                .doOnSuccess(done -> trace.recordAnswered());
+                .doOnSuccess(done -> recordAnswered(context, trace));
     }
 
     private Mono<Void> forwardStream(
@@ -298,13 +281,14 @@
                             if (!(first.get() instanceof ResponsePart.Head head)) {
                                 return all.then(Mono.<Void>error(noResponse())).flux();
                             }
-                            mProtocol.writeHead(response, head.head());
+                            writeHead(response, head.head());
                             recordHead(Timing.FIRST_TOKEN, context, head.head(), trace);
                             return response.send(
                                             all.skip(1)
                                                     .cast(ResponsePart.Body.class)
                                                     .map(b -> Unpooled.wrappedBuffer(b.bytes()))
-                                                    .doOnComplete(trace::recordAnswered)
+                                                    .doOnComplete(
+                                                            () -> recordAnswered(context, trace))
                                                     .doOnCancel(trace::recordCancelled),
                                             buffer -> true)
                                     .then()
@@ -313,6 +297,17 @@
                 .then();
     }
 
+    /** A stopping host asks callers to use no connection again, whenever their request came. */
+    private void writeHead(HttpServerResponse response, ResponseHead head) {
+        mProtocol.writeHead(response, head);
+        response.keepAlive(!mShutdown.isStopping());
+    }
+
+    private void recordAnswered(RequestContext context, RequestTrace trace) {
+        trace.recordAnswered();
+        mShutdown.recordDuration(context.route(), mTicker.nowNanos() - trace.startNanos());
+    }
+
     /** Without this exception, a forwarder without response or error would look like success. */
     private static IllegalStateException noResponse() {
         return new IllegalStateException("the forwarder completed without a response");
@@ -327,7 +322,10 @@
     }
 
     private Mono<Void> handleError(
-            Throwable error, HttpServerResponse response, RequestTrace trace) {
+            Throwable error,
+            HttpServerRequest request,
+            HttpServerResponse response,
+            RequestTrace trace) {
         if (trace.isHeadSent()) {
             trace.recordFailure(error);
             response.withConnection(connection -> connection.channel().close());
@@ -338,7 +336,18 @@
         mMetrics.countRefusal(refusal.reason(), NO_WORKSPACE);
         mProtocol.writeRefusal(response, refusal);
         response.header(HttpHeaderNames.CONTENT_LENGTH, "0");
-        return response.send().then();
+        if (!mShutdown.isStopping()) {
+            return response.send().then();
+        }
+        response.keepAlive(false);
+        return discardBody(request, trace).then(Mono.defer(() -> response.send().then()));
+    }
+
+    /** A connection that is closed before its bytes are read is reset, and the refusal with it. */
+    private static Mono<Void> discardBody(HttpServerRequest request, RequestTrace trace) {
+        return trace.isBodyRequested()
+                ? Mono.empty()
+                : request.receive().then().timeout(DISCARD_TIMEOUT).onErrorComplete();
     }
 
     private static RefusalException toRefusal(Throwable error) {
--- /dev/null
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
@@ -0,0 +1,145 @@
+package org.fuchsiaford.entry.gateway.forward;
+
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import org.fuchsiaford.failure.RefusalException;
+import org.fuchsiaford.failure.RefusalReason;
+import org.fuchsiaford.failure.RemoteName;
+import org.fuchsiaford.failure.RunState;
+import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.routing.GatewayRoute;
+import org.fuchsiaford.shutdown.DurationHistory;
+import org.fuchsiaford.shutdown.ShutdownPolicy;
+import org.fuchsiaford.time.Ticker;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/**
+ * The graceful stop of this host as far as requests are concerned. A stopping host first sends only
+ * requests that will end in time, then ends all that are in progress.
+ *
+ * <p>Invariant: once the requests were ended, none is sent. Thread-safe.
+ */
+public final class HostShutdown {
+    /** Retry delay for callers of a stopping host, who look up other hosts and retry there. */
+    private static final long RETRY_MILLIS = 50;
+
+    private final Ticker mTicker;
+    private final Map<String, DurationHistory> mHistories = new ConcurrentHashMap<>();
+    private final Sinks.Empty<Void> mEnd = Sinks.empty();
+    private volatile Phase mPhase = new Phase(State.SERVING, 0, 0);
+
+    private enum State {
+        SERVING,
+        STOPPING,
+        ENDED
+    }
+
+    /**
+     * A phase and its times on the monotonic clock, which are not used while serving.
+     *
+     * @param startNanos when the stop was requested
+     * @param endNanos when the requests that are in progress then are ended
+     */
+    private record Phase(State state, long startNanos, long endNanos) {}
+
+    /** Creates the state of a host that serves. */
+    public HostShutdown(Ticker ticker) {
+        mTicker = ticker;
+    }
+
+    /**
+     * Starts the graceful stop.
+     *
+     * @param endNanos when {@link #end} will be called, on the monotonic clock
+     */
+    public void begin(long endNanos) {
+        mPhase = new Phase(State.STOPPING, mTicker.nowNanos(), endNanos);
+    }
+
+    /** Ends all requests that are in progress, and refuses those that arrive later. */
+    public void end() {
+        mPhase = new Phase(State.ENDED, mPhase.startNanos(), mPhase.endNanos());
+        mEnd.tryEmitEmpty();
+    }
+
+    /** Completes when the requests in progress are to be ended. */
+    Mono<Void> ended() {
+        return mEnd.asMono();
+    }
+
+    boolean isStopping() {
+        return mPhase.state() != State.SERVING;
+    }
+
+    /** Returns when the stop was requested, on the monotonic clock; only valid while stopping. */
+    long startNanos() {
+        return mPhase.startNanos();
+    }
+
+    /** Records how long a request took that was answered in full. */
+    void recordDuration(GatewayRoute route, long durationNanos) {
+        mHistories
+                .computeIfAbsent(route.name(), name -> new DurationHistory())
+                .record(durationNanos, mTicker.nowNanos());
+    }
+
+    /**
+     * Checks that this host takes requests at all.
+     *
+     * @throws RefusalException if the requests in progress have been ended
+     */
+    void requireOpen() throws RefusalException {
+        if (mPhase.state() == State.ENDED) {
+            throw notRun();
+        }
+    }
+
+    /**
+     * Checks that a request ends in time if it is sent now. Requests that were sent before may be
+     * sent again.
+     *
+     * @throws RefusalException if it may not; it has not run
+     */
+    void requireTime(RequestContext context) throws RefusalException {
+        Phase phase = mPhase;
+        if (phase.state() == State.SERVING || context.sendCount() > 0) {
+            return;
+        }
+        long nowNanos = mTicker.nowNanos();
+        DurationHistory history = mHistories.get(context.route().name());
+        OptionalLong longest =
+                history == null ? OptionalLong.empty() : history.longestNanos(nowNanos);
+        if (phase.state() == State.ENDED
+                || !ShutdownPolicy.endsInTime(
+                        nowNanos, context.deadlineNanos(), longest, phase.endNanos())) {
+            throw notRun();
+        }
+    }
+
+    /**
+     * Returns the refusal of a request that has no response when the requests are ended.
+     *
+     * @param sent whether it was sent to a backend server
+     */
+    static RefusalException refusalAtEnd(boolean sent) {
+        return sent
+                ? new RefusalException(
+                        RefusalReason.BACKEND_FAILED,
+                        RunState.UNKNOWN,
+                        0,
+                        Step.FORWARD,
+                        RemoteName.SELF,
+                        "this host had to stop before the backend server has answered")
+                : notRun();
+    }
+
+    private static RefusalException notRun() {
+        return RefusalException.notRunRetry(
+                RefusalReason.HOST_NOT_SERVING,
+                RETRY_MILLIS,
+                Step.ADMIT,
+                "this host is shutting down; use another one");
+    }
+}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.fuchsiaford.attempt.RequestAttempts;
 import org.fuchsiaford.backend.ServiceId;
@@ -30,7 +31,7 @@
 /**
  * An admitted request with its route, deadline and attempts. Only the attempts, the progress and
  * the software version of the stream, and the send count change. Not thread-safe; the signals of
- * one request arrive sequentially.
+ * one request arrive sequentially, only the send count may be read at any time.
  */
 final class RequestContext {
     /** The token counts assumed for a model request that states none. */
@@ -47,7 +48,7 @@
     private final StreamProgress mStreamProgress;
     private Optional<ServerRun> mBegunBy = Optional.empty();
     private Optional<SoftwareVersion> mVersion = Optional.empty();
-    private int mSendCount;
+    private final AtomicInteger mSendCount = new AtomicInteger();
     private List<PromptPartId> mPromptParts;
 
     RequestContext(
@@ -165,11 +166,11 @@
 
     /** Increments the number of sends and returns the previous number. */
     int incrementSendCount() {
-        return mSendCount++;
+        return mSendCount.getAndIncrement();
     }
 
     int sendCount() {
-        return mSendCount;
+        return mSendCount.get();
     }
 
     /** Returns the time until the deadline in milliseconds; negative after it. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
@@ -28,6 +28,7 @@
     private long mTableVersion;
     private long mFirstByteNanos = NO_FIRST_BYTE;
     private Long mAfterStopMillis;
+    private boolean mBodyRequested;
     private RequestContext mContext;
 
     RequestTrace(long startNanos) {
@@ -96,6 +97,20 @@
         mReason = String.valueOf(cause);
     }
 
+    /** Records that the body of the request is being read, or was. */
+    void recordBodyRequested() {
+        mBodyRequested = true;
+    }
+
+    boolean isBodyRequested() {
+        return mBodyRequested;
+    }
+
+    /** Returns whether the request was sent to a backend server. */
+    boolean isSent() {
+        return mContext != null && mContext.sendCount() > 0;
+    }
+
     boolean isHeadSent() {
         return mFirstByteNanos != NO_FIRST_BYTE;
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteAdmission.java
@@ -32,6 +32,7 @@
 
     private final GatewayState mState;
     private final LimitCharging mCharging;
+    private final HostShutdown mShutdown;
 
     /**
      * The route of an authorized request.
@@ -44,9 +45,10 @@
             RoutingTable table, GatewayRoute route, Optional<WorkspaceDeclaration> workspace) {}
 
     /** Creates an admission. */
-    public RouteAdmission(GatewayState state, LimitCharging charging) {
+    public RouteAdmission(GatewayState state, LimitCharging charging, HostShutdown shutdown) {
         mState = state;
         mCharging = charging;
+        mShutdown = shutdown;
     }
 
     /** Returns the timeout for the head of a request, in milliseconds. */
@@ -98,13 +100,15 @@
     }
 
     /**
-     * Checks, immediately before a request is sent, that its route still leads to the same service
-     * and its key still belongs to the same workspace.
+     * Checks, immediately before a request is sent, that its route still leads to the same service,
+     * its key still belongs to the same workspace, and it ends before this host if that is
+     * stopping.
      *
-     * @throws RefusalException if the routing table has changed in between and the request may no
-     *     longer run
+     * @throws RefusalException if the routing table has changed in between or this host stops, and
+     *     the request may no longer run
      */
     void reauthorize(RequestContext context) throws RefusalException {
+        mShutdown.requireTime(context);
         AuthorizedRoute current = authorize(context.caller());
         boolean sameService =
                 current.route().services().stream()
--- a/entry/src/test/java/org/fuchsiaford/entry/ArchitectureTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/ArchitectureTest.java
@@ -27,6 +27,7 @@
         "org.fuchsiaford.routing..",
         "org.fuchsiaford.selection..",
         "org.fuchsiaford.serverlimit..",
+        "org.fuchsiaford.shutdown..",
         "org.fuchsiaford.time..",
         "org.fuchsiaford.workspace..",
     };
