Give up a slow server only for an answer of another one

What callers saw: safe requests were answered 502 at twice the target latency though their server was sound and the deadline far, and 504 after a second attempt that began at zero; a second of silence of a service failed all that was under way. Cause: the first attempt of a repeatable request was ended at twice the target latency whether or not another attempt could be made; the cuts used up the retry budget, after which nothing took their place. Silence counted as failure by itself. Streams had the same fault: a silent engine was given up also if no other could go on. Change: AttemptRace keeps the first attempt open beside the second one, which starts only if a server that was not asked is free and the budget allows it; the complete response that comes first counts. A server is recorded as failed when another one that was asked later has answered, not when it is slow. Attempts in progress count in RequestAttempts, so no more servers may run a request than the route allows, and nothing is stated as not run meanwhile. StreamSilence ends the wait for an event only while an engine of the stream's version and the budget allow the stream to go on. Why it works: an attempt ends early only when its answer is no longer needed.

--- a/core/src/main/java/org/fuchsiaford/attempt/RequestAttempts.java
+++ b/core/src/main/java/org/fuchsiaford/attempt/RequestAttempts.java
@@ -2,6 +2,8 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.routing.RequestKind;
 
@@ -9,8 +11,8 @@
  * Tracks the attempts of one request and decides whether it may be retried.
  *
  * <p>Invariants: a request that is not repeatable is never resent once a server may have run it,
- * and a request is only rejected if no attempt may have run it. Not thread-safe; the outcomes of
- * one request arrive one after another.
+ * and a request is only rejected if no attempt may have run it, finished or in progress.
+ * Thread-safe, since two attempts may be in progress at the same time.
  */
 public final class RequestAttempts {
     /**
@@ -23,6 +25,7 @@
     private final int mMaxServers;
     private final Set<BackendServerId> mPossiblyRunOn = new HashSet<>();
     private final Set<BackendServerId> mFailedServers = new HashSet<>();
+    private final Set<BackendServerId> mInProgress = new HashSet<>();
     private int mUnexecutedAttempts;
 
     /**
@@ -36,8 +39,14 @@
         mMaxServers = maxServers;
     }
 
+    /** Records that a request is sent to a server, which may run it from now on. */
+    public synchronized void begin(BackendServerId server) {
+        mInProgress.add(server);
+    }
+
     /** Records the outcome of an attempt. */
-    public void record(BackendServerId server, AttemptOutcome outcome) {
+    public synchronized void record(BackendServerId server, AttemptOutcome outcome) {
+        mInProgress.remove(server);
         if (outcome.mayHaveRun()) {
             mPossiblyRunOn.add(server);
         } else {
@@ -48,14 +57,15 @@
         }
     }
 
-    /** Returns the servers on which an attempt failed. */
-    public Set<BackendServerId> failedServers() {
-        return Set.copyOf(mFailedServers);
+    /** Returns the servers on which an attempt failed or is in progress. */
+    public synchronized Set<BackendServerId> triedServers() {
+        return Stream.concat(mFailedServers.stream(), mInProgress.stream())
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /** Returns whether any backend server may have started to process the request. */
-    public boolean mayHaveRun() {
-        return !mPossiblyRunOn.isEmpty();
+    public synchronized boolean mayHaveRun() {
+        return !mPossiblyRunOn.isEmpty() || !mInProgress.isEmpty();
     }
 
     /**
@@ -64,7 +74,7 @@
      * @param outcome the outcome of that attempt
      * @param retryAllowed whether the deadline and the retry budget allow another attempt
      */
-    public NextStep nextStep(AttemptOutcome outcome, boolean retryAllowed) {
+    public synchronized NextStep nextStep(AttemptOutcome outcome, boolean retryAllowed) {
         if (outcome == AttemptOutcome.ANSWERED) {
             return NextStep.ANSWER;
         }
@@ -78,10 +88,12 @@
     }
 
     /** Returns whether the request kind and the attempt limits allow another attempt. */
-    public boolean mayRetry() {
+    public synchronized boolean mayRetry() {
         boolean kindAllowsRetry = !mayHaveRun() || mKind.isRepeatable();
+        long servers =
+                Stream.concat(mPossiblyRunOn.stream(), mInProgress.stream()).distinct().count();
         return kindAllowsRetry
-                && mPossiblyRunOn.size() < mMaxServers
+                && servers < mMaxServers
                 && mUnexecutedAttempts < MAX_UNEXECUTED_ATTEMPTS;
     }
 }
--- a/core/src/test/java/org/fuchsiaford/attempt/RequestAttemptsTest.java
+++ b/core/src/test/java/org/fuchsiaford/attempt/RequestAttemptsTest.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -44,4 +45,27 @@
             assertThat(retryAllowed).isTrue();
         }
     }
+
+    @Property(seed = "22")
+    void attemptsInProgressCountAsPossiblyRun(
+            @ForAll RequestKind kind, @ForAll @IntRange(min = 1, max = 3) int maxServers) {
+        RequestAttempts attempts = new RequestAttempts(kind, maxServers);
+        BackendServerId first = new BackendServerId("s1");
+        attempts.begin(first);
+        assertThat(attempts.mayHaveRun()).isTrue();
+        assertThat(attempts.triedServers()).containsExactly(first);
+        assertThat(attempts.mayRetry()).isEqualTo(kind.isRepeatable() && maxServers > 1);
+        attempts.record(first, AttemptOutcome.NOT_SENT);
+        assertThat(attempts.mayHaveRun()).isFalse();
+        assertThat(attempts.mayRetry()).isTrue();
+    }
+
+    @Example
+    void nothingIsRejectedWhileAnAttemptIsInProgress() {
+        RequestAttempts attempts = new RequestAttempts(RequestKind.REPEATABLE, 2);
+        attempts.begin(new BackendServerId("s1"));
+        attempts.begin(new BackendServerId("s2"));
+        attempts.record(new BackendServerId("s2"), AttemptOutcome.NOT_RUN);
+        assertThat(attempts.nextStep(AttemptOutcome.NOT_RUN, false)).isEqualTo(NextStep.FAIL);
+    }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -113,6 +113,37 @@
         return recordFailure(context, server, outcome, reason, null);
     }
 
+    /**
+     * Returns whether a request may be sent to another server while an attempt is in progress. If
+     * so, the new attempt is in the budget.
+     */
+    boolean tryAcquireAlternative(RequestContext context) {
+        return findObstacle(context, AttemptOutcome.UNKNOWN).isEmpty();
+    }
+
+    /** Returns whether a stream that is silent may be resumed, without consuming budget. */
+    boolean allowsResumption(RequestContext context) {
+        return context.attempts().mayRetry()
+                && context.remainingMillis(mTicker.nowNanos()) >= MIN_RETRY_TIME_MILLIS
+                && mBudgets.canRetry(context.service());
+    }
+
+    /** Records that a server has not answered before another one that was asked later. */
+    void recordOvertaken(RequestContext context, LiveServer server) {
+        recordServerFailure(server, AttemptOutcome.UNKNOWN);
+        context.attempts().record(server.id(), AttemptOutcome.UNKNOWN);
+        mLog.write(
+                new Decision.AttemptFailed(
+                        context.caller().id().value(),
+                        server.id().value(),
+                        AttemptOutcome.UNKNOWN.name(),
+                        "another server that was asked later has answered",
+                        null,
+                        NextStep.ANSWER.name(),
+                        null,
+                        context.remainingMillis(mTicker.nowNanos())));
+    }
+
     /** Records a failed attempt, and returns how to proceed. */
     NextStep recordFailure(
             RequestContext context, LiveServer server, BackendCallException failure) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -23,6 +23,7 @@
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.ServerSelector;
 import org.fuchsiaford.time.Ticker;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /**
@@ -42,11 +43,10 @@
     private static final long LIMITED_RETRY_SPREAD_MILLIS = 1_000;
 
     /**
-     * Timeout of an attempt of a repeatable request, as a multiple of the latency target; then
-     * another server is tried. It applies until an attempt may have run; later attempts may take
-     * until the deadline.
+     * Time after which a repeatable request without a response is sent to another server as well,
+     * as a multiple of the latency target.
      */
-    private static final long FIRST_ATTEMPT_TIMEOUT_FACTOR = 2;
+    private static final long ALTERNATIVE_DELAY_FACTOR = 2;
 
     private final GatewayState mState;
     private final ServerBackoff mBackoff;
@@ -150,11 +150,21 @@
         return mSelector
                 .pick(
                         mPermits.availableNow(accepting, nowNanos),
-                        context.attempts().failedServers(),
+                        context.attempts().triedServers(),
                         nowNanos)
                 .orElseThrow(() -> noServerRefusal(context, servers.isEmpty()));
     }
 
+    /** Returns whether there is a server that this request was not sent to. */
+    private boolean hasAlternative(RequestContext context) {
+        try {
+            return !context.attempts().triedServers().contains(pick(context).id());
+        } catch (RefusalException e) {
+            // The attempt in progress goes on; this is no answer to the caller.
+            return false;
+        }
+    }
+
     private static RefusalException noServerRefusal(RequestContext context, boolean noneKnown) {
         String reason = noneKnown ? "no backend server is known" : "all backend servers are full";
         return context.placementRefusal(
@@ -165,9 +175,46 @@
     }
 
     private Mono<CompleteResponse> attempt(RequestContext context, LiveServer server) {
+        boolean first = !context.attempts().mayHaveRun();
+        return first && context.route().kind().isRepeatable() && context.route().maxServers() > 1
+                ? attemptWithAlternative(context, server)
+                : send(context, server);
+    }
+
+    /**
+     * Sends a request, and sends it to another server as well if there is no response for a while.
+     * The response that is complete first counts; none of the two is given up for the other before.
+     */
+    private Mono<CompleteResponse> attemptWithAlternative(
+            RequestContext context, LiveServer server) {
+        return Mono.defer(
+                () -> {
+                    var race = new AttemptRace();
+                    return race.run(
+                            send(context, server),
+                            alternative(context, race),
+                            () -> mAttempts.recordOvertaken(context, server));
+                });
+    }
+
+    private Mono<CompleteResponse> alternative(RequestContext context, AttemptRace race) {
+        Duration delay =
+                Duration.ofMillis(context.route().targetLatencyMillis() * ALTERNATIVE_DELAY_FACTOR);
+        return Flux.interval(delay)
+                .filter(
+                        i ->
+                                hasAlternative(context)
+                                        && race.isInProgress()
+                                        && mAttempts.tryAcquireAlternative(context))
+                .next()
+                .flatMap(i -> race.startSecond() ? run(context) : Mono.empty());
+    }
+
+    private Mono<CompleteResponse> send(RequestContext context, LiveServer server) {
         long startNanos = mTicker.nowNanos();
         long remainingMillis = context.remainingMillis(startNanos);
         int previousSends = mAttempts.recordSend(context);
+        context.attempts().begin(server.id());
         logPlaced(context, server, previousSends, remainingMillis);
         ServerLoad load = new ServerLoad(server.id(), 1, 0, 0);
         mLoads.add(load);
@@ -181,26 +228,13 @@
                                 context.caller().lastEventId()),
                         context.body(),
                         Step.FORWARD,
-                        attemptTimeout(context, remainingMillis))
+                        Duration.ofMillis(Math.max(1, remainingMillis)))
                 .as(parts -> mMemory.collect(Step.FORWARD, remote, parts))
                 .doFinally(signal -> mLoads.remove(load))
                 .flatMap(response -> handleResponse(context, server, response, startNanos))
                 .onErrorResume(BackendCallException.class, e -> handleFailure(context, server, e));
     }
 
-    private Duration attemptTimeout(RequestContext context, long remainingMillis) {
-        boolean mayTryAnotherServer =
-                context.route().kind().isRepeatable() && context.route().maxServers() > 1;
-        long millis =
-                mayTryAnotherServer && !context.attempts().mayHaveRun()
-                        ? Math.min(
-                                remainingMillis,
-                                context.route().targetLatencyMillis()
-                                        * FIRST_ATTEMPT_TIMEOUT_FACTOR)
-                        : remainingMillis;
-        return Duration.ofMillis(Math.max(1, millis));
-    }
-
     private Mono<CompleteResponse> handleResponse(
             RequestContext context, LiveServer server, CompleteResponse response, long startNanos) {
         ResponseHead head = response.head();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
@@ -143,7 +143,7 @@
     private Set<BackendServerId> excludedEngines(RequestContext context) {
         long nowNanos = mTicker.nowNanos();
         return Stream.concat(
-                        context.attempts().failedServers().stream(),
+                        context.attempts().triedServers().stream(),
                         mPool.usable(context.service(), nowNanos).stream()
                                 .filter(engine -> mBackoff.isActive(engine, nowNanos))
                                 .map(LiveServer::id))
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeoutException;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.attempt.NextStep;
 import org.fuchsiaford.backend.ServiceId;
@@ -46,19 +45,6 @@
      */
     private static final double PREFILL_TIMEOUT_FACTOR = 1.2;
 
-    /**
-     * Timeout for the first event of a resumable stream, as a multiple of the latency target but at
-     * least {@link #EVENT_TIMEOUT}; then another engine is tried.
-     */
-    private static final double FIRST_EVENT_TIMEOUT_FACTOR = 2.5;
-
-    /**
-     * Timeout between events of a resumable stream. It is shorter than the silence after which
-     * callers abandon a stream, which is at least two seconds, but leaves an engine time to preempt
-     * a request.
-     */
-    private static final Duration EVENT_TIMEOUT = Duration.ofMillis(1_800);
-
     /** Maximum size of an event of a resumable stream, which is kept until it is complete. */
     private static final int MAX_EVENT_BYTES = 256 * 1024;
 
@@ -78,6 +64,7 @@
     private final RejectionReader mRejections;
     private final PrefillClient mPrefill;
     private final OriginTracker mOrigins;
+    private final StreamSilence mSilence;
     private final AttemptRecorder mAttempts;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -107,6 +94,7 @@
         mRejections = new RejectionReader(memory);
         mPrefill = prefill;
         mOrigins = origins;
+        mSilence = new StreamSilence(pool, attempts, ticker);
         mAttempts = attempts;
         mLog = log;
         mTicker = ticker;
@@ -293,7 +281,7 @@
                         context.body(),
                         Step.DECODE,
                         Duration.ofMillis(Math.max(1, remainingMillis)));
-        return withEventTimeouts(context, server, parts)
+        return mSilence.limit(context, server, parts)
                 .switchOnFirst(
                         (first, all) ->
                                 first.get() instanceof ResponsePart.Head head
@@ -324,27 +312,6 @@
                 "the engine wants no more requests");
     }
 
-    /** Adds event timeouts to a resumable stream; other streams have none. */
-    private Flux<ResponsePart> withEventTimeouts(
-            RequestContext context, LiveServer server, Flux<ResponsePart> parts) {
-        if (!context.route().kind().isRepeatable()) {
-            return parts;
-        }
-        long firstEventMillis =
-                (long) (context.route().targetLatencyMillis() * FIRST_EVENT_TIMEOUT_FACTOR);
-        Duration firstEventTimeout =
-                Duration.ofMillis(Math.max(firstEventMillis, EVENT_TIMEOUT.toMillis()));
-        return parts.timeout(Mono.delay(firstEventTimeout), part -> Mono.delay(EVENT_TIMEOUT))
-                .onErrorMap(
-                        TimeoutException.class,
-                        e ->
-                                new BackendCallException(
-                                        Step.DECODE,
-                                        new RemoteName(server.id().value()),
-                                        AttemptOutcome.UNKNOWN,
-                                        "no event within the timeout"));
-    }
-
     private Flux<ResponsePart> forwardEvents(
             RequestContext context,
             StreamProgress progress,
