Refuse requests that wait at a stopping host once they cannot end in time

What callers saw: a request that waited for an engine when its host was told to stop was held to its deadline or to the end of the process. Cause: the check before a send comes only when a place is free; nothing looked at requests that wait. Change: HostShutdown ends the wait at the latest time at which the request could be sent. A request is closed against sending in one atomic step before it is stated as not run, there and at the end of the grace.

--- a/core/src/main/java/org/fuchsiaford/shutdown/ShutdownPolicy.java
+++ b/core/src/main/java/org/fuchsiaford/shutdown/ShutdownPolicy.java
@@ -20,19 +20,20 @@
     private ShutdownPolicy() {}
 
     /**
-     * Returns whether a request that is sent now ends in time.
+     * Returns until when a request may be sent, on the monotonic clock.
      *
      * @param deadlineNanos the deadline of the request; it is answered by then in any case
      * @param longestNanos the longest duration of such requests lately, if there were any
+     * @param startNanos when the stop of the host was requested
      * @param endNanos when the host ends the requests that are still in progress
      */
-    public static boolean endsInTime(
-            long nowNanos, long deadlineNanos, OptionalLong longestNanos, long endNanos) {
+    public static long latestSendNanos(
+            long deadlineNanos, OptionalLong longestNanos, long startNanos, long endNanos) {
         if (deadlineNanos - endNanos <= 0) {
-            return true;
+            return deadlineNanos;
         }
         return longestNanos.isPresent()
-                && longestNanos.getAsLong() * DURATION_FACTOR + SILENCE_ALLOWANCE_NANOS
-                        <= endNanos - nowNanos;
+                ? endNanos - longestNanos.getAsLong() * DURATION_FACTOR - SILENCE_ALLOWANCE_NANOS
+                : startNanos;
     }
 }
--- a/core/src/test/java/org/fuchsiaford/shutdown/ShutdownPolicyTest.java
+++ b/core/src/test/java/org/fuchsiaford/shutdown/ShutdownPolicyTest.java
@@ -17,34 +17,34 @@
         return TimeUnit.SECONDS.toNanos(seconds);
     }
 
-    private static boolean endsInTime(long nowNanos, long deadlineNanos, OptionalLong longest) {
-        return ShutdownPolicy.endsInTime(nowNanos, deadlineNanos, longest, END);
+    private static long latestSendSeconds(long deadlineSeconds, OptionalLong longestNanos) {
+        return TimeUnit.NANOSECONDS.toSeconds(
+                ShutdownPolicy.latestSendNanos(seconds(deadlineSeconds), longestNanos, 0, END));
     }
 
     @Property
-    void aRequestWhoseDeadlinePassesBeforeTheEndIsSent(
-            @ForAll @IntRange(max = 10) int now, @ForAll @IntRange(max = 10) int deadline) {
-        assertThat(endsInTime(seconds(now), seconds(deadline), OptionalLong.empty())).isTrue();
+    void aRequestWhoseDeadlinePassesBeforeTheEndIsSentAtAnyTime(
+            @ForAll @IntRange(max = 10) int deadline, @ForAll @IntRange(max = 10) int longest) {
+        assertThat(latestSendSeconds(deadline, OptionalLong.of(seconds(longest))))
+                .isEqualTo(deadline);
+        assertThat(latestSendSeconds(deadline, OptionalLong.empty())).isEqualTo(deadline);
     }
 
     @Property
     void noRequestIsSentThatWouldNotEndAtTwiceTheLongestDuration(
-            @ForAll @IntRange(max = 12) int now, @ForAll @IntRange(min = 1, max = 12) int longest) {
-        boolean fits = now + 2 * longest <= 10;
-        boolean sent = endsInTime(seconds(now), seconds(30), OptionalLong.of(seconds(longest)));
-        assertThat(sent)
-                .satisfiesAnyOf(s -> assertThat(s).isFalse(), s -> assertThat(fits).isTrue());
+            @ForAll @IntRange(min = 11, max = 20) int deadline,
+            @ForAll @IntRange(min = 1, max = 12) int longest) {
+        assertThat(latestSendSeconds(deadline, OptionalLong.of(seconds(longest))))
+                .isLessThanOrEqualTo(10 - 2 * longest);
     }
 
     @Example
     void aShortRequestWithALongDeadlineIsSentWhileThereIsTime() {
-        OptionalLong longest = OptionalLong.of(seconds(1));
-        assertThat(endsInTime(seconds(6), seconds(20), longest)).isTrue();
-        assertThat(endsInTime(seconds(7), seconds(20), longest)).isFalse();
+        assertThat(latestSendSeconds(20, OptionalLong.of(seconds(1)))).isEqualTo(6);
     }
 
     @Example
-    void withoutAnyDurationOnlyTheDeadlineCounts() {
-        assertThat(endsInTime(0, seconds(11), OptionalLong.empty())).isFalse();
+    void withoutAnyDurationNothingIsSentAfterTheStop() {
+        assertThat(latestSendSeconds(11, OptionalLong.empty())).isZero();
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -61,8 +61,12 @@
         mTicker = ticker;
     }
 
-    /** Records the send of an attempt and returns the number of earlier sends of the request. */
-    int recordSend(RequestContext context) {
+    /**
+     * Records the send of an attempt and returns the number of earlier sends of the request.
+     *
+     * @throws RefusalException if the request was closed before it was sent
+     */
+    int recordSend(RequestContext context) throws RefusalException {
         int previousSends = context.incrementSendCount();
         if (previousSends == 0) {
             mBudgets.recordRequest(context.service());
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -211,9 +211,14 @@
     }
 
     private Mono<CompleteResponse> send(RequestContext context, LiveServer server) {
+        return Mono.fromCallable(() -> mAttempts.recordSend(context))
+                .flatMap(previousSends -> exchange(context, server, previousSends));
+    }
+
+    private Mono<CompleteResponse> exchange(
+            RequestContext context, LiveServer server, int previousSends) {
         long startNanos = mTicker.nowNanos();
         long remainingMillis = context.remainingMillis(startNanos);
-        int previousSends = mAttempts.recordSend(context);
         context.attempts().begin(server.id());
         logPlaced(context, server, previousSends, remainingMillis);
         ServerLoad load = new ServerLoad(server.id(), 1, 0, 0);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -138,10 +138,7 @@
         }
         return Mono.fromCallable(() -> read(request, trace))
                 .flatMap(caller -> serve(caller, request, response, trace))
-                .takeUntilOther(
-                        mShutdown
-                                .ended()
-                                .then(Mono.error(() -> HostShutdown.refusalAtEnd(trace.isSent()))))
+                .takeUntilOther(mShutdown.endedBefore(trace))
                 .onErrorResume(e -> handleError(e, request, response, trace))
                 .doFinally(signal -> end(trace));
     }
@@ -259,6 +256,7 @@
             RequestContext context, HttpServerResponse response, RequestTrace trace) {
         return mBufferedForwarder
                 .run(context)
+                .takeUntilOther(mShutdown.waitedTooLong(context))
                 .switchIfEmpty(Mono.error(GatewayServer::noResponse))
                 .flatMap(
                         complete -> {
@@ -276,6 +274,7 @@
             RequestContext context, HttpServerResponse response, RequestTrace trace) {
         return mStreamForwarder
                 .run(context)
+                .takeUntilOther(mShutdown.waitedTooLong(context))
                 .switchOnFirst(
                         (first, all) -> {
                             if (!(first.get() instanceof ResponsePart.Head head)) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.entry.gateway.forward;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
@@ -19,7 +20,8 @@
  * The graceful stop of this host as far as requests are concerned. A stopping host first sends only
  * requests that will end in time, then ends all that are in progress.
  *
- * <p>Invariant: once the requests were ended, none is sent. Thread-safe.
+ * <p>Invariants: once the requests were ended, none is sent, and a request that is stated as not
+ * run is never sent later. Thread-safe.
  */
 public final class HostShutdown {
     /** Retry delay for callers of a stopping host, who look up other hosts and retry there. */
@@ -27,6 +29,7 @@
 
     private final Ticker mTicker;
     private final Map<String, DurationHistory> mHistories = new ConcurrentHashMap<>();
+    private final Sinks.Empty<Void> mBegin = Sinks.empty();
     private final Sinks.Empty<Void> mEnd = Sinks.empty();
     private volatile Phase mPhase = new Phase(State.SERVING, 0, 0);
 
@@ -56,6 +59,7 @@
      */
     public void begin(long endNanos) {
         mPhase = new Phase(State.STOPPING, mTicker.nowNanos(), endNanos);
+        mBegin.tryEmitEmpty();
     }
 
     /** Ends all requests that are in progress, and refuses those that arrive later. */
@@ -64,11 +68,6 @@
         mEnd.tryEmitEmpty();
     }
 
-    /** Completes when the requests in progress are to be ended. */
-    Mono<Void> ended() {
-        return mEnd.asMono();
-    }
-
     boolean isStopping() {
         return mPhase.state() != State.SERVING;
     }
@@ -107,32 +106,44 @@
         if (phase.state() == State.SERVING || context.sendCount() > 0) {
             return;
         }
-        long nowNanos = mTicker.nowNanos();
-        DurationHistory history = mHistories.get(context.route().name());
-        OptionalLong longest =
-                history == null ? OptionalLong.empty() : history.longestNanos(nowNanos);
         if (phase.state() == State.ENDED
-                || !ShutdownPolicy.endsInTime(
-                        nowNanos, context.deadlineNanos(), longest, phase.endNanos())) {
+                || mTicker.nowNanos() - latestSendNanos(context, phase) > 0) {
             throw notRun();
         }
     }
 
-    /**
-     * Returns the refusal of a request that has no response when the requests are ended.
-     *
-     * @param sent whether it was sent to a backend server
-     */
-    static RefusalException refusalAtEnd(boolean sent) {
-        return sent
-                ? new RefusalException(
-                        RefusalReason.BACKEND_FAILED,
-                        RunState.UNKNOWN,
-                        0,
-                        Step.FORWARD,
-                        RemoteName.SELF,
-                        "this host had to stop before the backend server has answered")
-                : notRun();
+    private long latestSendNanos(RequestContext context, Phase phase) {
+        DurationHistory history = mHistories.get(context.route().name());
+        OptionalLong longest =
+                history == null ? OptionalLong.empty() : history.longestNanos(mTicker.nowNanos());
+        return ShutdownPolicy.latestSendNanos(
+                context.deadlineNanos(), longest, phase.startNanos(), phase.endNanos());
+    }
+
+    /** Fails as soon as a request that waits to be sent would no longer end in time. */
+    Mono<Void> waitedTooLong(RequestContext context) {
+        return mBegin.asMono()
+                .then(Mono.defer(() -> Mono.delay(untilLatestSend(context))))
+                .flatMap(waited -> context.closeUnsent() ? Mono.error(notRun()) : Mono.never());
+    }
+
+    private Duration untilLatestSend(RequestContext context) {
+        return Duration.ofNanos(Math.max(0, latestSendNanos(context, mPhase) - mTicker.nowNanos()));
+    }
+
+    /** Fails when the requests are ended; states that a request has not run if it was not sent. */
+    Mono<Void> endedBefore(RequestTrace trace) {
+        return mEnd.asMono().then(Mono.error(() -> trace.closeUnsent() ? notRun() : unanswered()));
+    }
+
+    private static RefusalException unanswered() {
+        return new RefusalException(
+                RefusalReason.BACKEND_FAILED,
+                RunState.UNKNOWN,
+                0,
+                Step.FORWARD,
+                RemoteName.SELF,
+                "this host had to stop before the backend server has answered");
     }
 
     private static RefusalException notRun() {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -37,6 +37,9 @@
     /** The token counts assumed for a model request that states none. */
     private static final TokenCounts DEFAULT_TOKENS = new TokenCounts(1_000, 100);
 
+    /** The send count of a request that may not be sent any more. */
+    private static final int CLOSED = -1;
+
     private final CallerRequest mCaller;
     private final byte[] mBody;
     private final GatewayRoute mRoute;
@@ -164,13 +167,27 @@
         return mStreamProgress;
     }
 
-    /** Increments the number of sends and returns the previous number. */
-    int incrementSendCount() {
-        return mSendCount.getAndIncrement();
+    /**
+     * Increments the number of sends and returns the previous number.
+     *
+     * @throws RefusalException if the request was closed before it was sent
+     */
+    int incrementSendCount() throws RefusalException {
+        int previous = mSendCount.getAndUpdate(count -> count == CLOSED ? CLOSED : count + 1);
+        if (previous == CLOSED) {
+            throw RefusalException.notRun(
+                    RefusalReason.HOST_NOT_SERVING, Step.PLACE, "the request was closed");
+        }
+        return previous;
+    }
+
+    /** Prevents the request from being sent; returns false if it was sent before. */
+    boolean closeUnsent() {
+        return mSendCount.updateAndGet(count -> count == 0 ? CLOSED : count) == CLOSED;
     }
 
     int sendCount() {
-        return mSendCount.get();
+        return Math.max(0, mSendCount.get());
     }
 
     /** Returns the time until the deadline in milliseconds; negative after it. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
@@ -106,9 +106,9 @@
         return mBodyRequested;
     }
 
-    /** Returns whether the request was sent to a backend server. */
-    boolean isSent() {
-        return mContext != null && mContext.sendCount() > 0;
+    /** Prevents the request from being sent; returns false if it was sent before. */
+    boolean closeUnsent() {
+        return mContext == null || mContext.closeUnsent();
     }
 
     boolean isHeadSent() {
