--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -1,10 +1,10 @@
 package org.fuchsiaford.entry.gateway;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.attempt.AttemptOutcome;
@@ -98,7 +98,7 @@
     private final StageController mStageController;
     private final PeerServer mPeerServer;
     private final GatewayServer mGatewayServer;
-    private final List<DisposableServer> mBoundServers = new ArrayList<>();
+    private final List<DisposableServer> mBoundServers = new CopyOnWriteArrayList<>();
     private volatile boolean mShuttingDown;
 
     /** Creates a host; it is inactive until {@link #start} is called. */
