Decide atomically who answers a request and which attempts it may have

The end of a stop came from another thread than a response that was being written; a request that was rejected once counted as sent and escaped the check of time; attempts in progress were counted at plain requests only, checked and begun in two steps, and could be asked of a server that was still at work; a race of attempts could start within another and blamed the wrong server; an engine was given up before its first event though no other might run the stream; a duration counted the caller's upload and could count for too long; a host ended requests as soon as it was idle once. Change: RequestTrace lets either the server's response or the host claim the answer. RequestAttempts begins and closes attempts in one step each, for streams too, counts each attempt in progress, and names the servers in progress, which are not asked again. A request has one race. A refusal says that a request has not run only if no attempt may have run it. A stopping host first refuses and closes its ports, then waits to the end of its time, then ends what is left; half of the reserve is for those answers. The races themselves have no test that fails without the change.

--- a/core/src/main/java/org/fuchsiaford/attempt/RequestAttempts.java
+++ b/core/src/main/java/org/fuchsiaford/attempt/RequestAttempts.java
@@ -1,6 +1,8 @@
 package org.fuchsiaford.attempt;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -10,9 +12,10 @@
 /**
  * Tracks the attempts of one request and decides whether it may be retried.
  *
- * <p>Invariants: a request that is not repeatable is never resent once a server may have run it,
- * and a request is only rejected if no attempt may have run it, finished or in progress.
- * Thread-safe, since two attempts may be in progress at the same time.
+ * <p>Invariants: a request that is not repeatable is never resent once a server may have run it, at
+ * most the maximum number of servers may run it, and a request is only rejected if no attempt may
+ * have run it, finished or in progress. Thread-safe, since two attempts may be in progress at the
+ * same time.
  */
 public final class RequestAttempts {
     /**
@@ -25,7 +28,8 @@
     private final int mMaxServers;
     private final Set<BackendServerId> mPossiblyRunOn = new HashSet<>();
     private final Set<BackendServerId> mFailedServers = new HashSet<>();
-    private final Set<BackendServerId> mInProgress = new HashSet<>();
+    private final List<BackendServerId> mInProgress = new ArrayList<>();
+    private boolean mClosed;
     private int mUnexecutedAttempts;
 
     /**
@@ -39,9 +43,30 @@
         mMaxServers = maxServers;
     }
 
-    /** Records that a request is sent to a server, which may run it from now on. */
-    public synchronized void begin(BackendServerId server) {
+    /**
+     * Begins an attempt, which may run from now on. Returns false if the kind, the number of
+     * servers or the closing of the request do not allow it.
+     */
+    public synchronized boolean tryBegin(BackendServerId server) {
+        boolean another = !possiblyRunOn().contains(server);
+        if (mClosed
+                || (mayHaveRun() && !mKind.isRepeatable())
+                || (another && possiblyRunOn().size() >= mMaxServers)) {
+            return false;
+        }
         mInProgress.add(server);
+        return true;
+    }
+
+    /** Prevents all further attempts. Returns false, without effect, if one may have run. */
+    public synchronized boolean closeIfNotRun() {
+        mClosed = mClosed || !mayHaveRun();
+        return mClosed;
+    }
+
+    private Set<BackendServerId> possiblyRunOn() {
+        return Stream.concat(mPossiblyRunOn.stream(), mInProgress.stream())
+                .collect(Collectors.toSet());
     }
 
     /** Records the outcome of an attempt. */
@@ -63,6 +88,11 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /** Returns the servers at which an attempt is in progress. */
+    public synchronized Set<BackendServerId> serversInProgress() {
+        return Set.copyOf(mInProgress);
+    }
+
     /** Returns whether any backend server may have started to process the request. */
     public synchronized boolean mayHaveRun() {
         return !mPossiblyRunOn.isEmpty() || !mInProgress.isEmpty();
@@ -90,10 +120,8 @@
     /** Returns whether the request kind and the attempt limits allow another attempt. */
     public synchronized boolean mayRetry() {
         boolean kindAllowsRetry = !mayHaveRun() || mKind.isRepeatable();
-        long servers =
-                Stream.concat(mPossiblyRunOn.stream(), mInProgress.stream()).distinct().count();
         return kindAllowsRetry
-                && servers < mMaxServers
+                && possiblyRunOn().size() < mMaxServers
                 && mUnexecutedAttempts < MAX_UNEXECUTED_ATTEMPTS;
     }
 }
--- a/core/src/main/java/org/fuchsiaford/shutdown/ShutdownPolicy.java
+++ b/core/src/main/java/org/fuchsiaford/shutdown/ShutdownPolicy.java
@@ -7,12 +7,12 @@
  * Decides which requests a host that is stopping may still send to backend servers.
  *
  * <p>Invariant: a request is sent only if its deadline passes before the host ends its requests, or
- * if it would end before that even at twice the longest duration lately and after a silence of its
- * server. Immutable, hence thread-safe.
+ * if it would end before that even if it takes half as long again as the longest one lately, and at
+ * least a silence of its server longer. Immutable, hence thread-safe.
  */
 public final class ShutdownPolicy {
-    /** Requests may take this many times as long as the longest one lately. */
-    private static final long DURATION_FACTOR = 2;
+    /** The part of the longest duration lately that a request may take longer. */
+    private static final long EXCESS_DIVISOR = 2;
 
     /** A sound server may be silent for about a second and go on. */
     private static final long SILENCE_ALLOWANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
@@ -32,8 +32,10 @@
         if (deadlineNanos - endNanos <= 0) {
             return deadlineNanos;
         }
-        return longestNanos.isPresent()
-                ? endNanos - longestNanos.getAsLong() * DURATION_FACTOR - SILENCE_ALLOWANCE_NANOS
-                : startNanos;
+        if (longestNanos.isEmpty()) {
+            return startNanos;
+        }
+        long longest = longestNanos.getAsLong();
+        return endNanos - longest - Math.max(longest / EXCESS_DIVISOR, SILENCE_ALLOWANCE_NANOS);
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -73,18 +73,17 @@
      */
     private static final long CALLER_MARGIN_MILLIS = 700;
 
-    /** Part of the grace period, after the requests were ended, for the exit of the process. */
+    /** The part of the grace period that is reserved for responses to ended requests and exit. */
     private static final int EXIT_RESERVE_DIVISOR = 8;
 
+    private static final long MIN_EXIT_RESERVE_MILLIS = 500;
+
     /** Part of the heap that large responses may use together; joining them takes twice as much. */
     private static final int RESPONSE_HEAP_DIVISOR = 8;
 
     private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(200);
 
-    /** Time for callers to receive the responses to requests that were ended. */
-    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(150);
-
     private final GatewaySettings mSettings;
     private final Adapter mAdapter;
     private final Ticker mTicker = Ticker.SYSTEM;
@@ -367,7 +366,7 @@
                         + TimeUnit.SECONDS.toNanos(
                                 mSettings.addressLifeSeconds() * CALLER_CACHE_FACTOR)
                         + TimeUnit.MILLISECONDS.toNanos(CALLER_MARGIN_MILLIS);
-        long endMillis = mSettings.graceMillis() - mSettings.graceMillis() / EXIT_RESERVE_DIVISOR;
+        long endMillis = mSettings.graceMillis() - reserveMillis();
         long endNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(endMillis);
         mShuttingDown = true;
         mShutdown.begin(endNanos);
@@ -384,6 +383,8 @@
                 .sendNow()
                 .onErrorResume(e -> Mono.empty())
                 .then(Mono.defer(() -> waitUntilIdle(switchedNanos, endNanos)))
+                .then(Mono.fromRunnable(this::refuseRequests))
+                .then(Mono.defer(() -> waitUntilIdle(switchedNanos, endNanos)))
                 .then(Mono.defer(this::endRequests))
                 .then(Mono.defer(this::close));
     }
@@ -401,14 +402,27 @@
                 .then();
     }
 
+    /** Closes all ports; requests that arrive on open connections are refused. */
+    private void refuseRequests() {
+        mShutdown.close();
+        mBoundServers.forEach(DisposableServer::dispose);
+    }
+
     /** Ends the requests that are still in progress, and waits until they are answered. */
     private Mono<Void> endRequests() {
         mLog.write(
                 new Decision.Lifecycle("ending", mGatewayServer.inFlightRequests() + " in flight"));
-        mBoundServers.forEach(DisposableServer::dispose);
         mShutdown.end();
         long nowNanos = mTicker.nowNanos();
-        return waitUntilIdle(nowNanos, nowNanos + RESPONSE_TIMEOUT.toNanos());
+        return waitUntilIdle(
+                nowNanos, nowNanos + TimeUnit.MILLISECONDS.toNanos(reserveMillis() / 2));
+    }
+
+    /**
+     * Returns the part of the grace period, after requests were ended, for the end of the process.
+     */
+    private long reserveMillis() {
+        return Math.max(MIN_EXIT_RESERVE_MILLIS, mSettings.graceMillis() / EXIT_RESERVE_DIVISOR);
     }
 
     /** Stops at once, aborting requests in progress; completes once all ports are closed. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRace.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRace.java
@@ -6,7 +6,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Two attempts of one request at different servers, of which the second may never start.
+ * Two chains of attempts of one request, each with its retries, of which the second may never
+ * start. The count of those in progress includes the second one from its start.
  *
  * <p>Invariant: an attempt that fails does not end the other one; if no response is good, that of a
  * server is preferred to an error. Thread-safe.
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -61,13 +61,9 @@
         mTicker = ticker;
     }
 
-    /**
-     * Records the send of an attempt and returns the number of earlier sends of the request.
-     *
-     * @throws RefusalException if the request was closed before it was sent
-     */
-    int recordSend(RequestContext context) throws RefusalException {
-        int previousSends = context.incrementSendCount();
+    /** Records the send of an attempt and returns the number of earlier sends of the request. */
+    int recordSend(RequestContext context) {
+        int previousSends = context.recordSend(mTicker.nowNanos());
         if (previousSends == 0) {
             mBudgets.recordRequest(context.service());
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.attempt.NextStep;
+import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.entry.gateway.fleet.RequestQuarantine;
 import org.fuchsiaford.entry.gateway.fleet.ServerPermits;
 import org.fuchsiaford.entry.gateway.log.Decision;
@@ -48,6 +50,9 @@
      */
     private static final long ALTERNATIVE_DELAY_FACTOR = 2;
 
+    /** How often a request that waits for its response is checked for another server. */
+    private static final Duration ALTERNATIVE_CHECK_INTERVAL = Duration.ofMillis(50);
+
     private final GatewayState mState;
     private final ServerBackoff mBackoff;
     private final ServerPermits mPermits;
@@ -147,9 +152,12 @@
                     permitMillis + spreadMillis,
                     "all backend servers are at the limits that they have named");
         }
+        Set<BackendServerId> inProgress = context.attempts().serversInProgress();
         return mSelector
                 .pick(
-                        mPermits.availableNow(accepting, nowNanos),
+                        mPermits.availableNow(accepting, nowNanos).stream()
+                                .filter(server -> !inProgress.contains(server.id()))
+                                .toList(),
                         context.attempts().triedServers(),
                         nowNanos)
                 .orElseThrow(() -> noServerRefusal(context, servers.isEmpty()));
@@ -175,8 +183,8 @@
     }
 
     private Mono<CompleteResponse> attempt(RequestContext context, LiveServer server) {
-        boolean first = !context.attempts().mayHaveRun();
-        return first && context.route().kind().isRepeatable() && context.route().maxServers() > 1
+        boolean mayRace = context.route().kind().isRepeatable() && context.route().maxServers() > 1;
+        return mayRace && context.startRace()
                 ? attemptWithAlternative(context, server)
                 : send(context, server);
     }
@@ -193,33 +201,46 @@
                     return race.run(
                             send(context, server),
                             alternative(context, race),
-                            () -> mAttempts.recordOvertaken(context, server));
+                            () -> recordOvertaken(context));
                 });
     }
 
     private Mono<CompleteResponse> alternative(RequestContext context, AttemptRace race) {
-        Duration delay =
-                Duration.ofMillis(context.route().targetLatencyMillis() * ALTERNATIVE_DELAY_FACTOR);
-        return Flux.interval(delay)
-                .filter(
-                        i ->
-                                hasAlternative(context)
-                                        && race.isInProgress()
-                                        && mAttempts.tryAcquireAlternative(context))
+        long delayMillis = context.route().targetLatencyMillis() * ALTERNATIVE_DELAY_FACTOR;
+        long delayNanos = TimeUnit.MILLISECONDS.toNanos(delayMillis);
+        return Flux.interval(Duration.ofMillis(delayMillis), ALTERNATIVE_CHECK_INTERVAL)
+                .filter(i -> mTicker.nowNanos() - context.lastSentNanos() >= delayNanos)
+                .filter(i -> hasAlternative(context) && race.isInProgress())
+                .filter(i -> mAttempts.tryAcquireAlternative(context))
                 .next()
                 .flatMap(i -> race.startSecond() ? run(context) : Mono.empty());
     }
 
+    /** Records the servers that are still at work although another one has answered. */
+    private void recordOvertaken(RequestContext context) {
+        Set<BackendServerId> inProgress = context.attempts().serversInProgress();
+        mState.servers().usable(context.service(), mTicker.nowNanos()).stream()
+                .filter(server -> inProgress.contains(server.id()))
+                .forEach(server -> mAttempts.recordOvertaken(context, server));
+    }
+
     private Mono<CompleteResponse> send(RequestContext context, LiveServer server) {
-        return Mono.fromCallable(() -> mAttempts.recordSend(context))
-                .flatMap(previousSends -> exchange(context, server, previousSends));
+        return Mono.defer(
+                () ->
+                        context.attempts().tryBegin(server.id())
+                                ? exchange(context, server, mAttempts.recordSend(context))
+                                : Mono.error(noAttemptRefusal(context)));
+    }
+
+    private static RefusalException noAttemptRefusal(RequestContext context) {
+        return context.placementRefusal(
+                FULL_RETRY_MILLIS, "as many servers as allowed may run the request");
     }
 
     private Mono<CompleteResponse> exchange(
             RequestContext context, LiveServer server, int previousSends) {
         long startNanos = mTicker.nowNanos();
         long remainingMillis = context.remainingMillis(startNanos);
-        context.attempts().begin(server.id());
         logPlaced(context, server, previousSends, remainingMillis);
         ServerLoad load = new ServerLoad(server.id(), 1, 0, 0);
         mLoads.add(load);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -28,6 +28,7 @@
 import org.fuchsiaford.time.Ticker;
 import org.fuchsiaford.workspace.WorkspaceId;
 import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -225,7 +226,9 @@
                 authorized.route().kind().isStream()
                         ? forwardStream(context, response, trace)
                         : forwardBuffered(context, response, trace);
-        return forwarded.doFinally(signal -> refundIfNotRun(context, authorized, charged));
+        return forwarded
+                .onErrorMap(RefusalException.class, context::withRunState)
+                .doFinally(signal -> refundIfNotRun(context, authorized, charged));
     }
 
     /** A stream that is taken up is drawn the service that began it. */
@@ -260,6 +263,9 @@
                 .switchIfEmpty(Mono.error(GatewayServer::noResponse))
                 .flatMap(
                         complete -> {
+                            if (!trace.claimForServer()) {
+                                return Mono.never();
+                            }
                             writeHead(response, complete.head());
                             response.header(
                                     HttpHeaderNames.CONTENT_LENGTH,
@@ -280,6 +286,9 @@
                             if (!(first.get() instanceof ResponsePart.Head head)) {
                                 return all.then(Mono.<Void>error(noResponse())).flux();
                             }
+                            if (!trace.claimForServer()) {
+                                return Flux.never();
+                            }
                             writeHead(response, head.head());
                             recordHead(Timing.FIRST_TOKEN, context, head.head(), trace);
                             return response.send(
@@ -304,7 +313,7 @@
 
     private void recordAnswered(RequestContext context, RequestTrace trace) {
         trace.recordAnswered();
-        mShutdown.recordDuration(context.route(), mTicker.nowNanos() - trace.startNanos());
+        mShutdown.recordDuration(context.route(), mTicker.nowNanos() - context.firstSentNanos());
     }
 
     /** Without this exception, a forwarder without response or error would look like success. */
@@ -325,7 +334,7 @@
             HttpServerRequest request,
             HttpServerResponse response,
             RequestTrace trace) {
-        if (trace.isHeadSent()) {
+        if (!trace.claimForHost()) {
             trace.recordFailure(error);
             response.withConnection(connection -> connection.channel().close());
             return Mono.empty();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
@@ -36,6 +36,7 @@
     private enum State {
         SERVING,
         STOPPING,
+        CLOSED,
         ENDED
     }
 
@@ -45,7 +46,11 @@
      * @param startNanos when the stop was requested
      * @param endNanos when the requests that are in progress then are ended
      */
-    private record Phase(State state, long startNanos, long endNanos) {}
+    private record Phase(State state, long startNanos, long endNanos) {
+        Phase in(State next) {
+            return new Phase(next, startNanos, endNanos);
+        }
+    }
 
     /** Creates the state of a host that serves. */
     public HostShutdown(Ticker ticker) {
@@ -62,9 +67,14 @@
         mBegin.tryEmitEmpty();
     }
 
-    /** Ends all requests that are in progress, and refuses those that arrive later. */
+    /** Refuses all requests that arrive from now on; those in progress go on. */
+    public void close() {
+        mPhase = mPhase.in(State.CLOSED);
+    }
+
+    /** Ends all requests that are in progress. */
     public void end() {
-        mPhase = new Phase(State.ENDED, mPhase.startNanos(), mPhase.endNanos());
+        mPhase = mPhase.in(State.ENDED);
         mEnd.tryEmitEmpty();
     }
 
@@ -87,27 +97,27 @@
     /**
      * Checks that this host takes requests at all.
      *
-     * @throws RefusalException if the requests in progress have been ended
+     * @throws RefusalException if it takes no more
      */
     void requireOpen() throws RefusalException {
-        if (mPhase.state() == State.ENDED) {
+        if (mPhase.state().compareTo(State.CLOSED) >= 0) {
             throw notRun();
         }
     }
 
     /**
-     * Checks that a request ends in time if it is sent now. Requests that were sent before may be
-     * sent again.
+     * Checks that a request ends in time if it is sent now. A request that may have run is sent
+     * again until the requests are ended.
      *
-     * @throws RefusalException if it may not; it has not run
+     * @throws RefusalException if it may not be sent
      */
     void requireTime(RequestContext context) throws RefusalException {
         Phase phase = mPhase;
-        if (phase.state() == State.SERVING || context.sendCount() > 0) {
-            return;
-        }
-        if (phase.state() == State.ENDED
-                || mTicker.nowNanos() - latestSendNanos(context, phase) > 0) {
+        boolean late =
+                phase.state() != State.SERVING
+                        && !context.attempts().mayHaveRun()
+                        && mTicker.nowNanos() - latestSendNanos(context, phase) > 0;
+        if (late || phase.state() == State.ENDED) {
             throw notRun();
         }
     }
@@ -124,16 +134,33 @@
     Mono<Void> waitedTooLong(RequestContext context) {
         return mBegin.asMono()
                 .then(Mono.defer(() -> Mono.delay(untilLatestSend(context))))
-                .flatMap(waited -> context.closeUnsent() ? Mono.error(notRun()) : Mono.never());
+                .flatMap(
+                        waited ->
+                                context.attempts().closeIfNotRun()
+                                        ? Mono.error(notRun())
+                                        : Mono.never());
     }
 
     private Duration untilLatestSend(RequestContext context) {
         return Duration.ofNanos(Math.max(0, latestSendNanos(context, mPhase) - mTicker.nowNanos()));
     }
 
-    /** Fails when the requests are ended; states that a request has not run if it was not sent. */
+    /**
+     * Fails when the requests are ended, unless a complete response is being sent; states that a
+     * request has not run if no attempt was made.
+     */
     Mono<Void> endedBefore(RequestTrace trace) {
-        return mEnd.asMono().then(Mono.error(() -> trace.closeUnsent() ? notRun() : unanswered()));
+        return mEnd.asMono()
+                .then(
+                        Mono.defer(
+                                () ->
+                                        trace.claimForHost() || trace.isStream()
+                                                ? Mono.error(refusalAtEnd(trace))
+                                                : Mono.never()));
+    }
+
+    private static RefusalException refusalAtEnd(RequestTrace trace) {
+        return trace.closeIfNotRun() ? notRun() : unanswered();
     }
 
     private static RefusalException unanswered() {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.fuchsiaford.attempt.RequestAttempts;
@@ -30,16 +31,13 @@
 
 /**
  * An admitted request with its route, deadline and attempts. Only the attempts, the progress and
- * the software version of the stream, and the send count change. Not thread-safe; the signals of
- * one request arrive sequentially, only the send count may be read at any time.
+ * the software version of the stream, and the sends change. What belongs to a stream is not
+ * thread-safe, since its signals arrive sequentially; the attempts and the sends are.
  */
 final class RequestContext {
     /** The token counts assumed for a model request that states none. */
     private static final TokenCounts DEFAULT_TOKENS = new TokenCounts(1_000, 100);
 
-    /** The send count of a request that may not be sent any more. */
-    private static final int CLOSED = -1;
-
     private final CallerRequest mCaller;
     private final byte[] mBody;
     private final GatewayRoute mRoute;
@@ -52,6 +50,9 @@
     private Optional<ServerRun> mBegunBy = Optional.empty();
     private Optional<SoftwareVersion> mVersion = Optional.empty();
     private final AtomicInteger mSendCount = new AtomicInteger();
+    private final AtomicBoolean mRaced = new AtomicBoolean();
+    private volatile long mFirstSentNanos;
+    private volatile long mLastSentNanos;
     private List<PromptPartId> mPromptParts;
 
     RequestContext(
@@ -167,27 +168,32 @@
         return mStreamProgress;
     }
 
-    /**
-     * Increments the number of sends and returns the previous number.
-     *
-     * @throws RefusalException if the request was closed before it was sent
-     */
-    int incrementSendCount() throws RefusalException {
-        int previous = mSendCount.getAndUpdate(count -> count == CLOSED ? CLOSED : count + 1);
-        if (previous == CLOSED) {
-            throw RefusalException.notRun(
-                    RefusalReason.HOST_NOT_SERVING, Step.PLACE, "the request was closed");
+    /** Records a send and returns the number of earlier ones. */
+    int recordSend(long nowNanos) {
+        if (mSendCount.get() == 0) {
+            mFirstSentNanos = nowNanos;
         }
-        return previous;
+        mLastSentNanos = nowNanos;
+        return mSendCount.getAndIncrement();
     }
 
-    /** Prevents the request from being sent; returns false if it was sent before. */
-    boolean closeUnsent() {
-        return mSendCount.updateAndGet(count -> count == 0 ? CLOSED : count) == CLOSED;
+    int sendCount() {
+        return mSendCount.get();
     }
 
-    int sendCount() {
-        return Math.max(0, mSendCount.get());
+    /** Returns when the request was first sent, on the monotonic clock; valid after a send. */
+    long firstSentNanos() {
+        return mFirstSentNanos;
+    }
+
+    /** Returns when the request was last sent, on the monotonic clock; valid after a send. */
+    long lastSentNanos() {
+        return mLastSentNanos;
+    }
+
+    /** Returns true once: for the attempt beside which another one may be made. */
+    boolean startRace() {
+        return mRaced.compareAndSet(false, true);
     }
 
     /** Returns the time until the deadline in milliseconds; negative after it. */
@@ -213,6 +219,13 @@
                 reason);
     }
 
+    /** Returns a refusal that states what is known: an attempt may have run in the meantime. */
+    RefusalException withRunState(RefusalException refusal) {
+        return refusal.runState() == RunState.NOT_RUN && mAttempts.mayHaveRun()
+                ? placementRefusal(0, refusal.getMessage())
+                : refusal;
+    }
+
     /**
      * Returns the request to send to a backend server.
      *
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.failure.RefusalException;
@@ -8,14 +9,24 @@
 import org.fuchsiaford.routing.WorkspaceDeclaration;
 
 /**
- * Collects what the final decision log entry of a request reports. Not thread-safe; the signals of
- * one request arrive sequentially.
+ * Collects what the final decision log entry of a request reports, and decides whose response is
+ * sent if a server answers while this host ends its requests.
+ *
+ * <p>Invariant: only one of the two claims the response. Not thread-safe but for the claims; the
+ * other signals of one request arrive sequentially.
  */
 final class RequestTrace {
     private static final long NO_FIRST_BYTE = -1;
     private static final String ANSWERED = "answered";
     private static final String CANCELLED = "cancelled";
 
+    /** Whose response the caller gets. */
+    private enum Responder {
+        NONE,
+        SERVER,
+        HOST
+    }
+
     private final long mStartNanos;
     private String mRequest = "unread";
     private String mRoute;
@@ -29,7 +40,8 @@
     private long mFirstByteNanos = NO_FIRST_BYTE;
     private Long mAfterStopMillis;
     private boolean mBodyRequested;
-    private RequestContext mContext;
+    private volatile RequestContext mContext;
+    private final AtomicReference<Responder> mResponder = new AtomicReference<>(Responder.NONE);
 
     RequestTrace(long startNanos) {
         mStartNanos = startNanos;
@@ -97,7 +109,7 @@
         mReason = String.valueOf(cause);
     }
 
-    /** Records that the body of the request is being read, or was. */
+    /** Records that the body of the request is read by now, at least in part. */
     void recordBodyRequested() {
         mBodyRequested = true;
     }
@@ -106,9 +118,25 @@
         return mBodyRequested;
     }
 
-    /** Prevents the request from being sent; returns false if it was sent before. */
-    boolean closeUnsent() {
-        return mContext == null || mContext.closeUnsent();
+    /** Prevents all attempts; returns false, without effect, if one may have run. */
+    boolean closeIfNotRun() {
+        RequestContext context = mContext;
+        return context == null || context.attempts().closeIfNotRun();
+    }
+
+    /** Claims the response for what a server sends. Returns false if the host has claimed it. */
+    boolean claimForServer() {
+        return mResponder.compareAndSet(Responder.NONE, Responder.SERVER);
+    }
+
+    /** Claims the response for the host itself. Returns false if a server's response began. */
+    boolean claimForHost() {
+        return mResponder.compareAndSet(Responder.NONE, Responder.HOST)
+                || mResponder.get() == Responder.HOST;
+    }
+
+    boolean isStream() {
+        return mContext != null && mContext.route().kind().isStream();
     }
 
     boolean isHeadSent() {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -94,7 +94,7 @@
         mRejections = new RejectionReader(memory);
         mPrefill = prefill;
         mOrigins = origins;
-        mSilence = new StreamSilence(pool, attempts, ticker);
+        mSilence = new StreamSilence(pool, backoff, attempts, ticker);
         mAttempts = attempts;
         mLog = log;
         mTicker = ticker;
@@ -270,6 +270,11 @@
                 || mBackoff.isActive(server, startNanos)) {
             return handleFailure(context, progress, assignment, unusable(server), source);
         }
+        if (!context.attempts().tryBegin(server.id())) {
+            return Flux.error(
+                    context.placementRefusal(
+                            BEGIN_ANEW_RETRY_MILLIS, "the request may not be sent any more"));
+        }
         Flux<ResponsePart> parts =
                 mClient.exchange(
                         context.serverRequest(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
@@ -9,6 +9,7 @@
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.selection.EnginePool;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
@@ -34,11 +35,13 @@
     private static final Duration EVENT_TIMEOUT = Duration.ofMillis(1_800);
 
     private final EnginePool mPool;
+    private final ServerBackoff mBackoff;
     private final AttemptRecorder mAttempts;
     private final Ticker mTicker;
 
-    StreamSilence(EnginePool pool, AttemptRecorder attempts, Ticker ticker) {
+    StreamSilence(EnginePool pool, ServerBackoff backoff, AttemptRecorder attempts, Ticker ticker) {
         mPool = pool;
+        mBackoff = backoff;
         mAttempts = attempts;
         mTicker = ticker;
     }
@@ -71,8 +74,11 @@
 
     private boolean isReplaceable(RequestContext context, LiveServer server) {
         Set<BackendServerId> tried = context.attempts().triedServers();
+        long nowNanos = mTicker.nowNanos();
         return mAttempts.allowsResumption(context)
-                && mPool.usable(context.service(), mTicker.nowNanos()).stream()
+                && mBackoff
+                        .acceptingNow(mPool.usable(context.service(), nowNanos), nowNanos)
+                        .stream()
                         .filter(engine -> engine.hasStage(EngineStage.DECODE))
                         .filter(engine -> !tried.contains(engine.id()))
                         .filter(engine -> !engine.id().equals(server.id()))
