Unregister a stopping host while its last requests are answered

Cause: beside heavy load (about 60 runnable on 8 cores) a stopped process ended after its grace in one of four runs; up to 0.2 s of its end went to a call of the store after the last answer. Change: the registration ends when the ports close, not afterwards.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -50,7 +50,6 @@
 import org.fuchsiaford.selection.ServerSelector;
 import org.fuchsiaford.store.Store;
 import org.fuchsiaford.time.Ticker;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -386,7 +385,7 @@
                 .then(Mono.fromRunnable(this::refuseRequests))
                 .then(Mono.defer(() -> waitUntilIdle(switchedNanos, endNanos)))
                 .then(Mono.defer(this::endRequests))
-                .then(Mono.defer(this::close));
+                .then(Mono.fromRunnable(this::closeServers));
     }
 
     /** Waits until callers have switched and all requests are answered, or until the end. */
@@ -406,6 +405,7 @@
     private void refuseRequests() {
         mShutdown.close();
         mBoundServers.forEach(DisposableServer::dispose);
+        unregister().subscribe();
     }
 
     /** Ends the requests that are still in progress, and waits until they are answered. */
@@ -427,16 +427,20 @@
 
     /** Stops at once, aborting requests in progress; completes once all ports are closed. */
     public Mono<Void> close() {
+        return unregister().then(Mono.fromRunnable(this::closeServers));
+    }
+
+    private Mono<Void> unregister() {
+        return mFollower.stop().timeout(STORE_TIMEOUT).onErrorResume(e -> Mono.empty());
+    }
+
+    private void closeServers() {
         mCoordination.heartbeats().stop();
         mCoordination.origins().stop();
         mLog.write(
                 new Decision.Lifecycle(
                         "stopped", mGatewayServer.inFlightRequests() + " in flight"));
-        return mFollower
-                .stop()
-                .timeout(STORE_TIMEOUT)
-                .onErrorResume(e -> Mono.empty())
-                .thenMany(Flux.fromIterable(mBoundServers).doOnNext(DisposableServer::dispose))
-                .then(Mono.fromRunnable(mLog::flush));
+        mBoundServers.forEach(DisposableServer::dispose);
+        mLog.flush();
     }
 }
