Bound what a host keeps for the peers that call it

Requests without response and responses that the other end does not read were kept without limit. After a frame beyond the limit the connection was read on.

--- a/peer/src/main/java/org/fuchsiaford/peer/PeerConnection.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/PeerConnection.java
@@ -54,9 +54,16 @@
     }
 
     private Mono<Void> send(PeerFrame frame) {
-        return Mono.fromCallable(() -> PeerCodec.encode(frame))
-                .doOnNext(buffer -> mConnection.channel().writeAndFlush(buffer))
-                .then();
+        return Mono.fromCallable(() -> PeerCodec.encode(frame)).doOnNext(this::write).then();
+    }
+
+    private void write(ByteBuf buffer) {
+        if (PeerCodec.isUnread(mConnection.channel())) {
+            buffer.release();
+            close();
+        } else {
+            mConnection.channel().writeAndFlush(buffer);
+        }
     }
 
     private void closeIfNothingReceived(long framesBefore) {
--- a/peer/src/main/java/org/fuchsiaford/peer/PeerServer.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/PeerServer.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.jboss.logging.Logger;
 import reactor.core.publisher.Mono;
@@ -19,6 +20,12 @@
 public final class PeerServer {
     private static final Logger LOG = Logger.getLogger(PeerServer.class);
 
+    /** Memory that a request takes until it is answered, beyond the bytes of its frame. */
+    private static final long REQUEST_BYTES = 1024;
+
+    /** What the requests of a connection that wait for responses may take, in bytes. */
+    private static final long MAX_WAITING_BYTES = 8L * 1024 * 1024;
+
     private final PeerAddress mAddress;
     private final PeerRequestHandler mHandler;
     private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
@@ -50,18 +57,32 @@
         mConnections.add(connection);
         connection.onDispose(() -> mConnections.remove(connection));
         PeerCodec.addFrameHandlers(connection.channel().pipeline());
+        AtomicLong waiting = new AtomicLong();
         connection
                 .inbound()
                 .receive()
                 .subscribe(
-                        buffer -> receive(connection.channel(), buffer),
-                        e -> LOG.debugf("peer connection failed: %s", e.getMessage()));
+                        buffer -> receive(connection.channel(), waiting, buffer),
+                        e -> {
+                            LOG.debugf("peer connection failed: %s", e.getMessage());
+                            connection.dispose();
+                        });
     }
 
-    private void receive(Channel channel, ByteBuf buffer) {
+    /**
+     * Handles a request.
+     *
+     * @param waiting the number of bytes kept for the requests of the connection without response
+     */
+    private void receive(Channel channel, AtomicLong waiting, ByteBuf buffer) {
+        if (!channel.isActive()) {
+            // More frames of a read whose first ones closed the connection.
+            return;
+        }
         try {
+            long size = buffer.readableBytes() + REQUEST_BYTES;
             PeerFrame frame = PeerCodec.decode(buffer);
-            mHandler.handle(frame.message())
+            handle(frame, waiting, size)
                     .onErrorResume(e -> Mono.just(new PeerMessage.Failure(e.getMessage())))
                     .subscribe(response -> send(channel, frame.id(), response));
         } catch (IOException e) {
@@ -70,7 +91,21 @@
         }
     }
 
+    private Mono<PeerMessage> handle(PeerFrame frame, AtomicLong waiting, long size) {
+        return waiting.get() + size > MAX_WAITING_BYTES
+                ? Mono.just(new PeerMessage.Failure("too many requests wait for responses"))
+                : Mono.using(
+                        () -> waiting.addAndGet(size),
+                        total -> mHandler.handle(frame.message()),
+                        total -> waiting.addAndGet(-size));
+    }
+
     private static void send(Channel channel, long id, PeerMessage response) {
+        if (PeerCodec.isUnread(channel)) {
+            LOG.warnf("closing peer connection: %s reads no responses", channel.remoteAddress());
+            channel.close();
+            return;
+        }
         try {
             channel.writeAndFlush(PeerCodec.encode(new PeerFrame(id, true, response)));
         } catch (IOException e) {
