Bound the output of an engine by the tokens asked for

Cause: on the path of signed bundles, the chunks of a stream were taken as long as they came. Their text is kept to resume the request, and all of them where the response is not streamed.

Change: a stream that has over twice the chunks, or 512 times the characters, of the tokens asked for (and 64 to spare) fails.

--- a/entry/src/main/java/org/fuchsiaford/entry/backend/CompletionsEngineClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/backend/CompletionsEngineClient.java
@@ -144,13 +144,14 @@
     private Flux<CompletionChunk> decode(
             HttpClient client, BackendServer engine, EngineRequest request, ObjectNode body) {
         AtomicBoolean sent = new AtomicBoolean();
+        OutputLimit limit = new OutputLimit(request.maxTokens());
         return post(client, engine, request, body, sent)
                 .response(
                         (response, content) ->
                                 check(Step.DECODE, engine, response)
                                         .thenMany(content.asString(StandardCharsets.UTF_8)))
                 .filter(line -> line.startsWith(SSE_DATA_PREFIX) && !line.endsWith(END_MARKER))
-                .concatMap(line -> Mono.fromCallable(() -> toChunk(line)))
+                .concatMap(line -> Mono.fromCallable(() -> limit.count(toChunk(line))))
                 .timeout(
                         Mono.delay(FIRST_TOKEN_TIMEOUT),
                         chunk -> Mono.delay(BETWEEN_TOKENS_TIMEOUT))
