Continue a broken stream only with the events that follow

What callers saw: a signed error, a redirect, JSON, HTML or the head of a response as the rest of their streams, which ended as if complete; events twice or with a gap; events under the status of an error that had broken off; an empty response that ended a stream in whose next event the first server had stopped. Cause: StreamForwarder took each signed response with a status below 500 for the rest of a stream, whatever its status and type, and nothing compared the ids of events with the id after which the next engine was asked to go on. Events without ids that had been forwarded were asked for again. PrefillClient used the handle in a 200 that named another request or said that it had not run. Change: a response is joined only if it is a 200 with an event stream. SseEventSequence checks the first event of a continuation (the id after the last one), that ids increase, and that blocks of lines are events; what does not fit is a failed attempt, forwarded up to the event before. After an error report or an event without id nothing goes on. A server that stopped inside an event proves that one is missing. Not decided: an empty body after a stream that broke off between events may be its end; gaps and errors that are well-formed events inside one server's response are its own.

--- a/core/src/main/java/org/fuchsiaford/request/SseEventBuffer.java
+++ b/core/src/main/java/org/fuchsiaford/request/SseEventBuffer.java
@@ -1,7 +1,7 @@
 package org.fuchsiaford.request;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -12,13 +12,24 @@
  * thread-safe.
  */
 public final class SseEventBuffer {
-    private static final String ID_FIELD = "id:";
-
     private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
     private SseEventScanner mScanner = new SseEventScanner();
-    private String mLastEventId;
+    private final SseEventSequence mSequence = new SseEventSequence();
+
+    /** Prepares for the first events of a server that was asked to continue after an event. */
+    public void continueAfter(Optional<String> eventId) {
+        mSequence.continueAfter(eventId);
+    }
 
-    /** Appends bytes and returns the events that are now complete; empty if there are none. */
+    /** Returns the check of the events released so far. */
+    public SseEventSequence sequence() {
+        return mSequence;
+    }
+
+    /**
+     * Appends bytes and returns the events that are now complete, up to the first one that does not
+     * fit; empty if there are none.
+     */
     public byte[] add(byte[] bytes) {
         int end = mScanner.scan(bytes);
         if (end == 0) {
@@ -29,8 +40,8 @@
         byte[] complete = mPending.toByteArray();
         mPending.reset();
         mPending.write(bytes, end, bytes.length - end);
-        updateLastEventId(complete);
-        return complete;
+        int accepted = mSequence.accept(complete);
+        return accepted == complete.length ? complete : Arrays.copyOf(complete, accepted);
     }
 
     /** Discards a partial event; the stream from the next server starts with a complete one. */
@@ -56,14 +67,6 @@
 
     /** Returns the ID of the last complete event that has an ID. */
     public Optional<String> lastEventId() {
-        return Optional.ofNullable(mLastEventId);
-    }
-
-    private void updateLastEventId(byte[] events) {
-        new String(events, StandardCharsets.UTF_8)
-                .lines()
-                .filter(line -> line.startsWith(ID_FIELD))
-                .map(line -> line.substring(ID_FIELD.length()).trim())
-                .forEach(id -> mLastEventId = id);
+        return mSequence.lastEventId();
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
@@ -82,7 +82,8 @@
     private Mono<KvSource> readKvSource(
             LiveServer engine, CompleteResponse response, long ttlMillis) {
         RemoteName remote = new RemoteName(engine.id().value());
-        if (response.head().status() != 200) {
+        if (response.head().status() != 200
+                || response.head().outcome() != AttemptOutcome.ANSWERED) {
             return Mono.error(
                     new BackendCallException(
                             Step.PREFILL,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -320,6 +320,10 @@
             Flux<ResponsePart> all,
             long startNanos) {
         LiveServer server = assignment.plan().decode();
+        if (!progress.continuesWith(head.head())) {
+            return Flux.error(
+                    failure(server, "status " + head.head().status() + " within a stream"));
+        }
         mAttempts.recordSuccess(server, startNanos);
         assignment.hold().recordFirstEvent(sinceGrantNanos(assignment));
         recordOrigin(context, server);
@@ -334,7 +338,7 @@
         if (progress.isHeadForwarded()) {
             return body;
         }
-        progress.markHeadForwarded();
+        progress.markHeadForwarded(head.head());
         return Flux.concat(Mono.just(head), body);
     }
 
@@ -345,15 +349,16 @@
             SynchronousSink<byte[]> sink) {
         byte[] ready = progress.append(((ResponsePart.Body) part).bytes());
         if (progress.partialEventBytes() > MAX_EVENT_BYTES) {
-            sink.error(
-                    new BackendCallException(
-                            Step.DECODE,
-                            new RemoteName(server.id().value()),
-                            AttemptOutcome.UNKNOWN,
-                            "an event exceeds " + MAX_EVENT_BYTES + " bytes"));
-        } else {
-            sink.next(ready);
+            sink.error(failure(server, "an event exceeds " + MAX_EVENT_BYTES + " bytes"));
+            return;
         }
+        sink.next(ready);
+        progress.violation().ifPresent(reason -> sink.error(failure(server, reason)));
+    }
+
+    private static BackendCallException failure(LiveServer server, String reason) {
+        return new BackendCallException(
+                Step.DECODE, new RemoteName(server.id().value()), AttemptOutcome.UNKNOWN, reason);
     }
 
     /** From here on the stream may only go on at the version of this server. */
@@ -411,6 +416,11 @@
 
     private Flux<ResponsePart> resume(
             RequestContext context, StreamProgress progress, Optional<KvSource> unused) {
+        if (!progress.isContinuable()) {
+            return releaseKvCache(unused)
+                    .thenMany(
+                            Flux.error(notResumable(0, "what was forwarded cannot be continued")));
+        }
         if (progress.isHeadForwarded()) {
             if (mayHaveRestarted(context)) {
                 return releaseKvCache(unused)
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamProgress.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamProgress.java
@@ -12,6 +12,8 @@
  * thread-safe; the signals of one request arrive sequentially.
  */
 final class StreamProgress {
+    private static final int STATUS_OK = 200;
+
     private final SseEventBuffer mBuffer = new SseEventBuffer();
     private final SseEventScanner mScanner = new SseEventScanner();
     private final boolean mResumable;
@@ -20,6 +22,8 @@
     private boolean mHasEvents;
     private boolean mIsEmpty;
     private boolean mHeadForwarded;
+    private boolean mIsStream;
+    private boolean mExpectsEvent;
 
     StreamProgress(boolean resumable, Optional<String> callerLastEventId) {
         mResumable = resumable;
@@ -31,6 +35,7 @@
         mHasEvents = head.isEventStream();
         mFraming = head.framing();
         mIsEmpty = true;
+        mBuffer.continueAfter(lastEventId());
     }
 
     /** Returns how the current response marks its end. */
@@ -42,20 +47,42 @@
         return mHeadForwarded;
     }
 
-    void markHeadForwarded() {
+    void markHeadForwarded(ResponseHead head) {
         mHeadForwarded = true;
+        mIsStream = isStream(head);
+    }
+
+    /** Returns whether another server can continue what was forwarded, without a duplicate. */
+    boolean isContinuable() {
+        return !mHeadForwarded || (mIsStream && mBuffer.sequence().isLastIdentified());
+    }
+
+    /** Returns whether a response with this head can be forwarded after what was forwarded. */
+    boolean continuesWith(ResponseHead head) {
+        return !mHeadForwarded || isStream(head);
+    }
+
+    private static boolean isStream(ResponseHead head) {
+        return head.status() == STATUS_OK && head.isEventStream();
     }
 
     /** Appends received bytes and returns the bytes that can be forwarded now. */
     byte[] append(byte[] bytes) {
         mIsEmpty = false;
-        if (mResumable) {
+        if (mResumable && mHasEvents) {
             return mBuffer.add(bytes);
         }
         mScanner.scan(bytes);
         return bytes;
     }
 
+    /**
+     * Returns why the bytes appended last are no events that can be forwarded; empty if they are.
+     */
+    Optional<String> violation() {
+        return mBuffer.sequence().violation();
+    }
+
     /** Returns the size of the part of an event that is kept until the event is complete. */
     int partialEventBytes() {
         return mBuffer.pendingSize();
@@ -68,12 +95,17 @@
 
     /**
      * Returns whether the response that has just ended was broken off. The end of a connection does
-     * not prove that an empty stream is complete.
+     * not prove that an empty stream is complete, and a server that broke off inside an event
+     * proves that there is one more.
      */
     boolean isTruncated() {
         boolean endedBeforeEvents =
                 mHasEvents && mIsEmpty && mFraming == BodyFraming.CONNECTION_CLOSE;
-        return endedBeforeEvents || isInsideEvent();
+        return endedBeforeEvents || isInsideEvent() || isEventMissing();
+    }
+
+    private boolean isEventMissing() {
+        return mExpectsEvent && !mBuffer.sequence().hasEvents();
     }
 
     /** Returns the bytes that are left to forward at the end of a complete stream. */
@@ -83,6 +115,7 @@
 
     /** Discards a partial event after the server has failed. */
     void discardPartialEvent() {
+        mExpectsEvent = isEventMissing() || mBuffer.isInsideEvent();
         mBuffer.discardPartialEvent();
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
@@ -71,7 +71,8 @@
 
     private boolean isReplaceable(RequestContext context, LiveServer server) {
         Set<BackendServerId> tried = context.attempts().triedServers();
-        return mAttempts.allowsResumption(context)
+        return context.streamProgress().isContinuable()
+                && mAttempts.allowsResumption(context)
                 && mPool.usable(context.service(), mTicker.nowNanos()).stream()
                         .filter(engine -> engine.hasStage(EngineStage.DECODE))
                         .filter(engine -> !tried.contains(engine.id()))
