--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
@@ -75,7 +75,8 @@
     private boolean isReplaceable(RequestContext context, LiveServer server) {
         Set<BackendServerId> tried = context.attempts().triedServers();
         long nowNanos = mTicker.nowNanos();
-        return mAttempts.allowsResumption(context)
+        return context.streamProgress().isContinuable()
+                && mAttempts.allowsResumption(context)
                 && mBackoff
                         .acceptingNow(mPool.usable(context.service(), nowNanos), nowNanos)
                         .stream()
