Give up a resumable stream whose event does not end

Cause: any byte counted as a sign of life, so an engine that sends an event byte by byte held the stream to its deadline although another engine could go on with it.

Change: the silence of a resumable stream is measured from its last complete event.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
@@ -9,13 +9,14 @@
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.request.SseEventScanner;
 import org.fuchsiaford.selection.EnginePool;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /**
- * Limits how long an engine may send nothing of a resumable stream.
+ * Limits how long an engine may send no complete event of a resumable stream.
  *
  * <p>Invariant: a silent engine is given up only while the stream could go on at another one.
  * Thread-safe.
@@ -33,6 +34,8 @@
      */
     private static final Duration EVENT_TIMEOUT = Duration.ofMillis(1_800);
 
+    private static final Duration MIN_TIMEOUT = Duration.ofMillis(1);
+
     private final EnginePool mPool;
     private final AttemptRecorder mAttempts;
     private final Ticker mTicker;
@@ -52,9 +55,13 @@
                 (long) (context.route().targetLatencyMillis() * FIRST_EVENT_TIMEOUT_FACTOR);
         Duration firstEventTimeout =
                 Duration.ofMillis(Math.max(firstEventMillis, EVENT_TIMEOUT.toMillis()));
-        return parts.timeout(
-                        silence(context, server, firstEventTimeout),
-                        part -> silence(context, server, EVENT_TIMEOUT))
+        return Flux.defer(
+                        () -> {
+                            EventTimer events = new EventTimer();
+                            return parts.timeout(
+                                    silence(context, server, firstEventTimeout),
+                                    part -> silence(context, server, events.timeout(part)));
+                        })
                 .onErrorMap(
                         TimeoutException.class,
                         e ->
@@ -65,8 +72,25 @@
                                         "no event within the timeout"));
     }
 
+    /** Measures the time since the last complete event; bytes inside an event do not count. */
+    private final class EventTimer {
+        private final SseEventScanner mScanner = new SseEventScanner();
+        private long mLastEventNanos;
+
+        Duration timeout(ResponsePart part) {
+            long nowNanos = mTicker.nowNanos();
+            if (!(part instanceof ResponsePart.Body body) || mScanner.scan(body.bytes()) > 0) {
+                mLastEventNanos = nowNanos;
+            }
+            Duration left = EVENT_TIMEOUT.minusNanos(nowNanos - mLastEventNanos);
+            return left.compareTo(MIN_TIMEOUT) > 0 ? left : MIN_TIMEOUT;
+        }
+    }
+
     private Mono<Long> silence(RequestContext context, LiveServer server, Duration timeout) {
-        return Flux.interval(timeout).filter(i -> isReplaceable(context, server)).next();
+        return Flux.interval(timeout, EVENT_TIMEOUT)
+                .filter(i -> isReplaceable(context, server))
+                .next();
     }
 
     private boolean isReplaceable(RequestContext context, LiveServer server) {
