--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -58,6 +58,7 @@
     private volatile String mLimit = "";
     private final List<Long> mArrivalsNanos = new CopyOnWriteArrayList<>();
     private volatile boolean mLeaving;
+    private volatile long mSilentUntilNanos = System.nanoTime();
     private volatile DisposableServer mServer;
 
     /**
@@ -87,6 +88,11 @@
         mId = id;
     }
 
+    /** Returns the ID of the server in the registry. */
+    public String id() {
+        return mId;
+    }
+
     /** Sets how subsequent requests are handled. */
     public void setBehaviour(ServerBehaviour behaviour) {
         mBehaviour = behaviour;
@@ -118,6 +124,25 @@
         mCrashingBody = body;
     }
 
+    /**
+     * Reads, answers and sends nothing for some time, then goes on with what was in progress. All
+     * connections stay open.
+     */
+    public void pause(Duration silence) {
+        mSilentUntilNanos = System.nanoTime() + silence.toNanos();
+    }
+
+    /** Completes once the server is not silent. */
+    private Mono<Void> awaitEndOfPause() {
+        return Mono.defer(
+                () -> {
+                    long silentNanos = mSilentUntilNanos - System.nanoTime();
+                    return silentNanos <= 0
+                            ? Mono.empty()
+                            : Mono.delay(Duration.ofNanos(silentNanos)).then(awaitEndOfPause());
+                });
+    }
+
     /** Lets all later responses say that the server is leaving; it serves requests as before. */
     public void setLeaving() {
         mLeaving = true;
@@ -211,6 +236,10 @@
     }
 
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        return awaitEndOfPause().then(Mono.defer(() -> Mono.from(read(request, response))));
+    }
+
+    private Publisher<Void> read(HttpServerRequest request, HttpServerResponse response) {
         HttpHeaders headers = request.requestHeaders();
         String expected = headers.get("Fuchsiaford-Expect-Instance");
         if (expected != null && !expected.equals(mId)) {
@@ -305,7 +334,7 @@
 
     private Mono<Void> workPlain(HttpServerRequest request) {
         Duration time = mPlainTime.apply(request.uri());
-        return time.isZero() ? Mono.empty() : Mono.delay(time).then();
+        return time.isZero() ? Mono.empty() : Mono.delay(time).then(awaitEndOfPause());
     }
 
     private Mono<Void> respondPlain(HttpServerResponse response, ServerBehaviour behaviour) {
@@ -326,7 +355,8 @@
         Flux<byte[]> events =
                 Flux.fromStream(IntStream.range(firstEvent, firstEvent + count).boxed())
                         .map(PlatformServerStandin::event)
-                        .delayElements(mStreamTime.apply(request.uri()).dividedBy(STREAM_EVENTS));
+                        .delayElements(mStreamTime.apply(request.uri()).dividedBy(STREAM_EVENTS))
+                        .concatMap(event -> awaitEndOfPause().thenReturn(event));
         response.header("Content-Type", "text/event-stream");
         if (hasCrashingPart(request)) {
             return send(response, events.take(1)).then(crash());
