Judge a cut in the soak by when its server ended the work

Cause: on a busy machine a request reaches its server seconds after it was sent, so the time that it needs, counted from its sending, does not tell whether the server was at work in the last sixth of the grace.

--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -48,6 +50,7 @@
     private volatile String mStage = "";
     private volatile Duration mPrefillDelay = Duration.ZERO;
     private volatile ServerBehaviour mBehaviour = ServerBehaviour.ANSWER;
+    private final Map<String, Long> mWorkEndsNanos = new ConcurrentHashMap<>();
     private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
     private volatile Function<String, Duration> mPlainTime = uri -> Duration.ZERO;
     private volatile Function<String, Duration> mStreamTime =
@@ -184,6 +187,12 @@
         return List.copyOf(mExecutions);
     }
 
+    /** Returns when work on a request ended here, by {@link System#nanoTime}, if it has. */
+    public OptionalLong workEndNanos(String request) {
+        Long nanos = mWorkEndsNanos.get(request);
+        return nanos == null ? OptionalLong.empty() : OptionalLong.of(nanos);
+    }
+
     /** Sets the stage that the engine reports; orders do not change it. */
     public void setStage(String stage) {
         mStage = stage;
@@ -315,7 +324,12 @@
                                     ? Mono.delay(CRASH_DELAY).then(crash())
                                     : respond(request, response);
                         })
-                .doFinally(signal -> mActiveRequests.decrementAndGet());
+                .doFinally(
+                        signal -> {
+                            mActiveRequests.decrementAndGet();
+                            String id = request.requestHeaders().get("Fuchsiaford-Request-Id");
+                            mWorkEndsNanos.put(id, System.nanoTime());
+                        });
     }
 
     private Mono<Void> respond(HttpServerRequest request, HttpServerResponse response) {
