Send no request after its attempt has failed as not sent

Cause: when an attempt's time was over, it failed as not sent if its request had not been sent by then, while its connection could still send the request: the caller got 503, and the server ran it. Change: whether a call has failed before its request was sent is decided once; a call that has failed sends nothing.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
@@ -6,8 +6,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.entry.gateway.protocol.KvSource;
 import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
@@ -65,7 +66,7 @@
         return CallConnection.ownStream(
                 mClient,
                 client -> {
-                    AtomicBoolean sent = new AtomicBoolean();
+                    AtomicReference<SendState> state = new AtomicReference<>(SendState.WAITING);
                     Mono<Void> deadline =
                             Mono.delay(timeout)
                                     .then(
@@ -73,18 +74,42 @@
                                                     new TimeoutException(
                                                             "no complete response within the"
                                                                     + " timeout")));
-                    return send(client, request, body, sent)
+                    return send(client, request, body, state)
                             .takeUntilOther(deadline)
-                            .onErrorMap(e -> failure(request, step, sent.get(), e));
+                            .onErrorMap(e -> failure(request, step, isSent(state), e));
                 });
     }
 
+    /** Whether a call has failed before its request was sent is decided once. */
+    private enum SendState {
+        WAITING,
+        SENT,
+        FAILED
+    }
+
+    /** Returns whether the request of a failed call may have been sent; if not, it never is. */
+    private static boolean isSent(AtomicReference<SendState> state) {
+        return !state.compareAndSet(SendState.WAITING, SendState.FAILED)
+                && state.get() == SendState.SENT;
+    }
+
+    /** Called before the first byte is written, which an exception prevents. */
+    private static void beginSend(AtomicReference<SendState> state) {
+        if (!state.compareAndSet(SendState.WAITING, SendState.SENT)
+                && state.get() == SendState.FAILED) {
+            throw new CancellationException("the call has failed before");
+        }
+    }
+
     private Flux<ResponsePart> send(
-            HttpClient client, ServerRequest request, byte[] body, AtomicBoolean sent) {
+            HttpClient client,
+            ServerRequest request,
+            byte[] body,
+            AtomicReference<SendState> state) {
         HttpMethod method = request.caller().method();
         boolean hasBody = body.length > 0 || !method.equals(HttpMethod.GET);
         HttpClient.RequestSender sender =
-                client.doOnRequest((r, connection) -> sent.set(true))
+                client.doOnRequest((r, connection) -> beginSend(state))
                         .headers(
                                 headers -> {
                                     headers.set(mProtocol.headers(request));
