--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -435,12 +435,13 @@
     }
 
     private void closeServers() {
+        mBoundServers.forEach(DisposableServer::dispose);
+        mGatewayServer.closeConnections();
         mCoordination.heartbeats().stop();
         mCoordination.origins().stop();
         mLog.write(
                 new Decision.Lifecycle(
                         "stopped", mGatewayServer.inFlightRequests() + " in flight"));
-        mBoundServers.forEach(DisposableServer::dispose);
         mLog.flush();
     }
 }
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -48,6 +50,7 @@
     private volatile String mStage = "";
     private volatile Duration mPrefillDelay = Duration.ZERO;
     private volatile ServerBehaviour mBehaviour = ServerBehaviour.ANSWER;
+    private final Map<String, Long> mWorkEndsNanos = new ConcurrentHashMap<>();
     private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
     private volatile Function<String, Duration> mPlainTime = uri -> Duration.ZERO;
     private volatile Function<String, Duration> mStreamTime =
@@ -58,6 +61,7 @@
     private volatile String mLimit = "";
     private final List<Long> mArrivalsNanos = new CopyOnWriteArrayList<>();
     private volatile boolean mLeaving;
+    private volatile long mSilentUntilNanos = System.nanoTime();
     private volatile DisposableServer mServer;
 
     /**
@@ -87,6 +91,11 @@
         mId = id;
     }
 
+    /** Returns the ID of the server in the registry. */
+    public String id() {
+        return mId;
+    }
+
     /** Sets how subsequent requests are handled. */
     public void setBehaviour(ServerBehaviour behaviour) {
         mBehaviour = behaviour;
@@ -118,6 +127,25 @@
         mCrashingBody = body;
     }
 
+    /**
+     * Reads, answers and sends nothing for some time, then goes on with what was in progress. All
+     * connections stay open.
+     */
+    public void pause(Duration silence) {
+        mSilentUntilNanos = System.nanoTime() + silence.toNanos();
+    }
+
+    /** Completes once the server is not silent. */
+    private Mono<Void> awaitEndOfPause() {
+        return Mono.defer(
+                () -> {
+                    long silentNanos = mSilentUntilNanos - System.nanoTime();
+                    return silentNanos <= 0
+                            ? Mono.empty()
+                            : Mono.delay(Duration.ofNanos(silentNanos)).then(awaitEndOfPause());
+                });
+    }
+
     /** Lets all later responses say that the server is leaving; it serves requests as before. */
     public void setLeaving() {
         mLeaving = true;
@@ -159,6 +187,12 @@
         return List.copyOf(mExecutions);
     }
 
+    /** Returns when work on a request ended here, by {@link System#nanoTime}, if it has. */
+    public OptionalLong workEndNanos(String request) {
+        Long nanos = mWorkEndsNanos.get(request);
+        return nanos == null ? OptionalLong.empty() : OptionalLong.of(nanos);
+    }
+
     /** Sets the stage that the engine reports; orders do not change it. */
     public void setStage(String stage) {
         mStage = stage;
@@ -211,6 +245,10 @@
     }
 
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        return awaitEndOfPause().then(Mono.defer(() -> Mono.from(read(request, response))));
+    }
+
+    private Publisher<Void> read(HttpServerRequest request, HttpServerResponse response) {
         HttpHeaders headers = request.requestHeaders();
         String expected = headers.get("Fuchsiaford-Expect-Instance");
         if (expected != null && !expected.equals(mId)) {
@@ -286,7 +324,12 @@
                                     ? Mono.delay(CRASH_DELAY).then(crash())
                                     : respond(request, response);
                         })
-                .doFinally(signal -> mActiveRequests.decrementAndGet());
+                .doFinally(
+                        signal -> {
+                            mActiveRequests.decrementAndGet();
+                            String id = request.requestHeaders().get("Fuchsiaford-Request-Id");
+                            mWorkEndsNanos.put(id, System.nanoTime());
+                        });
     }
 
     private Mono<Void> respond(HttpServerRequest request, HttpServerResponse response) {
@@ -305,7 +348,7 @@
 
     private Mono<Void> workPlain(HttpServerRequest request) {
         Duration time = mPlainTime.apply(request.uri());
-        return time.isZero() ? Mono.empty() : Mono.delay(time).then();
+        return time.isZero() ? Mono.empty() : Mono.delay(time).then(awaitEndOfPause());
     }
 
     private Mono<Void> respondPlain(HttpServerResponse response, ServerBehaviour behaviour) {
@@ -326,7 +369,8 @@
         Flux<byte[]> events =
                 Flux.fromStream(IntStream.range(firstEvent, firstEvent + count).boxed())
                         .map(PlatformServerStandin::event)
-                        .delayElements(mStreamTime.apply(request.uri()).dividedBy(STREAM_EVENTS));
+                        .delayElements(mStreamTime.apply(request.uri()).dividedBy(STREAM_EVENTS))
+                        .concatMap(event -> awaitEndOfPause().thenReturn(event));
         response.header("Content-Type", "text/event-stream");
         if (hasCrashingPart(request)) {
             return send(response, events.take(1)).then(crash());
