Estimate how long requests take from enough of them and from those in progress

Durations count only when requests are answered, so the long ones were missing. Change: fewer than twenty answered requests tell nothing, and the age of requests in progress counts. A host that is closed twice, as after a stop that another one overtakes, logs its end once.

--- a/core/src/main/java/org/fuchsiaford/shutdown/DurationHistory.java
+++ b/core/src/main/java/org/fuchsiaford/shutdown/DurationHistory.java
@@ -6,15 +6,20 @@
 /**
  * The longest duration of the requests of one route that were answered lately.
  *
- * <p>Invariant: a duration counts for at least {@link #PERIOD_NANOS} and at most twice as long.
- * Thread-safe.
+ * <p>Invariant: a duration counts for at least {@link #PERIOD_NANOS} and at most twice as long;
+ * nothing is known from fewer than {@link #MIN_REQUESTS} requests. Thread-safe.
  */
 public final class DurationHistory {
     /** Covers a few of the longest requests at light load. */
     static final long PERIOD_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+    /** With fewer requests, it is likely that none of the long ones is among them. */
+    static final int MIN_REQUESTS = 20;
+
     private long mLongestNanos;
     private long mFormerLongestNanos;
+    private int mRequests;
+    private int mFormerRequests;
     private long mPeriodStartNanos;
     private boolean mStarted;
 
@@ -22,13 +27,15 @@
     public synchronized void record(long durationNanos, long nowNanos) {
         startPeriod(nowNanos);
         mLongestNanos = Math.max(mLongestNanos, durationNanos);
+        mRequests++;
     }
 
-    /** Returns the longest duration, or nothing if no request was answered lately. */
+    /** Returns the longest duration, or nothing if too few requests were answered lately. */
     public synchronized OptionalLong longestNanos(long nowNanos) {
         startPeriod(nowNanos);
-        long longest = Math.max(mLongestNanos, mFormerLongestNanos);
-        return longest == 0 ? OptionalLong.empty() : OptionalLong.of(longest);
+        return mRequests + mFormerRequests < MIN_REQUESTS
+                ? OptionalLong.empty()
+                : OptionalLong.of(Math.max(mLongestNanos, mFormerLongestNanos));
     }
 
     private void startPeriod(long nowNanos) {
@@ -41,7 +48,9 @@
             return;
         }
         mFormerLongestNanos = periods == 1 ? mLongestNanos : 0;
+        mFormerRequests = periods == 1 ? mRequests : 0;
         mLongestNanos = 0;
+        mRequests = 0;
         mPeriodStartNanos += periods * PERIOD_NANOS;
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.entry.gateway.fleet.Coordination;
@@ -97,6 +98,7 @@
     private final PeerServer mPeerServer;
     private final GatewayServer mGatewayServer;
     private final List<DisposableServer> mBoundServers = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean mClosed = new AtomicBoolean();
     private volatile boolean mShuttingDown;
 
     /** Creates a host; it is inactive until {@link #start} is called. */
@@ -435,6 +437,9 @@
     }
 
     private void closeServers() {
+        if (!mClosed.compareAndSet(false, true)) {
+            return;
+        }
         mBoundServers.forEach(DisposableServer::dispose);
         mGatewayServer.closeConnections();
         mCoordination.heartbeats().stop();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -236,13 +236,18 @@
                         trace.startNanos(),
                         deadline(caller, authorized, trace));
         trace.recordAdmission(context);
+        mShutdown.recordStart(context);
         Mono<Void> forwarded =
                 authorized.route().kind().isStream()
                         ? forwardStream(context, response, trace)
                         : forwardBuffered(context, response, trace);
         return forwarded
                 .onErrorMap(RefusalException.class, context::withRunState)
-                .doFinally(signal -> refundIfNotRun(context, authorized, charged));
+                .doFinally(
+                        signal -> {
+                            mShutdown.recordEnd(context);
+                            refundIfNotRun(context, authorized, charged);
+                        });
     }
 
     /** A stream that is taken up is drawn the service that began it. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.LongStream;
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.RemoteName;
@@ -29,6 +31,7 @@
 
     private final Ticker mTicker;
     private final Map<String, DurationHistory> mHistories = new ConcurrentHashMap<>();
+    private final Set<RequestContext> mInProgress = ConcurrentHashMap.newKeySet();
     private final Sinks.Empty<Void> mBegin = Sinks.empty();
     private final Sinks.Empty<Void> mEnd = Sinks.empty();
     private volatile Phase mPhase = new Phase(State.SERVING, 0, 0);
@@ -123,11 +126,37 @@
     }
 
     private long latestSendNanos(RequestContext context, Phase phase) {
-        DurationHistory history = mHistories.get(context.route().name());
-        OptionalLong longest =
-                history == null ? OptionalLong.empty() : history.longestNanos(mTicker.nowNanos());
         return ShutdownPolicy.latestSendNanos(
-                context.deadlineNanos(), longest, phase.startNanos(), phase.endNanos());
+                context.deadlineNanos(),
+                longestNanos(context.route(), mTicker.nowNanos()),
+                phase.startNanos(),
+                phase.endNanos());
+    }
+
+    /** Returns the longest duration lately, which a request in progress may have exceeded. */
+    private OptionalLong longestNanos(GatewayRoute route, long nowNanos) {
+        DurationHistory history = mHistories.get(route.name());
+        OptionalLong longest =
+                history == null ? OptionalLong.empty() : history.longestNanos(nowNanos);
+        return longest.isEmpty()
+                ? longest
+                : LongStream.concat(longest.stream(), agesNanos(route, nowNanos)).max();
+    }
+
+    private LongStream agesNanos(GatewayRoute route, long nowNanos) {
+        return mInProgress.stream()
+                .filter(request -> request.sendCount() > 0)
+                .filter(request -> request.route().name().equals(route.name()))
+                .mapToLong(request -> nowNanos - request.firstSentNanos());
+    }
+
+    /** Records that a request is in progress, until {@link #recordEnd}. */
+    void recordStart(RequestContext context) {
+        mInProgress.add(context);
+    }
+
+    void recordEnd(RequestContext context) {
+        mInProgress.remove(context);
     }
 
     /** Fails as soon as a request that waits to be sent would no longer end in time. */
