Log which requests a stop cuts, and who ended an attempt first

Callers lost streams around planned stops; the lines about the stop named none of them, and a broken stream did not say whether the server or this host closed first. RequestCut names each request that a server worked on when the host ended its requests, AttemptFailed says closedBy and receivedBytes, and Placed and ServerSeen name the run of the server.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -414,7 +414,7 @@
     private Mono<Void> endRequests() {
         mLog.write(
                 new Decision.Lifecycle("ending", mGatewayServer.inFlightRequests() + " in flight"));
-        mShutdown.end();
+        mShutdown.end().forEach(mLog::write);
         long nowNanos = mTicker.nowNanos();
         return waitUntilIdle(
                 nowNanos, nowNanos + TimeUnit.MILLISECONDS.toNanos(reserveMillis() / 2));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -104,13 +104,24 @@
                         null,
                         counted ? "decode-reads-prompt" : "decode-reads-prompt, budget used up",
                         null,
-                        context.remainingMillis(mTicker.nowNanos())));
+                        context.remainingMillis(mTicker.nowNanos()),
+                        closedBy(failure),
+                        null));
+    }
+
+    /** Returns who ended an attempt before its response was complete; null if nobody did. */
+    private static String closedBy(BackendCallException failure) {
+        if (failure.isBrokenOff()) {
+            return "server";
+        }
+        boolean isComplete = !failure.responseParts().isEmpty();
+        return failure.outcome() == AttemptOutcome.UNKNOWN && !isComplete ? "host" : null;
     }
 
     /** Records an attempt whose response is not forwarded, and returns how to proceed. */
     NextStep recordFailure(
             RequestContext context, LiveServer server, AttemptOutcome outcome, String reason) {
-        return recordFailure(context, server, outcome, reason, null);
+        return recordFailure(context, server, outcome, reason, null, null);
     }
 
     /**
@@ -141,7 +152,9 @@
                         null,
                         NextStep.ANSWER.name(),
                         null,
-                        context.remainingMillis(mTicker.nowNanos())));
+                        context.remainingMillis(mTicker.nowNanos()),
+                        null,
+                        null));
     }
 
     /** Records a failed attempt, and returns how to proceed. */
@@ -152,7 +165,8 @@
                 server,
                 failure.outcome(),
                 failure.getMessage(),
-                failure.isBrokenOff() ? context.promptParts() : null);
+                failure.isBrokenOff() ? context.promptParts() : null,
+                closedBy(failure));
     }
 
     private NextStep recordFailure(
@@ -160,7 +174,8 @@
             LiveServer server,
             AttemptOutcome outcome,
             String reason,
-            List<PromptPartId> promptParts) {
+            List<PromptPartId> promptParts,
+            String closedBy) {
         recordServerFailure(server, outcome);
         context.attempts().record(server.id(), outcome);
         Optional<RetryObstacle> obstacle = findObstacle(context, outcome);
@@ -174,7 +189,9 @@
                         promptParts,
                         next.name(),
                         obstacle.map(RetryObstacle::name).orElse(null),
-                        context.remainingMillis(mTicker.nowNanos())));
+                        context.remainingMillis(mTicker.nowNanos()),
+                        closedBy,
+                        context.receivedBytes().orElse(null)));
         return next;
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -241,6 +241,7 @@
             RequestContext context, LiveServer server, int previousSends) {
         long startNanos = mTicker.nowNanos();
         long remainingMillis = context.remainingMillis(startNanos);
+        context.recordExchange(server.id(), startNanos);
         logPlaced(context, server, previousSends, remainingMillis);
         ServerLoad load = new ServerLoad(server.id(), 1, 0, 0);
         mLoads.add(load);
@@ -316,6 +317,7 @@
                         context.caller().id().value(),
                         server.id().value(),
                         server.version().value(),
+                        server.startedMillis(),
                         null,
                         previousSends + 1,
                         load.requests(),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
@@ -1,11 +1,13 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.LongStream;
+import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.RemoteName;
@@ -75,10 +77,27 @@
         mPhase = mPhase.in(State.CLOSED);
     }
 
-    /** Ends all requests that are in progress. */
-    public void end() {
-        mPhase = mPhase.in(State.ENDED);
+    /**
+     * Ends all requests that are in progress.
+     *
+     * @return a description of each that a server was working on
+     */
+    public List<Decision.RequestCut> end() {
+        long nowNanos = mTicker.nowNanos();
+        Phase ended = mPhase.in(State.ENDED);
+        mPhase = ended;
+        List<Decision.RequestCut> cut =
+                mInProgress.stream()
+                        .filter(request -> request.sendCount() > 0)
+                        .map(
+                                request ->
+                                        request.describeCut(
+                                                ended.startNanos(),
+                                                longestNanos(request.route(), nowNanos),
+                                                nowNanos))
+                        .toList();
         mEnd.tryEmitEmpty();
+        return cut;
     }
 
     boolean isStopping() {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -3,12 +3,15 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.fuchsiaford.attempt.RequestAttempts;
+import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
 import org.fuchsiaford.entry.gateway.protocol.KvSource;
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
@@ -53,8 +56,17 @@
     private final AtomicBoolean mRaced = new AtomicBoolean();
     private volatile long mFirstSentNanos;
     private volatile long mLastSentNanos;
+    private volatile Exchange mExchange;
     private List<PromptPartId> mPromptParts;
 
+    /**
+     * What was received in the latest exchange with a server.
+     *
+     * @param bodyBytes the received part of the body, if the response is a stream
+     * @param lastReceivedNanos when the server was last heard, at first when the request was sent
+     */
+    private record Exchange(BackendServerId server, long bodyBytes, long lastReceivedNanos) {}
+
     RequestContext(
             CallerRequest caller,
             byte[] body,
@@ -191,6 +203,45 @@
         return mLastSentNanos;
     }
 
+    /** Records that an exchange with a server begins. */
+    void recordExchange(BackendServerId server, long nowNanos) {
+        mExchange = new Exchange(server, 0, nowNanos);
+    }
+
+    /** Records that a part of the body of a stream was received. */
+    void recordReceived(long bytes, long nowNanos) {
+        Exchange last = mExchange;
+        mExchange = new Exchange(last.server(), last.bodyBytes() + bytes, nowNanos);
+    }
+
+    /** Returns how much of the body of a stream was received in the latest exchange. */
+    Optional<Long> receivedBytes() {
+        return Optional.ofNullable(mExchange)
+                .filter(exchange -> mRoute.kind().isStream())
+                .map(Exchange::bodyBytes);
+    }
+
+    /**
+     * Describes a request that a server is working on while this host stops.
+     *
+     * @param longestNanos the longest duration of requests of the route lately, if known
+     */
+    Decision.RequestCut describeCut(long stopNanos, OptionalLong longestNanos, long nowNanos) {
+        Optional<Exchange> exchange = Optional.ofNullable(mExchange);
+        long heardNanos = exchange.map(Exchange::lastReceivedNanos).orElse(mLastSentNanos);
+        return new Decision.RequestCut(
+                mCaller.id().value(),
+                mRoute.name(),
+                exchange.map(e -> e.server().value()).orElse(null),
+                TimeUnit.NANOSECONDS.toMillis(mFirstSentNanos - stopNanos),
+                longestNanos.isEmpty()
+                        ? null
+                        : TimeUnit.NANOSECONDS.toMillis(longestNanos.getAsLong()),
+                receivedBytes().orElse(null),
+                TimeUnit.NANOSECONDS.toMillis(nowNanos - heardNanos),
+                remainingMillis(nowNanos));
+    }
+
     /** Returns true once: for the attempt beside which another one may be made. */
     boolean startRace() {
         return mRaced.compareAndSet(false, true);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -275,6 +275,7 @@
                     context.placementRefusal(
                             BEGIN_ANEW_RETRY_MILLIS, "the request may not be sent any more"));
         }
+        context.recordExchange(server.id(), startNanos);
         Flux<ResponsePart> parts =
                 mClient.exchange(
                         context.serverRequest(
@@ -334,7 +335,7 @@
         recordOrigin(context, server);
         Flux<ResponsePart> body =
                 all.skip(1)
-                        .<byte[]>handle((part, sink) -> append(server, progress, part, sink))
+                        .<byte[]>handle((part, sink) -> append(context, server, part, sink))
                         .concatWith(Mono.defer(() -> endOfStream(server, progress)))
                         .filter(ready -> ready.length > 0)
                         .map(ResponsePart.Body::new);
@@ -347,12 +348,15 @@
         return Flux.concat(Mono.just(head), body);
     }
 
-    private static void append(
+    private void append(
+            RequestContext context,
             LiveServer server,
-            StreamProgress progress,
             ResponsePart part,
             SynchronousSink<byte[]> sink) {
-        byte[] ready = progress.append(((ResponsePart.Body) part).bytes());
+        StreamProgress progress = context.streamProgress();
+        byte[] bytes = ((ResponsePart.Body) part).bytes();
+        context.recordReceived(bytes.length, mTicker.nowNanos());
+        byte[] ready = progress.append(bytes);
         if (progress.partialEventBytes() > MAX_EVENT_BYTES) {
             sink.error(failure(server, "an event exceeds " + MAX_EVENT_BYTES + " bytes"));
             return;
@@ -458,6 +462,7 @@
                         context.caller().id().value(),
                         plan.decode().id().value(),
                         plan.decode().version().value(),
+                        plan.decode().startedMillis(),
                         plan.prefill().map(p -> p.id().value()).orElse(null),
                         previousSends + 1,
                         load.requests(),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -15,11 +15,14 @@
      * that of the registry.
      *
      * @param serverVersion the version of the server's software, as the registry states it
+     * @param serverStartedMillis the start of the server's run in Unix milliseconds, as the
+     *     registry states it
      */
     record Placed(
             String request,
             String server,
             String serverVersion,
+            long serverStartedMillis,
             String prefillServer,
             int attempt,
             int serverRequests,
@@ -51,6 +54,10 @@
      * @param next the step that follows
      * @param retryObstacle why there is no other attempt; null if there is one or none is needed
      * @param leftMillis the time until the deadline of the request
+     * @param closedBy whether the server or this host ended the attempt before its response was
+     *     complete; null if neither did
+     * @param receivedBytes how much of the body of a stream had been received; null if the response
+     *     is no stream
      */
     record AttemptFailed(
             String request,
@@ -60,6 +67,31 @@
             List<PromptPartId> promptParts,
             String next,
             String retryObstacle,
+            long leftMillis,
+            String closedBy,
+            Long receivedBytes)
+            implements Decision {}
+
+    /**
+     * A request that a server was working on when this host ended its requests to stop.
+     *
+     * @param sentAfterStopMillis how long after the stop signal the request was first sent;
+     *     negative if before it
+     * @param longestMillis the longest duration of requests of the route lately; null if too few
+     *     are known
+     * @param receivedBytes how much of the body of a stream had been received; null if the response
+     *     is no stream
+     * @param silentMillis how long the server had sent nothing
+     * @param leftMillis the time until the deadline of the request
+     */
+    record RequestCut(
+            String request,
+            String route,
+            String server,
+            long sentAfterStopMillis,
+            Long longestMillis,
+            Long receivedBytes,
+            long silentMillis,
             long leftMillis)
             implements Decision {}
 
@@ -131,13 +163,18 @@
     /** This host applied a new version of the routing table. */
     record TableInForce(long version, long revision) implements Decision {}
 
-    /** The registration of a backend server was added, changed or removed. */
+    /**
+     * The registration of a backend server was added, changed or removed.
+     *
+     * @param startedMillis the start of its run in Unix milliseconds; null if it is gone
+     */
     record ServerSeen(
             String server,
             String service,
             String state,
             String stage,
             String version,
+            Long startedMillis,
             long revision)
             implements Decision {}
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -309,6 +309,7 @@
                         server.draining() ? "draining" : "ready",
                         server.stage().map(Enum::name).orElse(null),
                         server.version().value(),
+                        server.startedMillis(),
                         revision));
     }
 
@@ -341,7 +342,8 @@
         if (isNews) {
             Optional.ofNullable(mLastServers.remove(id))
                     .ifPresent(server -> mEndedRuns.put(id, server.run()));
-            mLog.write(new Decision.ServerSeen(id.value(), null, "gone", null, null, revision));
+            mLog.write(
+                    new Decision.ServerSeen(id.value(), null, "gone", null, null, null, revision));
         }
     }
 
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -59,11 +59,12 @@
 
     private void addRequests() {
         add(
-                "'Placed','request':'r','server':'s','serverVersion':'v','prefillServer':'p',"
+                "'Placed','request':'r','server':'s','serverVersion':'v',"
+                        + "'serverStartedMillis':8,'prefillServer':'p',"
                         + "'attempt':1,"
                         + "'serverRequests':2,'serverTokens':3,'promptTokens':4,'answerTokens':5,"
                         + "'leftMillis':6,'registryRevision':7",
-                new Decision.Placed("r", "s", "v", "p", 1, 2, 3, 4, 5, 6, 7));
+                new Decision.Placed("r", "s", "v", 8, "p", 1, 2, 3, 4, 5, 6, 7));
         add(
                 "'Queued','request':'r','waitingTokens':1,'estimatedWaitMillis':2",
                 new Decision.Queued("r", 1, 2));
@@ -75,9 +76,14 @@
                 new Decision.OrderHolder("s", 1, "r"));
         add(
                 "'AttemptFailed','request':'r','server':'s','outcome':'o','reason':'w',"
-                        + "'promptParts':['p'],'next':'n','retryObstacle':'b','leftMillis':1",
+                        + "'promptParts':['p'],'next':'n','retryObstacle':'b','leftMillis':1,"
+                        + "'closedBy':'c','receivedBytes':2",
                 new Decision.AttemptFailed(
-                        "r", "s", "o", "w", List.of(new PromptPartId("p")), "n", "b", 1));
+                        "r", "s", "o", "w", List.of(new PromptPartId("p")), "n", "b", 1, "c", 2L));
+        add(
+                "'RequestCut','request':'r','route':'t','server':'s','sentAfterStopMillis':-1,"
+                        + "'longestMillis':2,'receivedBytes':3,'silentMillis':4,'leftMillis':5",
+                new Decision.RequestCut("r", "t", "s", -1, 2L, 3L, 4, 5));
         add("'Resumed','request':'r','afterEvent':'e'", new Decision.Resumed("r", "e"));
         add(
                 "'TakenUp','request':'r','resumes':'q','afterEvent':'e'",
@@ -116,8 +122,8 @@
         add("'TableInForce','version':1,'revision':2", new Decision.TableInForce(1, 2));
         add(
                 "'ServerSeen','server':'s','service':'v','state':'t','stage':'g','version':'w',"
-                        + "'revision':1",
-                new Decision.ServerSeen("s", "v", "t", "g", "w", 1));
+                        + "'startedMillis':1,'revision':2",
+                new Decision.ServerSeen("s", "v", "t", "g", "w", 1L, 2));
         add(
                 "'EntryUnreadable','key':'k','revision':1,'reason':'r'",
                 new Decision.EntryUnreadable("k", 1, "r"));
