Reproduce streams joined of two runs of an engine

Streams held events of two software versions after an engine had started anew under its ID. Hosts take its former registration for what it is now: while the store is away, and until a new registration arrives.

--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -37,6 +37,9 @@
     /** The number of complete events before an interrupted stream ends, within the next event. */
     public static final int EVENTS_BEFORE_BREAK = 2;
 
+    /** The start of the first run of a server, in Unix milliseconds. */
+    public static final long FIRST_START_MILLIS = 1;
+
     private static final Duration EVENT_GAP = Duration.ofMillis(20);
     private static final Duration CRASH_DELAY = Duration.ofMillis(30);
     private static final String BODY_PREFIX = "answer of ";
@@ -60,6 +63,7 @@
     private volatile String mRetryAfter = "";
     private volatile String mLimit = "";
     private final List<Long> mArrivalsNanos = new CopyOnWriteArrayList<>();
+    private volatile long mStartedMillis = FIRST_START_MILLIS;
     private volatile boolean mLeaving;
     private volatile long mSilentUntilNanos = System.nanoTime();
     private volatile DisposableServer mServer;
@@ -193,6 +197,11 @@
         return nanos == null ? OptionalLong.empty() : OptionalLong.of(nanos);
     }
 
+    /** Sets the start of this run in Unix milliseconds, as the server reports it. */
+    public void setStartedMillis(long startedMillis) {
+        mStartedMillis = startedMillis;
+    }
+
     /** Sets the stage that the engine reports; orders do not change it. */
     public void setStage(String stage) {
         mStage = stage;
@@ -230,13 +239,14 @@
         connection.onDispose(() -> mConnections.remove(connection));
     }
 
-    /** Stops to listen and closes all connections, as the end of the process would. */
     private Mono<Void> crash() {
-        return Mono.fromRunnable(
-                () -> {
-                    mServer.dispose();
-                    closeConnections();
-                });
+        return Mono.fromRunnable(this::stop);
+    }
+
+    /** Stops to listen and closes all connections, as the end of the process would. */
+    public void stop() {
+        mServer.dispose();
+        closeConnections();
     }
 
     /** Closes all connections; new ones are accepted as before. */
@@ -294,7 +304,11 @@
     }
 
     private ObjectNode report() {
-        return Json.object().put("stage", mStage).put("busy", false).put("seq", mOrders.size());
+        return Json.object()
+                .put("stage", mStage)
+                .put("busy", false)
+                .put("seq", mOrders.size())
+                .put("born", mStartedMillis);
     }
 
     private synchronized Mono<Void> acceptOrder(HttpServerResponse response, JsonNode body) {
