Take by a guess only what callers sent before they could leave

Callers lost streams that may not be resumed around the SIGTERM of a host: the stream was read, passed on, and its connection closed at the end of the grace.

Cause: a stopping host sent a stream if half as long again as the longest of its route lately fitted before the end, until the end. What was quick lately says little of the next stream: engines are paused, full, or get the load of the host that leaves. RequestCut shows it: 30 streams sent 3.1 s after the signal, the longest lately 0.12 s, cut at 7.1 s.

Now the guess counts only while callers may not know that the host stops: the life of an address and 0.15 s for their requests on the way, 1.15 s as deployed. From then on only a deadline that passes in time lets a request be sent; others are refused at once as not run, which costs the caller one retry elsewhere. Requests that were cut or given up count among the longest.

--- a/core/src/main/java/org/fuchsiaford/shutdown/DurationHistory.java
+++ b/core/src/main/java/org/fuchsiaford/shutdown/DurationHistory.java
@@ -4,10 +4,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The longest duration of the requests of one route that were answered lately.
+ * The longest duration of the requests of one route lately.
  *
  * <p>Invariant: a duration counts for at least {@link #PERIOD_NANOS} and at most twice as long;
- * nothing is known from fewer than {@link #MIN_REQUESTS} requests. Thread-safe.
+ * nothing is known from fewer than {@link #MIN_REQUESTS} answered requests. Thread-safe.
  */
 public final class DurationHistory {
     /** Covers a few of the longest requests at light load. */
@@ -25,9 +25,14 @@
 
     /** Records the duration of a request that was answered in full. */
     public synchronized void record(long durationNanos, long nowNanos) {
+        recordUnanswered(durationNanos, nowNanos);
+        mRequests++;
+    }
+
+    /** Records the duration of a request that had no full answer, and would have taken longer. */
+    public synchronized void recordUnanswered(long durationNanos, long nowNanos) {
         startPeriod(nowNanos);
         mLongestNanos = Math.max(mLongestNanos, durationNanos);
-        mRequests++;
     }
 
     /** Returns the longest duration, or nothing if too few requests were answered lately. */
--- a/core/src/test/java/org/fuchsiaford/shutdown/DurationHistoryTest.java
+++ b/core/src/test/java/org/fuchsiaford/shutdown/DurationHistoryTest.java
@@ -28,6 +28,17 @@
         assertThat(history.longestNanos(1)).hasValue(5);
     }
 
+    /** A request that was cut or given up would have taken longer still. */
+    @Example
+    void requestsWithoutAnAnswerMakeTheLongestLonger() {
+        var history = new DurationHistory();
+        IntStream.range(0, DurationHistory.MIN_REQUESTS)
+                .forEach(i -> history.recordUnanswered(9, 0));
+        assertThat(history.longestNanos(1)).isEmpty();
+        record(history, 5, 1);
+        assertThat(history.longestNanos(2)).hasValue(9);
+    }
+
     @Example
     void nothingIsKnownWithoutRequests() {
         assertThat(new DurationHistory().longestNanos(5)).isEmpty();
--- a/core/src/test/java/org/fuchsiaford/shutdown/ShutdownPolicyTest.java
+++ b/core/src/test/java/org/fuchsiaford/shutdown/ShutdownPolicyTest.java
@@ -12,14 +12,33 @@
 /** Which requests a stopping host still sends. */
 class ShutdownPolicyTest {
     private static final long END = seconds(10);
+    private static final long LEAVE = seconds(8);
 
     private static long seconds(long seconds) {
         return TimeUnit.SECONDS.toNanos(seconds);
     }
 
     private static long latestSendSeconds(long deadlineSeconds, OptionalLong longestNanos) {
+        return latestSendSeconds(deadlineSeconds, longestNanos, LEAVE);
+    }
+
+    private static long latestSendSeconds(
+            long deadlineSeconds, OptionalLong longestNanos, long leaveNanos) {
         return TimeUnit.NANOSECONDS.toSeconds(
-                ShutdownPolicy.latestSendNanos(seconds(deadlineSeconds), longestNanos, 0, END));
+                ShutdownPolicy.latestSendNanos(
+                        seconds(deadlineSeconds), longestNanos, 0, leaveNanos, END));
+    }
+
+    /** Then only a deadline proves that a request ends in time; what was quick lately does not. */
+    @Property
+    void onceCallersCanUseAnotherHostOnlyRequestsAreSentThatEndInTimeForCertain(
+            @ForAll @IntRange(min = 11, max = 20) int deadline,
+            @ForAll @IntRange(max = 12) int longest,
+            @ForAll @IntRange(max = 9) int leave) {
+        assertThat(latestSendSeconds(deadline, OptionalLong.of(seconds(longest)), seconds(leave)))
+                .isLessThanOrEqualTo(leave);
+        assertThat(latestSendSeconds(10, OptionalLong.of(seconds(longest)), seconds(leave)))
+                .isEqualTo(10);
     }
 
     @Property
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -73,6 +73,9 @@
      */
     private static final long CALLER_MARGIN_MILLIS = 700;
 
+    /** Time from the send of a request by its caller until this host sends it on. */
+    private static final long ARRIVAL_MARGIN_MILLIS = 150;
+
     /** The part of the grace period that is reserved for responses to ended requests and exit. */
     private static final int EXIT_RESERVE_DIVISOR = 8;
 
@@ -84,6 +87,9 @@
     private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(200);
 
+    /** Time within which other hosts learn that this one stops, if they can be reached. */
+    private static final Duration ANNOUNCE_TIMEOUT = Duration.ofMillis(500);
+
     private final GatewaySettings mSettings;
     private final Adapter mAdapter;
     private final Ticker mTicker = Ticker.SYSTEM;
@@ -370,7 +376,11 @@
         long endMillis = mSettings.graceMillis() - reserveMillis();
         long endNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(endMillis);
         mShuttingDown = true;
-        mShutdown.begin(endNanos);
+        long leaveNanos =
+                startNanos
+                        + TimeUnit.SECONDS.toNanos(mSettings.addressLifeSeconds())
+                        + TimeUnit.MILLISECONDS.toNanos(ARRIVAL_MARGIN_MILLIS);
+        mShutdown.begin(leaveNanos, endNanos);
         mStageController.stop().timeout(STORE_TIMEOUT).onErrorComplete().subscribe();
         mLog.write(
                 new Decision.Lifecycle(
@@ -382,6 +392,7 @@
         return mCoordination
                 .heartbeats()
                 .sendNow()
+                .timeout(ANNOUNCE_TIMEOUT)
                 .onErrorResume(e -> Mono.empty())
                 .then(Mono.defer(() -> waitUntilIdle(switchedNanos, endNanos)))
                 .then(Mono.fromRunnable(this::refuseRequests))
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -332,7 +332,7 @@
 
     private void recordAnswered(RequestContext context, RequestTrace trace) {
         trace.recordAnswered();
-        mShutdown.recordDuration(context.route(), mTicker.nowNanos() - context.firstSentNanos());
+        mShutdown.recordAnswered(context);
     }
 
     /** Without this exception, a forwarder without response or error would look like success. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HostShutdown.java
@@ -36,7 +36,7 @@
     private final Set<RequestContext> mInProgress = ConcurrentHashMap.newKeySet();
     private final Sinks.Empty<Void> mBegin = Sinks.empty();
     private final Sinks.Empty<Void> mEnd = Sinks.empty();
-    private volatile Phase mPhase = new Phase(State.SERVING, 0, 0);
+    private volatile Phase mPhase = new Phase(State.SERVING, 0, 0, 0);
 
     private enum State {
         SERVING,
@@ -49,11 +49,12 @@
      * A phase and its times on the monotonic clock, which are not used while serving.
      *
      * @param startNanos when the stop was requested
+     * @param leaveNanos when callers know that the host stops, and can use another one
      * @param endNanos when the requests that are in progress then are ended
      */
-    private record Phase(State state, long startNanos, long endNanos) {
+    private record Phase(State state, long startNanos, long leaveNanos, long endNanos) {
         Phase in(State next) {
-            return new Phase(next, startNanos, endNanos);
+            return new Phase(next, startNanos, leaveNanos, endNanos);
         }
     }
 
@@ -65,10 +66,11 @@
     /**
      * Starts the graceful stop.
      *
+     * @param leaveNanos when callers will know that the host stops, on the monotonic clock
      * @param endNanos when {@link #end} will be called, on the monotonic clock
      */
-    public void begin(long endNanos) {
-        mPhase = new Phase(State.STOPPING, mTicker.nowNanos(), endNanos);
+    public void begin(long leaveNanos, long endNanos) {
+        mPhase = new Phase(State.STOPPING, mTicker.nowNanos(), leaveNanos, endNanos);
         mBegin.tryEmitEmpty();
     }
 
@@ -110,10 +112,13 @@
     }
 
     /** Records how long a request took that was answered in full. */
-    void recordDuration(GatewayRoute route, long durationNanos) {
-        mHistories
-                .computeIfAbsent(route.name(), name -> new DurationHistory())
-                .record(durationNanos, mTicker.nowNanos());
+    void recordAnswered(RequestContext context) {
+        long nowNanos = mTicker.nowNanos();
+        history(context.route()).record(nowNanos - context.firstSentNanos(), nowNanos);
+    }
+
+    private DurationHistory history(GatewayRoute route) {
+        return mHistories.computeIfAbsent(route.name(), name -> new DurationHistory());
     }
 
     /**
@@ -134,21 +139,34 @@
      * @throws RefusalException if it may not be sent
      */
     void requireTime(RequestContext context) throws RefusalException {
+        if (!context.attempts().mayHaveRun()) {
+            requireTime(context.route(), context.deadlineNanos());
+        } else if (mPhase.state() == State.ENDED) {
+            throw notRun();
+        }
+    }
+
+    /**
+     * Checks that a request that has not been sent ends in time if it is sent now.
+     *
+     * @throws RefusalException if it may not be sent
+     */
+    void requireTime(GatewayRoute route, long deadlineNanos) throws RefusalException {
         Phase phase = mPhase;
         boolean late =
                 phase.state() != State.SERVING
-                        && !context.attempts().mayHaveRun()
-                        && mTicker.nowNanos() - latestSendNanos(context, phase) > 0;
+                        && mTicker.nowNanos() - latestSendNanos(route, deadlineNanos, phase) > 0;
         if (late || phase.state() == State.ENDED) {
             throw notRun();
         }
     }
 
-    private long latestSendNanos(RequestContext context, Phase phase) {
+    private long latestSendNanos(GatewayRoute route, long deadlineNanos, Phase phase) {
         return ShutdownPolicy.latestSendNanos(
-                context.deadlineNanos(),
-                longestNanos(context.route(), mTicker.nowNanos()),
+                deadlineNanos,
+                longestNanos(route, mTicker.nowNanos()),
                 phase.startNanos(),
+                phase.leaveNanos(),
                 phase.endNanos());
     }
 
@@ -176,6 +194,11 @@
 
     void recordEnd(RequestContext context) {
         mInProgress.remove(context);
+        if (context.sendCount() > 0) {
+            long nowNanos = mTicker.nowNanos();
+            history(context.route())
+                    .recordUnanswered(nowNanos - context.firstSentNanos(), nowNanos);
+        }
     }
 
     /** Fails as soon as a request that waits to be sent would no longer end in time. */
@@ -190,7 +213,8 @@
     }
 
     private Duration untilLatestSend(RequestContext context) {
-        return Duration.ofNanos(Math.max(0, latestSendNanos(context, mPhase) - mTicker.nowNanos()));
+        long latestNanos = latestSendNanos(context.route(), context.deadlineNanos(), mPhase);
+        return Duration.ofNanos(Math.max(0, latestNanos - mTicker.nowNanos()));
     }
 
     /**
