Continue streams only at engines that state the run that is registered

Callers got streams with events of two software versions after an engine had started anew under its ID (ORDER).

Cause: what an engine is was read only from the store. While the store is away, and until a new registration arrives, an engine that started anew is taken for its former run: a stream goes on there, and one that begins there is recorded at the version of the former run. The class of fault: a belief that may be out of date decides what can't be undone, though the one it is about could be asked.

- Before a stream goes on at an engine, the engine is asked for its report.
If the start of its run is not the registered one, or it doesn't answer, the stream goes on elsewhere or ends (EngineRuns, StreamVersions).
- A stream that begins at an engine to which a connection has failed, or while the registry may be out of date, is recorded at a version only after the engine has stated its run.
Otherwise its version is unknown, and it doesn't go on.

--- a/core/src/main/java/org/fuchsiaford/stream/ServerStreams.java
+++ b/core/src/main/java/org/fuchsiaford/stream/ServerStreams.java
@@ -13,8 +13,8 @@
  * <p>Invariant: a stream is kept for {@link #RETENTION_NANOS}. Thread-safe.
  */
 public final class ServerStreams {
-    /** Longer than a registration is out of date unless the store is away. */
-    private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /** Streams are taken up within this time; the store may be away as long. */
+    private static final long RETENTION_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     private final Deque<Entry> mEntries = new ArrayDeque<>();
 
--- a/core/src/main/java/org/fuchsiaford/stream/StreamOrigins.java
+++ b/core/src/main/java/org/fuchsiaford/stream/StreamOrigins.java
@@ -23,7 +23,13 @@
     /** In the order in which streams were last recorded. */
     private final Map<StreamKey, Entry> mEntries = new LinkedHashMap<>();
 
-    private record Entry(StreamOrigin origin, long recordedNanos) {}
+    /**
+     * An entry.
+     *
+     * @param firstNanos when the origin became known
+     * @param recordedNanos when it was last recorded
+     */
+    private record Entry(StreamOrigin origin, long firstNanos, long recordedNanos) {}
 
     /**
      * Records that a stream has begun, or goes on, at its origin. What is known of a stream stays,
@@ -32,7 +38,11 @@
     public synchronized void record(StreamKey stream, StreamOrigin origin, long nowNanos) {
         Entry known = mEntries.remove(stream);
         boolean isKnown = known != null && origin.version().isPresent();
-        mEntries.put(stream, new Entry(isKnown ? known.origin() : origin, nowNanos));
+        mEntries.put(
+                stream,
+                isKnown
+                        ? new Entry(known.origin(), known.firstNanos(), nowNanos)
+                        : new Entry(origin, nowNanos, nowNanos));
         if (mEntries.size() > MAX_STREAMS) {
             removeOldest();
         }
@@ -71,6 +81,12 @@
         return Optional.ofNullable(mEntries.get(stream)).map(Entry::origin);
     }
 
+    /** Returns whether the origin of a stream is known, and became so before a time. */
+    public synchronized boolean isKnownBefore(StreamKey stream, long nanos) {
+        Entry known = mEntries.get(stream);
+        return known != null && known.firstNanos() - nanos < 0;
+    }
+
     /**
      * Returns the streams recorded since a time that satisfy a condition.
      *
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.entry.gateway.engine.EngineReportClient;
+import org.fuchsiaford.entry.gateway.engine.EngineRuns;
 import org.fuchsiaford.entry.gateway.fleet.Coordination;
 import org.fuchsiaford.entry.gateway.fleet.CoordinatorCalls;
 import org.fuchsiaford.entry.gateway.forward.AttemptRecorder;
@@ -24,6 +26,7 @@
 import org.fuchsiaford.entry.gateway.forward.ServerClient;
 import org.fuchsiaford.entry.gateway.forward.ServerNotices;
 import org.fuchsiaford.entry.gateway.forward.StreamForwarder;
+import org.fuchsiaford.entry.gateway.forward.StreamVersions;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.order.StageController;
@@ -99,6 +102,7 @@
     private final FleetView mFleet;
     private final GatewayState mState;
     private final StateFollower mFollower;
+    private final EngineRuns mEngineRuns;
     private final Coordination mCoordination;
     private final StageController mStageController;
     private final PeerServer mPeerServer;
@@ -145,8 +149,15 @@
                         GatewayHost::randomFraction,
                         mLog,
                         mTicker,
-                        mFollower::isStoreAvailable,
+                        mFollower::isRegistryCurrent,
                         this::isReady);
+        mEngineRuns =
+                new EngineRuns(
+                        new EngineReportClient(adapter.orderProtocol()),
+                        mFollower::isRegistryCurrent,
+                        mState.servers()::isRegistered,
+                        mLog,
+                        mTicker);
         CoordinatorCalls calls = mCoordination.calls();
         mStageController =
                 StageControllerFactory.create(
@@ -231,7 +242,7 @@
                         client,
                         memory,
                         prefill,
-                        mCoordination.origins(),
+                        createStreamVersions(),
                         attempts,
                         mLog,
                         mTicker),
@@ -241,6 +252,11 @@
                 mTicker);
     }
 
+    private StreamVersions createStreamVersions() {
+        return new StreamVersions(
+                mState, mState, mCoordination.origins(), mEngineRuns, mLog, mTicker);
+    }
+
     private ResponseMemory createResponseMemory() {
         return new ResponseMemory(
                 mSettings.maxResponseBytes(),
@@ -286,6 +302,7 @@
     private void reportFailure(LiveServer server, AttemptOutcome outcome) {
         CoordinatorCalls calls = mCoordination.calls();
         if (server.stage().isPresent()) {
+            mEngineRuns.recordFailure(server, outcome);
             calls.remoteCoordinator()
                     .ifPresent(c -> calls.report(c, EngineEvent.called(server.id(), outcome, 0)));
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -62,7 +62,7 @@
      *
      * @param limitWindowNanos the length of the window in which rate limits are counted
      * @param random a source of uniformly distributed random numbers from 0 to 1
-     * @param isStoreAvailable whether the store answers this host
+     * @param isRegistryCurrent whether the registry is up to date, as far as this host can tell
      * @param isAccepting whether this host accepts new callers
      */
     public Coordination(
@@ -77,7 +77,7 @@
             DoubleSupplier random,
             DecisionLog log,
             Ticker ticker,
-            BooleanSupplier isStoreAvailable,
+            BooleanSupplier isRegistryCurrent,
             BooleanSupplier isAccepting) {
         mFleet = fleet;
         mTicker = ticker;
@@ -100,7 +100,7 @@
                         state,
                         store,
                         mCalls,
-                        () -> isStateCurrent(isStoreAvailable.getAsBoolean()),
+                        () -> isStateCurrent(isRegistryCurrent.getAsBoolean()),
                         this::sendHeartbeatsNow,
                         random,
                         log,
@@ -170,12 +170,9 @@
                 maxNanos, mFleet.presentCount(mTicker.nowNanos()) * WATCH_INTERVAL_NANOS_PER_HOST);
     }
 
-    /** What other hosts know reaches this host within a heartbeat, unless it reaches none. */
-    private boolean isStateCurrent(boolean isStoreAvailable) {
-        boolean reachesHosts =
-                mCalls.remoteCoordinator().isPresent()
-                        || mFleet.reachableCount(mTicker.nowNanos()) > 1;
-        return (isStoreAvailable || reachesHosts) && !mHeartbeats.isBehind();
+    /** What other hosts read of the store reaches this host within a heartbeat. */
+    private boolean isStateCurrent(boolean isRegistryCurrent) {
+        return isRegistryCurrent && !mHeartbeats.isBehind();
     }
 
     /** Returns the tokens queued at other hosts that can still meet their target. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginTracker.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginTracker.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -67,6 +68,7 @@
     private final FleetView mFleet;
     private final GatewayState mState;
     private final CoordinatorCalls mCalls;
+    private final Store mStore;
     private final BooleanSupplier mIsStateCurrent;
     private final Runnable mReportNow;
     private final DecisionLog mLog;
@@ -105,6 +107,7 @@
         mFleet = fleet;
         mState = state;
         mCalls = calls;
+        mStore = store;
         mIsStateCurrent = isStateCurrent;
         mReportNow = reportNow;
         mLog = log;
@@ -196,6 +199,17 @@
         }
     }
 
+    /** Records that it is not known at which version a stream of this host has begun. */
+    public void recordUnknown(StreamKey stream, ServiceId service) {
+        addUnknown(service, List.of(stream));
+    }
+
+    private void addUnknown(ServiceId service, List<StreamKey> streams) {
+        List<BegunStreams> unknown = List.of(new BegunStreams(service, null, streams));
+        mOrigins.merge(unknown, mTicker.nowNanos());
+        store(unknown);
+    }
+
     /**
      * Records that another run of a server has registered. If it has another version, the latest
      * streams there may have begun at either.
@@ -205,9 +219,7 @@
         boolean isOtherVersion =
                 before.filter(last -> !last.version().equals(server.version())).isPresent();
         if (isOtherVersion && !streams.isEmpty()) {
-            List<BegunStreams> unknown = List.of(new BegunStreams(server.service(), null, streams));
-            mOrigins.merge(unknown, mTicker.nowNanos());
-            store(unknown);
+            addUnknown(server.service(), streams);
         }
     }
 
@@ -255,34 +267,70 @@
         return find(message.service(), message.stream()).cast(PeerMessage.class);
     }
 
-    /** Returns what is known in memory, or follows from a single version. */
+    /** Returns what is known in memory, unless a registration may have been out of date then. */
     private Optional<OriginResponse> known(ServiceId service, StreamKey stream) {
-        Optional<StreamOrigin> origin =
-                mOrigins.find(stream).filter(known -> known.service().equals(service));
-        if (origin.isEmpty() && mIsStateCurrent.getAsBoolean()) {
-            origin =
-                    versions()
-                            .only(service, mState.servers().registered(service))
-                            .map(version -> StreamOrigin.of(service, version));
-        }
-        return origin.map(known -> new OriginResponse(known.version().orElse(null), true));
+        return recorded(service, stream)
+                .filter(origin -> origin.version() == null || isProven(stream));
+    }
+
+    private boolean isProven(StreamKey stream) {
+        OptionalLong lastResponseNanos = mStore.lastResponseNanos();
+        return mIsStateCurrent.getAsBoolean()
+                && lastResponseNanos.isPresent()
+                && mOrigins.isKnownBefore(stream, lastResponseNanos.getAsLong());
+    }
+
+    private Optional<OriginResponse> recorded(ServiceId service, StreamKey stream) {
+        return mOrigins.find(stream)
+                .filter(origin -> origin.service().equals(service))
+                .map(OriginTracker::settled);
+    }
+
+    /** Returns the version that alone has served. */
+    private Optional<OriginResponse> only(ServiceId service) {
+        return versions()
+                .only(service, mState.servers().registered(service))
+                .map(version -> settled(StreamOrigin.of(service, version)));
+    }
+
+    private static OriginResponse settled(StreamOrigin origin) {
+        return new OriginResponse(origin.version().orElse(null), true);
     }
 
     private Mono<OriginResponse> find(ServiceId service, StreamKey stream) {
-        long askedNanos = mTicker.nowNanos();
         return Mono.justOrEmpty(known(service, stream))
                 .switchIfEmpty(
-                        Mono.defer(() -> read(askedNanos))
-                                .then(Mono.fromSupplier(() -> afterRead(service, stream, true)))
-                                .timeout(READ_TIMEOUT)
-                                .onErrorResume(
-                                        e ->
-                                                Mono.fromSupplier(
-                                                        () -> afterRead(service, stream, false))));
+                        Mono.defer(this::confirmState)
+                                .map(current -> find(service, stream, current)));
+    }
+
+    private OriginResponse find(ServiceId service, StreamKey stream, boolean isStateCurrent) {
+        return recorded(service, stream)
+                .filter(origin -> origin.version() == null || isStateCurrent)
+                .or(() -> isStateCurrent ? only(service) : Optional.empty())
+                .orElseGet(() -> new OriginResponse(null, isStateCurrent));
+    }
+
+    /**
+     * Returns whether the registry was not out of date when a stream of this host began.
+     *
+     * @param begunNanos when the stream began, on the monotonic clock
+     */
+    public Mono<Boolean> confirmStateSince(long begunNanos) {
+        OptionalLong lastResponseNanos = mStore.lastResponseNanos();
+        boolean isProven =
+                mIsStateCurrent.getAsBoolean()
+                        && lastResponseNanos.isPresent()
+                        && lastResponseNanos.getAsLong() - begunNanos > 0;
+        return isProven ? Mono.just(true) : Mono.defer(this::confirmState);
     }
 
-    private OriginResponse afterRead(ServiceId service, StreamKey stream, boolean wasRead) {
-        return known(service, stream).orElseGet(() -> new OriginResponse(null, wasRead));
+    /** Returns whether the store answers now, so that the registry is not out of date. */
+    private Mono<Boolean> confirmState() {
+        return read(mTicker.nowNanos())
+                .then(Mono.fromSupplier(mIsStateCurrent::getAsBoolean))
+                .timeout(READ_TIMEOUT)
+                .onErrorReturn(false);
     }
 
     /** Reads all records, unless a read that has begun after a given time serves as well. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -23,7 +23,6 @@
 import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.prompt.RequestFingerprint;
 import org.fuchsiaford.registry.LiveServer;
-import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.GatewayRoute;
@@ -50,7 +49,9 @@
     private final long mDeadlineNanos;
     private final RequestAttempts mAttempts;
     private final StreamProgress mStreamProgress;
-    private Optional<ServerRun> mBegunBy = Optional.empty();
+    private Optional<LiveServer> mBegunBy = Optional.empty();
+    private volatile BeginEvidence mBeginEvidence = BeginEvidence.NONE;
+    private long mBegunNanos;
     private Optional<SoftwareVersion> mVersion = Optional.empty();
     private final AtomicInteger mSendCount = new AtomicInteger();
     private final AtomicBoolean mRaced = new AtomicBoolean();
@@ -59,6 +60,15 @@
     private volatile Exchange mExchange;
     private List<PromptPartId> mPromptParts;
 
+    /** Why the server that began the stream counts as the registered run. */
+    enum BeginEvidence {
+        NONE,
+        /** The registry seemed to be current, and nothing spoke against it. */
+        UNDOUBTED,
+        /** The server has stated it since. */
+        STATED
+    }
+
     /**
      * What was received in the latest exchange with a server.
      *
@@ -137,10 +147,11 @@
     }
 
     /** Records that a server has begun the stream, unless it was bound before. */
-    void bindTo(LiveServer server) {
+    void bindTo(LiveServer server, long nowNanos) {
         if (mVersion.isEmpty()) {
             mVersion = Optional.of(server.version());
-            mBegunBy = Optional.of(server.run());
+            mBegunBy = Optional.of(server);
+            mBegunNanos = nowNanos;
         }
     }
 
@@ -149,11 +160,25 @@
         return mVersion;
     }
 
-    /** Returns the run of a server that began the stream for this attempt of the caller. */
-    Optional<ServerRun> begunBy() {
+    /** Returns the server that began the stream for this attempt of the caller. */
+    Optional<LiveServer> begunBy() {
         return mBegunBy;
     }
 
+    /** Returns when it began the stream, on the monotonic clock; valid if one has. */
+    long begunNanos() {
+        return mBegunNanos;
+    }
+
+    /** Records why the server that began the stream counts as the registered run. */
+    void recordBeginEvidence(BeginEvidence evidence) {
+        mBeginEvidence = evidence;
+    }
+
+    BeginEvidence beginEvidence() {
+        return mBeginEvidence;
+    }
+
     /** Returns the priority; zero is the highest. The workspace overrides the route. */
     int priority() {
         return mWorkspace
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -4,24 +4,18 @@
 import java.util.Optional;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.attempt.NextStep;
-import org.fuchsiaford.backend.ServiceId;
-import org.fuchsiaford.entry.gateway.fleet.OriginTracker;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
-import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
 import org.fuchsiaford.entry.gateway.protocol.KvSource;
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.failure.RefusalException;
-import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.RemoteName;
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.fleet.ServerLoad;
-import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.registry.SoftwareVersion;
-import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.selection.EnginePlan;
 import org.fuchsiaford.selection.EnginePool;
 import org.fuchsiaford.selection.LoadTracker;
@@ -48,12 +42,6 @@
     /** Maximum size of an event of a resumable stream, which is kept until it is complete. */
     private static final int MAX_EVENT_BYTES = 256 * 1024;
 
-    /** Retry delay for callers who can only begin their streams anew. */
-    private static final long BEGIN_ANEW_RETRY_MILLIS = 100;
-
-    /** Retry delay for callers while it cannot be found out where their streams began. */
-    private static final long ORIGIN_RETRY_MILLIS = 400;
-
     private final GatewayState mState;
     private final ServerBackoff mBackoff;
     private final RouteAdmission mRouteAdmission;
@@ -63,7 +51,7 @@
     private final ServerClient mClient;
     private final RejectionReader mRejections;
     private final PrefillClient mPrefill;
-    private final OriginTracker mOrigins;
+    private final StreamVersions mVersions;
     private final StreamSilence mSilence;
     private final AttemptRecorder mAttempts;
     private final DecisionLog mLog;
@@ -80,7 +68,7 @@
             ServerClient client,
             ResponseMemory memory,
             PrefillClient prefill,
-            OriginTracker origins,
+            StreamVersions versions,
             AttemptRecorder attempts,
             DecisionLog log,
             Ticker ticker) {
@@ -93,7 +81,7 @@
         mClient = client;
         mRejections = new RejectionReader(memory);
         mPrefill = prefill;
-        mOrigins = origins;
+        mVersions = versions;
         mSilence = new StreamSilence(pool, backoff, attempts, ticker);
         mAttempts = attempts;
         mLog = log;
@@ -105,7 +93,8 @@
      * before the head, and with any exception after it.
      */
     Flux<ResponsePart> run(RequestContext context) {
-        return takeUp(context)
+        return mVersions
+                .takeUp(context)
                 .thenMany(
                         Flux.defer(
                                 () ->
@@ -115,55 +104,6 @@
                                                 Optional.empty())));
     }
 
-    /** Finds where a stream began that a caller takes up; refuses it if that is not known. */
-    private Mono<Void> takeUp(RequestContext context) {
-        Optional<String> lastEventId = context.caller().lastEventId();
-        if (lastEventId.isEmpty()) {
-            return Mono.empty();
-        }
-        logTakenUp(context.caller(), lastEventId.get());
-        return mOrigins.resolve(context.service(), RequestContext.streamKey(context.caller()))
-                .flatMap(
-                        origin ->
-                                Mono.fromCallable(
-                                        () -> {
-                                            bind(context, origin);
-                                            return origin;
-                                        }))
-                .then();
-    }
-
-    private void bind(RequestContext context, PeerMessage.OriginResponse origin)
-            throws RefusalException {
-        SoftwareVersion version = origin.version();
-        mLog.write(
-                new Decision.OriginFound(
-                        context.caller().id().value(),
-                        version == null ? null : version.value(),
-                        origin.settled()));
-        if (version == null) {
-            throw notResumable(
-                    origin.settled() ? BEGIN_ANEW_RETRY_MILLIS : ORIGIN_RETRY_MILLIS,
-                    "it is not known which software version began the stream");
-        }
-        if (isGone(context.service(), version)) {
-            throw notResumable(
-                    BEGIN_ANEW_RETRY_MILLIS,
-                    "no engine has the software version " + version + " that began the stream");
-        }
-        context.bindTo(version);
-    }
-
-    private boolean isGone(ServiceId service, SoftwareVersion version) {
-        return mPool.usable(service, mTicker.nowNanos()).stream()
-                .noneMatch(engine -> engine.version().equals(version));
-    }
-
-    private static RefusalException notResumable(long retryMillis, String reason) {
-        return RefusalException.notRunRetry(
-                RefusalReason.NOT_RESUMABLE, retryMillis, Step.PLACE, reason);
-    }
-
     /**
      * Makes one attempt.
      *
@@ -263,17 +203,39 @@
             StreamProgress progress,
             EngineAssignment assignment,
             Optional<KvSource> source) {
+        LiveServer server = assignment.plan().decode();
+        boolean goesOn = context.version().isPresent() && isAccepting(server);
+        return (goesOn ? mVersions.confirm(server) : Mono.just(true))
+                .flatMapMany(
+                        may ->
+                                may && isAccepting(server)
+                                        ? send(context, progress, assignment, source)
+                                        : handleFailure(
+                                                context,
+                                                progress,
+                                                assignment,
+                                                unusable(server),
+                                                source));
+    }
+
+    private boolean isAccepting(LiveServer server) {
+        long nowNanos = mTicker.nowNanos();
+        return mState.servers().isUsable(server, nowNanos) && !mBackoff.isActive(server, nowNanos);
+    }
+
+    private Flux<ResponsePart> send(
+            RequestContext context,
+            StreamProgress progress,
+            EngineAssignment assignment,
+            Optional<KvSource> source) {
         long startNanos = mTicker.nowNanos();
         long remainingMillis = context.remainingMillis(startNanos);
         LiveServer server = assignment.plan().decode();
-        if (!mState.servers().isUsable(server, startNanos)
-                || mBackoff.isActive(server, startNanos)) {
-            return handleFailure(context, progress, assignment, unusable(server), source);
-        }
         if (!context.attempts().tryBegin(server.id())) {
             return Flux.error(
                     context.placementRefusal(
-                            BEGIN_ANEW_RETRY_MILLIS, "the request may not be sent any more"));
+                            StreamVersions.BEGIN_ANEW_RETRY_MILLIS,
+                            "the request may not be sent any more"));
         }
         context.recordExchange(server.id(), startNanos);
         Flux<ResponsePart> parts =
@@ -308,14 +270,14 @@
 
     /**
      * Returns the failure for an engine that accepted requests when it was selected but no longer
-     * does after the prefill call.
+     * does after the prefill call, or that has started anew.
      */
     private static BackendCallException unusable(LiveServer server) {
         return new BackendCallException(
                 Step.DECODE,
                 new RemoteName(server.id().value()),
                 AttemptOutcome.NOT_SENT,
-                "the engine wants no more requests");
+                "the engine wants no more requests, or has started anew");
     }
 
     private Flux<ResponsePart> forwardEvents(
@@ -332,7 +294,7 @@
         }
         mAttempts.recordSuccess(server, startNanos);
         assignment.hold().recordFirstEvent(sinceGrantNanos(assignment));
-        recordOrigin(context, server);
+        mVersions.recordServed(context, server);
         Flux<ResponsePart> body =
                 all.skip(1)
                         .<byte[]>handle((part, sink) -> append(context, server, part, sink))
@@ -370,15 +332,6 @@
                 Step.DECODE, new RemoteName(server.id().value()), AttemptOutcome.UNKNOWN, reason);
     }
 
-    /** From here on the stream may only go on at the version of this server. */
-    private void recordOrigin(RequestContext context, LiveServer server) {
-        context.bindTo(server);
-        if (context.route().kind().isRepeatable()) {
-            mOrigins.record(
-                    RequestContext.streamKey(context.caller()), server, context.version().get());
-        }
-    }
-
     /** Returns the bytes left to forward; fails if the engine has broken the stream off. */
     private static Mono<byte[]> endOfStream(LiveServer server, StreamProgress progress) {
         return progress.isTruncated()
@@ -428,31 +381,34 @@
         if (!progress.isContinuable()) {
             return releaseKvCache(unused)
                     .thenMany(
-                            Flux.error(notResumable(0, "what was forwarded cannot be continued")));
+                            Flux.error(
+                                    StreamVersions.notResumable(
+                                            0, "what was forwarded cannot be continued")));
         }
-        if (progress.isHeadForwarded()) {
-            if (mayHaveRestarted(context)) {
-                return releaseKvCache(unused)
-                        .thenMany(Flux.error(notResumable(0, "the server may have restarted")));
-            }
-            mLog.write(
-                    new Decision.Resumed(
-                            context.caller().id().value(), progress.lastEventId().orElse(null)));
+        if (!progress.isHeadForwarded()) {
+            return attempt(context, progress, unused);
         }
-        return attempt(context, progress, unused);
+        return mVersions
+                .isKnown(context)
+                .flatMapMany(
+                        known ->
+                                known
+                                        ? continueStream(context, progress, unused)
+                                        : releaseKvCache(unused)
+                                                .thenMany(
+                                                        Flux.error(
+                                                                StreamVersions.notResumable(
+                                                                        0,
+                                                                        "the server may have"
+                                                                                + " restarted"))));
     }
 
-    /** A server may come back under its ID at another version; then it is not known which began. */
-    private boolean mayHaveRestarted(RequestContext context) {
-        return context.begunBy().filter(run -> mState.servers().isReplaced(run)).isPresent();
-    }
-
-    private void logTakenUp(CallerRequest caller, String lastEventId) {
+    private Flux<ResponsePart> continueStream(
+            RequestContext context, StreamProgress progress, Optional<KvSource> unused) {
         mLog.write(
-                new Decision.TakenUp(
-                        caller.id().value(),
-                        caller.resumes().map(RequestId::value).orElse(null),
-                        lastEventId));
+                new Decision.Resumed(
+                        context.caller().id().value(), progress.lastEventId().orElse(null)));
+        return attempt(context, progress, unused);
     }
 
     private void logPlaced(RequestContext context, EnginePlan plan, int previousSends) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -95,6 +95,15 @@
             long leftMillis)
             implements Decision {}
 
+    /**
+     * An engine was asked whether it is the run that the registry describes.
+     *
+     * @param registeredMillis the start of the registered run in Unix milliseconds
+     * @param statedMillis the start of its run that the engine stated; null if it stated none
+     */
+    record EngineAsked(String server, long registeredMillis, Long statedMillis, String outcome)
+            implements Decision {}
+
     /** A stream is resumed at another server after the given event. */
     record Resumed(String request, String afterEvent) implements Decision {}
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageController.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageController.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
+import org.fuchsiaford.entry.gateway.engine.EngineReportClient;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.EngineReport;
@@ -47,6 +48,7 @@
 
     private final GatewayState mState;
     private final OrderLease mLease;
+    private final EngineReportClient mReports;
     private final OrderClient mClient;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -60,6 +62,7 @@
     public StageController(
             GatewayState state,
             OrderLease lease,
+            EngineReportClient reports,
             OrderClient client,
             PendingOrders pending,
             BooleanSupplier isCoordinator,
@@ -67,6 +70,7 @@
             Ticker ticker) {
         mState = state;
         mLease = lease;
+        mReports = reports;
         mClient = client;
         mPending = pending;
         mIsCoordinator = isCoordinator;
@@ -164,7 +168,7 @@
     }
 
     private Mono<Void> readReportAndSend(StageOrder order, OrderLeaseTerm term) {
-        return mClient.readReport(order.engine())
+        return mReports.read(order.engine())
                 .doOnNext(report -> addPending(order))
                 .filter(
                         report ->
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageControllerFactory.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageControllerFactory.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.entry.gateway.order;
 
+import org.fuchsiaford.entry.gateway.engine.EngineReportClient;
 import org.fuchsiaford.entry.gateway.fleet.CoordinatorCalls;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.OrderProtocol;
@@ -29,6 +30,7 @@
         return new StageController(
                 state,
                 new OrderLease(store, calls.self().id(), leaseSeconds, ticker),
+                new EngineReportClient(protocol),
                 new OrderClient(protocol, calls.self().id()),
                 pending,
                 calls::isCoordinator,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
@@ -4,12 +4,14 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.fleet.HostRecord;
+import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.store.Store;
 import org.fuchsiaford.store.StoreChange;
 import org.fuchsiaford.store.StoreKey;
@@ -58,6 +60,7 @@
     private volatile boolean mWatchesPrefixes;
     private volatile long mEra = StoreRevision.FIRST_ERA;
     private boolean mUnavailable;
+    private Optional<Long> mRegainedNanos = Optional.empty();
     private boolean mMayHaveExpired;
 
     /**
@@ -142,6 +145,7 @@
                 return false;
             }
             mEra = era;
+            mRegainedNanos = Optional.of(mTicker.nowNanos());
         }
         mLog.write(new Decision.StoreSeen("restored", "era " + era));
         mState.servers().retainRemoved(mTicker.nowNanos());
@@ -192,9 +196,16 @@
         }
     }
 
-    /** Returns whether the store has answered the latest call. */
-    public synchronized boolean isStoreAvailable() {
-        return !mUnavailable;
+    /**
+     * Returns whether the registry is up to date, as far as this host can tell: the store answers,
+     * and after an outage or in a new era servers have had time to register again.
+     */
+    public synchronized boolean isRegistryCurrent() {
+        long nowNanos = mTicker.nowNanos();
+        return !mUnavailable
+                && mRegainedNanos
+                        .filter(n -> nowNanos - n < ServerRegistry.RETENTION_NANOS)
+                        .isEmpty();
     }
 
     private Mono<Void> renew() {
@@ -296,6 +307,7 @@
                 return;
             }
             mUnavailable = false;
+            mRegainedNanos = Optional.of(mTicker.nowNanos());
         }
         mLog.write(new Decision.StoreSeen("regained", null));
         if (mayHaveExpired) {
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
@@ -75,7 +75,7 @@
                         fleet.random()::nextDouble,
                         log,
                         fleet.time(),
-                        mFollower::isStoreAvailable,
+                        mFollower::isRegistryCurrent,
                         () -> true);
     }
 
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -84,6 +84,9 @@
                 "'RequestCut','request':'r','route':'t','server':'s','sentAfterStopMillis':-1,"
                         + "'longestMillis':2,'receivedBytes':3,'silentMillis':4,'leftMillis':5",
                 new Decision.RequestCut("r", "t", "s", -1, 2L, 3L, 4, 5));
+        add(
+                "'EngineAsked','server':'s','registeredMillis':1,'statedMillis':2,'outcome':'o'",
+                new Decision.EngineAsked("s", 1, 2L, "o"));
         add("'Resumed','request':'r','afterEvent':'e'", new Decision.Resumed("r", "e"));
         add(
                 "'TakenUp','request':'r','resumes':'q','afterEvent':'e'",
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -239,13 +239,18 @@
         connection.onDispose(() -> mConnections.remove(connection));
     }
 
+    /** Stops to listen and closes all connections, as the end of the process would. */
     private Mono<Void> crash() {
-        return Mono.fromRunnable(this::stop);
+        return Mono.fromRunnable(
+                () -> {
+                    mServer.dispose();
+                    closeConnections();
+                });
     }
 
-    /** Stops to listen and closes all connections, as the end of the process would. */
+    /** As the end of the process; returns once another run of the server can use the port. */
     public void stop() {
-        mServer.dispose();
+        mServer.disposeNow();
         closeConnections();
     }
 
