--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/engine/EngineRuns.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/engine/EngineRuns.java
@@ -10,8 +10,8 @@
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.EngineReport;
-import org.fuchsiaford.registry.DoubtfulRuns;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.RunEvidence;
 import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
@@ -36,7 +36,7 @@
     private final Predicate<ServerRun> mIsRegistered;
     private final DecisionLog mLog;
     private final Ticker mTicker;
-    private final DoubtfulRuns mDoubtful = new DoubtfulRuns();
+    private final RunEvidence mEvidence = new RunEvidence();
 
     /** The questions that are not sent yet. */
     private final Map<Question, Mono<Boolean>> mUnsent = new ConcurrentHashMap<>();
@@ -70,8 +70,8 @@
                     default -> false;
                 };
         if (mayHaveEnded) {
-            mDoubtful.retain(mIsRegistered);
-            mDoubtful.add(engine.run(), mTicker.nowNanos());
+            mEvidence.retain(mIsRegistered);
+            mEvidence.addDoubt(engine.run(), mTicker.nowNanos());
         }
     }
 
@@ -85,9 +85,14 @@
         return ask(engine, ASK_BEGUN_DELAY);
     }
 
+    /** Returns whether an engine has stated the registered run when asked at a time or later. */
+    public boolean isStatedSince(LiveServer engine, long nanos) {
+        return mEvidence.isStatedSince(engine.run(), nanos);
+    }
+
     /** Returns whether nothing speaks against an engine being the registered run. */
     public boolean isUndoubted(LiveServer engine) {
-        return mIsRegistryCurrent.getAsBoolean() && !mDoubtful.contains(engine.run());
+        return mIsRegistryCurrent.getAsBoolean() && !mEvidence.isDoubted(engine.run());
     }
 
     private Mono<Boolean> ask(LiveServer engine, Duration delay) {
@@ -123,9 +128,9 @@
         }
         boolean isSame = startedMillis.getAsLong() == engine.startedMillis();
         if (isSame) {
-            mDoubtful.confirm(engine.run(), askedNanos);
+            mEvidence.addStatement(engine.run(), askedNanos);
         } else {
-            mDoubtful.add(engine.run(), mTicker.nowNanos());
+            mEvidence.addDoubt(engine.run(), mTicker.nowNanos());
         }
         log(engine, startedMillis.getAsLong(), isSame ? "as registered" : "another run");
         return isSame;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -50,7 +50,7 @@
     private final RequestAttempts mAttempts;
     private final StreamProgress mStreamProgress;
     private Optional<LiveServer> mBegunBy = Optional.empty();
-    private volatile BeginEvidence mBeginEvidence = BeginEvidence.NONE;
+    private boolean mBegunUndoubted;
     private long mBegunNanos;
     private Optional<SoftwareVersion> mVersion = Optional.empty();
     private final AtomicInteger mSendCount = new AtomicInteger();
@@ -60,15 +60,6 @@
     private volatile Exchange mExchange;
     private List<PromptPartId> mPromptParts;
 
-    /** Why the server that began the stream counts as the registered run. */
-    enum BeginEvidence {
-        NONE,
-        /** The registry seemed to be current, and nothing spoke against it. */
-        UNDOUBTED,
-        /** The server has stated it since. */
-        STATED
-    }
-
     /**
      * What was received in the latest exchange with a server.
      *
@@ -170,13 +161,13 @@
         return mBegunNanos;
     }
 
-    /** Records why the server that began the stream counts as the registered run. */
-    void recordBeginEvidence(BeginEvidence evidence) {
-        mBeginEvidence = evidence;
+    /** Records that nothing spoke against that server being the registered run. */
+    void recordBegunUndoubted() {
+        mBegunUndoubted = true;
     }
 
-    BeginEvidence beginEvidence() {
-        return mBeginEvidence;
+    boolean isBegunUndoubted() {
+        return mBegunUndoubted;
     }
 
     /** Returns the priority; zero is the highest. The workspace overrides the route. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamVersions.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamVersions.java
@@ -4,7 +4,6 @@
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.entry.gateway.engine.EngineRuns;
 import org.fuchsiaford.entry.gateway.fleet.OriginTracker;
-import org.fuchsiaford.entry.gateway.forward.RequestContext.BeginEvidence;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
@@ -133,25 +132,21 @@
         if (!begins) {
             recordVersion(context, server);
         } else if (mRuns.isUndoubted(server)) {
-            recordBegun(context, server, BeginEvidence.UNDOUBTED);
+            context.recordBegunUndoubted();
+            recordVersion(context, server);
         } else {
-            mRuns.confirmBegun(server).subscribe(stated -> recordAnswer(context, server, stated));
+            mRuns.confirmBegun(server).subscribe(stated -> recordBegun(context, server, stated));
         }
     }
 
-    private void recordAnswer(RequestContext context, LiveServer server, boolean stated) {
+    private void recordBegun(RequestContext context, LiveServer server, boolean stated) {
         if (stated) {
-            recordBegun(context, server, BeginEvidence.STATED);
+            recordVersion(context, server);
         } else {
             mOrigins.recordUnknown(RequestContext.streamKey(context.caller()), context.service());
         }
     }
 
-    private void recordBegun(RequestContext context, LiveServer server, BeginEvidence evidence) {
-        context.recordBeginEvidence(evidence);
-        recordVersion(context, server);
-    }
-
     private void recordVersion(RequestContext context, LiveServer server) {
         mOrigins.record(
                 RequestContext.streamKey(context.caller()), server, context.version().get());
@@ -168,18 +163,17 @@
     }
 
     private Mono<Boolean> isKnown(RequestContext context, LiveServer begunBy) {
-        Mono<Boolean> evidence =
-                switch (context.beginEvidence()) {
-                    case STATED -> Mono.just(true);
-                    case UNDOUBTED ->
-                            mOrigins.confirmStateSince(context.begunNanos())
-                                    .flatMap(
-                                            current ->
-                                                    current
-                                                            ? Mono.just(true)
-                                                            : mRuns.confirm(begunBy));
-                    case NONE -> mRuns.confirm(begunBy);
-                };
-        return evidence.map(known -> known && !mState.servers().isReplaced(begunBy.run()));
+        return isBegunAsRegistered(context, begunBy)
+                .flatMap(known -> known ? Mono.just(true) : mRuns.confirm(begunBy))
+                .map(known -> known && !mState.servers().isReplaced(begunBy.run()));
+    }
+
+    private Mono<Boolean> isBegunAsRegistered(RequestContext context, LiveServer begunBy) {
+        if (mRuns.isStatedSince(begunBy, context.begunNanos())) {
+            return Mono.just(true);
+        }
+        return context.isBegunUndoubted()
+                ? mOrigins.confirmStateSince(context.begunNanos())
+                : Mono.just(false);
     }
 }
