Count the registry as current up to the last response before an outage

What it has proven before an outage stays so.

StateFollower states the latest time as of which the registry was up to date.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -149,7 +149,7 @@
                         GatewayHost::randomFraction,
                         mLog,
                         mTicker,
-                        mFollower::isRegistryCurrent,
+                        mFollower,
                         this::isReady);
         mEngineRuns =
                 new EngineRuns(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -8,6 +8,7 @@
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
+import org.fuchsiaford.entry.gateway.state.StateFollower;
 import org.fuchsiaford.fleet.CoordinatorTracker;
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.peer.PeerAddress;
@@ -62,7 +63,7 @@
      *
      * @param limitWindowNanos the length of the window in which rate limits are counted
      * @param random a source of uniformly distributed random numbers from 0 to 1
-     * @param isRegistryCurrent whether the registry is up to date, as far as this host can tell
+     * @param follower what reads the registry
      * @param isAccepting whether this host accepts new callers
      */
     public Coordination(
@@ -77,7 +78,7 @@
             DoubleSupplier random,
             DecisionLog log,
             Ticker ticker,
-            BooleanSupplier isRegistryCurrent,
+            StateFollower follower,
             BooleanSupplier isAccepting) {
         mFleet = fleet;
         mTicker = ticker;
@@ -100,7 +101,8 @@
                         state,
                         store,
                         mCalls,
-                        () -> isStateCurrent(isRegistryCurrent.getAsBoolean()),
+                        () -> isStateCurrent(follower.isRegistryCurrent()),
+                        follower::registryCurrentNanos,
                         this::sendHeartbeatsNow,
                         random,
                         log,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginTracker.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginTracker.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
@@ -68,8 +69,8 @@
     private final FleetView mFleet;
     private final GatewayState mState;
     private final CoordinatorCalls mCalls;
-    private final Store mStore;
     private final BooleanSupplier mIsStateCurrent;
+    private final Supplier<OptionalLong> mRegistryCurrentNanos;
     private final Runnable mReportNow;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -91,6 +92,8 @@
      * Creates a tracker; it records nothing in the store until {@link #start}.
      *
      * @param isStateCurrent whether the state of this host is up to date, as far as it can tell
+     * @param registryCurrentNanos the latest time as of which the registry is known to have been up
+     *     to date, on the monotonic clock
      * @param reportNow reports what {@link #recent} returns to the coordinators; must not block
      * @param random a source of uniformly distributed random numbers from 0 to 1
      */
@@ -100,6 +103,7 @@
             Store store,
             CoordinatorCalls calls,
             BooleanSupplier isStateCurrent,
+            Supplier<OptionalLong> registryCurrentNanos,
             Runnable reportNow,
             DoubleSupplier random,
             DecisionLog log,
@@ -107,8 +111,8 @@
         mFleet = fleet;
         mState = state;
         mCalls = calls;
-        mStore = store;
         mIsStateCurrent = isStateCurrent;
+        mRegistryCurrentNanos = registryCurrentNanos;
         mReportNow = reportNow;
         mLog = log;
         mTicker = ticker;
@@ -274,10 +278,8 @@
     }
 
     private boolean isProven(StreamKey stream) {
-        OptionalLong lastResponseNanos = mStore.lastResponseNanos();
-        return mIsStateCurrent.getAsBoolean()
-                && lastResponseNanos.isPresent()
-                && mOrigins.isKnownBefore(stream, lastResponseNanos.getAsLong());
+        OptionalLong currentNanos = mRegistryCurrentNanos.get();
+        return currentNanos.isPresent() && mOrigins.isKnownBefore(stream, currentNanos.getAsLong());
     }
 
     private Optional<OriginResponse> recorded(ServiceId service, StreamKey stream) {
@@ -317,11 +319,8 @@
      * @param begunNanos when the stream began, on the monotonic clock
      */
     public Mono<Boolean> confirmStateSince(long begunNanos) {
-        OptionalLong lastResponseNanos = mStore.lastResponseNanos();
-        boolean isProven =
-                mIsStateCurrent.getAsBoolean()
-                        && lastResponseNanos.isPresent()
-                        && lastResponseNanos.getAsLong() - begunNanos > 0;
+        OptionalLong currentNanos = mRegistryCurrentNanos.get();
+        boolean isProven = currentNanos.isPresent() && currentNanos.getAsLong() - begunNanos > 0;
         return isProven ? Mono.just(true) : Mono.defer(this::confirmState);
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
@@ -61,6 +61,7 @@
     private volatile long mEra = StoreRevision.FIRST_ERA;
     private boolean mUnavailable;
     private Optional<Long> mRegainedNanos = Optional.empty();
+    private OptionalLong mLastCurrentNanos = OptionalLong.empty();
     private boolean mMayHaveExpired;
 
     /**
@@ -145,6 +146,7 @@
                 return false;
             }
             mEra = era;
+            mLastCurrentNanos = OptionalLong.empty();
             mRegainedNanos = Optional.of(mTicker.nowNanos());
         }
         mLog.write(new Decision.StoreSeen("restored", "era " + era));
@@ -208,6 +210,14 @@
                         .isEmpty();
     }
 
+    /**
+     * Returns the latest time as of which the registry is known to have been up to date, on the
+     * monotonic clock.
+     */
+    public synchronized OptionalLong registryCurrentNanos() {
+        return isRegistryCurrent() ? mStore.lastResponseNanos() : mLastCurrentNanos;
+    }
+
     private Mono<Void> renew() {
         recordSilence();
         StoreLeaseId lease = lease();
@@ -287,6 +297,7 @@
 
     private synchronized void markUnavailable(Throwable cause) {
         if (!mUnavailable) {
+            mLastCurrentNanos = registryCurrentNanos();
             mUnavailable = true;
             mLog.write(new Decision.StoreSeen("lost", String.valueOf(cause.getMessage())));
         }
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
@@ -75,7 +75,7 @@
                         fleet.random()::nextDouble,
                         log,
                         fleet.time(),
-                        mFollower::isRegistryCurrent,
+                        mFollower,
                         () -> true);
     }
 
