Refuse a request at its head if a stopping host would not send it

Callers whose bodies come in chunks waited for the end of their body, up to 2 s, only to be told that the host stops; some had no answer when the process ended.

Cause: whether a request ends in time was checked only before it was sent, and a refusal waited up to 0.5 s for the rest of the body. Now it is also checked once the head is read, and the refusal goes out before the rest is discarded.

aRequestThatCannotEndInTimeIsRefusedBeforeItsBodyHasArrived failed before (no answer within 0.3 s) and passes now, as do the other tests of the class, PlatformIdleConnectionTest, PlatformCallerPortTest, RequestLimitTest, PlatformHostTest and the five of PlatformPlannedStopIT.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -175,7 +175,7 @@
             HttpServerResponse response,
             RequestTrace trace) {
         trace.recordRequest(caller.id().value());
-        return Mono.fromCallable(() -> authorize(caller, trace))
+        return Mono.fromCallable(() -> authorizeInTime(caller, trace))
                 .doOnNext(authorized -> trace.recordBodyRequested())
                 .flatMap(
                         authorized ->
@@ -185,6 +185,14 @@
                                         .flatMap(body -> admit(caller, body, response, trace)));
     }
 
+    /** A request that would not be sent any more is refused before its body arrives. */
+    private RouteAdmission.AuthorizedRoute authorizeInTime(CallerRequest caller, RequestTrace trace)
+            throws RefusalException {
+        RouteAdmission.AuthorizedRoute authorized = authorize(caller, trace);
+        mShutdown.requireTime(authorized.route(), deadline(caller, authorized, trace));
+        return authorized;
+    }
+
     private RouteAdmission.AuthorizedRoute authorize(CallerRequest caller, RequestTrace trace)
             throws RefusalException {
         RouteAdmission.AuthorizedRoute authorized = mAdmission.authorize(caller);
@@ -367,7 +375,7 @@
             return response.send().then();
         }
         response.keepAlive(false);
-        return discardBody(request, trace).then(Mono.defer(() -> response.send().then()));
+        return response.sendHeaders().then().then(discardBody(request, trace));
     }
 
     /** A connection that is closed before its bytes are read is reset, and the refusal with it. */
