Prove the state by a small read where records are not needed

Since the origin of a stream needs a proof that the registry is current, a coordinator read all records for it, 5.7 MB at the size to design for. Now only streams that are not known at all need the records; the proof is a read of one key, at most four a second a host. SharedRead holds what both have in common.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginTracker.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginTracker.java
@@ -20,6 +20,7 @@
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.store.Store;
+import org.fuchsiaford.store.StoreKeys;
 import org.fuchsiaford.stream.BegunStreams;
 import org.fuchsiaford.stream.ServedVersions;
 import org.fuchsiaford.stream.ServerStreams;
@@ -58,7 +59,7 @@
 
     private static final long MAX_FLUSH_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /** Least time between two reads of all records. */
+    /** Least time between two reads of the store for streams that are taken up or go on. */
     private static final long READ_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     /** Time within which a coordinator answers, also if it reads the store. */
@@ -78,15 +79,14 @@
     private final ServerStreams mServerStreams = new ServerStreams();
     private final VersionRecorder mRecorder;
     private final OriginRecords mRecords;
+    private final SharedRead mRecordsRead;
+    private final SharedRead mStateRead;
     private final Set<ServiceId> mMixed = new HashSet<>();
     private final Disposable.Swap mTicks = Disposables.swap();
     private long mLastRoundNanos;
     private long mLastRevision;
     private long mLastFlushNanos;
     private volatile boolean mHasUnreported;
-    private boolean mHasRead;
-    private long mLastReadNanos;
-    private Mono<Void> mRead = Mono.empty();
 
     /**
      * Creates a tracker; it records nothing in the store until {@link #start}.
@@ -118,6 +118,12 @@
         mTicker = ticker;
         mRecorder = new VersionRecorder(store, state, calls::isCoordinator, random, log, ticker);
         mRecords = new OriginRecords(store, fleet.self().id(), this::retentionNanos, log, ticker);
+        mRecordsRead = new SharedRead(this::readRecords, READ_INTERVAL_NANOS, ticker);
+        mStateRead =
+                new SharedRead(
+                        () -> store.read(List.of(StoreKeys.ORDER_HOLDER)).then(),
+                        READ_INTERVAL_NANOS,
+                        ticker);
     }
 
     /** Starts to record versions and streams. */
@@ -302,15 +308,37 @@
     private Mono<OriginResponse> find(ServiceId service, StreamKey stream) {
         return Mono.justOrEmpty(known(service, stream))
                 .switchIfEmpty(
-                        Mono.defer(this::confirmState)
-                                .map(current -> find(service, stream, current)));
+                        Mono.defer(
+                                () ->
+                                        believed(service, stream).isPresent()
+                                                ? confirm(service, stream)
+                                                : readAndFind(service, stream)));
     }
 
-    private OriginResponse find(ServiceId service, StreamKey stream, boolean isStateCurrent) {
-        return recorded(service, stream)
-                .filter(origin -> origin.version() == null || isStateCurrent)
-                .or(() -> isStateCurrent ? only(service) : Optional.empty())
-                .orElseGet(() -> new OriginResponse(null, isStateCurrent));
+    /** Returns what follows if the registry is up to date. */
+    private Optional<OriginResponse> believed(ServiceId service, StreamKey stream) {
+        return recorded(service, stream).or(() -> only(service));
+    }
+
+    private Mono<OriginResponse> confirm(ServiceId service, StreamKey stream) {
+        return confirmState()
+                .map(
+                        isCurrent ->
+                                believed(service, stream)
+                                        .filter(origin -> isCurrent)
+                                        .orElseGet(() -> new OriginResponse(null, false)));
+    }
+
+    private Mono<OriginResponse> readAndFind(ServiceId service, StreamKey stream) {
+        return mRecordsRead
+                .next()
+                .then(Mono.fromSupplier(() -> afterRead(service, stream)))
+                .timeout(READ_TIMEOUT)
+                .onErrorResume(e -> Mono.just(new OriginResponse(null, false)));
+    }
+
+    private OriginResponse afterRead(ServiceId service, StreamKey stream) {
+        return recorded(service, stream).orElseGet(() -> new OriginResponse(null, true));
     }
 
     /**
@@ -326,33 +354,21 @@
 
     /** Returns whether the store answers now, so that the registry is not out of date. */
     private Mono<Boolean> confirmState() {
-        return read(mTicker.nowNanos())
+        return mStateRead
+                .next()
                 .then(Mono.fromSupplier(mIsStateCurrent::getAsBoolean))
                 .timeout(READ_TIMEOUT)
                 .onErrorReturn(false);
     }
 
-    /** Reads all records, unless a read that has begun after a given time serves as well. */
-    private synchronized Mono<Void> read(long sinceNanos) {
-        long nowNanos = mTicker.nowNanos();
-        boolean isRecent = mHasRead && mLastReadNanos - sinceNanos >= 0;
-        if (!isRecent) {
-            long delayNanos =
-                    mHasRead ? Math.max(0, mLastReadNanos + READ_INTERVAL_NANOS - nowNanos) : 0;
-            mHasRead = true;
-            mLastReadNanos = nowNanos + delayNanos;
-            mRead =
-                    Mono.delay(Duration.ofNanos(delayNanos))
-                            .then(Mono.defer(mRecords::read))
-                            .doOnNext(begun -> mOrigins.merge(begun, mTicker.nowNanos()))
-                            .doOnError(
-                                    e ->
-                                            mLog.write(
-                                                    new Decision.OriginRecordsFailed(
-                                                            "read", String.valueOf(e))))
-                            .then()
-                            .cache();
-        }
-        return mRead;
+    private Mono<Void> readRecords() {
+        return mRecords.read()
+                .doOnNext(begun -> mOrigins.merge(begun, mTicker.nowNanos()))
+                .doOnError(
+                        e ->
+                                mLog.write(
+                                        new Decision.OriginRecordsFailed(
+                                                "read", String.valueOf(e))))
+                .then();
     }
 }
