Know the former run of a server whose entry was removed before it returned

A stream that began at a new run of an engine, before that registered, stayed recorded at the version of the former run if the entry was removed in between: without the former run, the start looked like that of a new server.

The last registration of a removed server is kept until it returns.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -57,7 +57,7 @@
     private final Map<StoreKey, StoreEntry> mEntries = new HashMap<>();
     private final Map<StoreKey, Long> mRemovedRevisions = new HashMap<>();
     private final Map<BackendServerId, LiveServer> mLastServers = new HashMap<>();
-    private final Map<BackendServerId, ServerRun> mEndedRuns = new HashMap<>();
+    private final Map<BackendServerId, LiveServer> mEndedServers = new HashMap<>();
     private final Set<ServiceId> mIncompleteVersions = ConcurrentHashMap.newKeySet();
     private volatile Optional<RoutingTable> mTable = Optional.empty();
     private volatile long mRevision;
@@ -285,8 +285,8 @@
             throw e;
         }
         mServers.put(server, entry.revision());
-        ServerRun endedRun = mEndedRuns.remove(id);
-        if (isOfNewEra && server.run().equals(endedRun)) {
+        Optional<LiveServer> ended = Optional.ofNullable(mEndedServers.remove(id));
+        if (isOfNewEra && ended.map(LiveServer::run).equals(Optional.of(server.run()))) {
             mServers.suspend(server.run(), mTicker.nowNanos());
         }
         LiveServer last = mLastServers.put(id, server);
@@ -294,7 +294,7 @@
             mServers.markLeaving(server.run());
         }
         if (last == null || last.startedMillis() != server.startedMillis()) {
-            mOnServerStarted.serverStarted(server, Optional.ofNullable(last));
+            mOnServerStarted.serverStarted(server, Optional.ofNullable(last).or(() -> ended));
         }
         if (!server.equals(last)) {
             logServer(server, entry.revision());
@@ -341,7 +341,7 @@
                         : mServers.remove(id, revision, mTicker.nowNanos());
         if (isNews) {
             Optional.ofNullable(mLastServers.remove(id))
-                    .ifPresent(server -> mEndedRuns.put(id, server.run()));
+                    .ifPresent(server -> mEndedServers.put(id, server));
             mLog.write(
                     new Decision.ServerSeen(id.value(), null, "gone", null, null, null, revision));
         }
