Ask an engine twice for its run, and do not count it as a failed call

A stream was cut if the connection for the report of its next engine was reset, as full engines do, though the engine was sound; the engine was then paused as if a request had failed there. Now the question is asked twice, and an engine that was not called isn't recorded as failing. A registration without a start names no run, so a report can't contradict it. Streams that begin one after the other share a question for half a second.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/engine/EngineRuns.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/engine/EngineRuns.java
@@ -29,7 +29,10 @@
     private static final Duration ASK_DELAY = Duration.ofMillis(5);
 
     /** Joins the questions for streams that begin one after the other. */
-    private static final Duration ASK_BEGUN_DELAY = Duration.ofMillis(250);
+    private static final Duration ASK_BEGUN_DELAY = Duration.ofMillis(500);
+
+    /** The start of a run whose registration states none. */
+    private static final long UNSTATED_MILLIS = 0;
 
     private final EngineReportClient mClient;
     private final BooleanSupplier mIsRegistryCurrent;
@@ -75,7 +78,7 @@
         }
     }
 
-    /** Asks an engine whether it is the registered run; false if it does not answer. */
+    /** Asks an engine whether it is the registered run; false if it does not answer twice. */
     public Mono<Boolean> confirm(LiveServer engine) {
         return ask(engine, ASK_DELAY);
     }
@@ -111,6 +114,7 @@
     private Mono<Boolean> ask(LiveServer engine) {
         long askedNanos = mTicker.nowNanos();
         return mClient.read(engine)
+                .retry(1)
                 .map(report -> recordReport(engine, report, askedNanos))
                 .onErrorResume(
                         e -> {
@@ -121,7 +125,7 @@
 
     private boolean recordReport(LiveServer engine, EngineReport report, long askedNanos) {
         OptionalLong startedMillis = report.startedMillis();
-        if (startedMillis.isEmpty()) {
+        if (startedMillis.isEmpty() || engine.startedMillis() == UNSTATED_MILLIS) {
             boolean isUndoubted = isUndoubted(engine);
             log(engine, null, isUndoubted ? "not stated, no doubt" : "not stated, in doubt");
             return isUndoubted;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -121,7 +121,8 @@
     /** Records an attempt whose response is not forwarded, and returns how to proceed. */
     NextStep recordFailure(
             RequestContext context, LiveServer server, AttemptOutcome outcome, String reason) {
-        return recordFailure(context, server, outcome, reason, null, null);
+        recordServerFailure(server, outcome);
+        return recordAttempt(context, server, outcome, reason, null, null);
     }
 
     /**
@@ -160,7 +161,10 @@
     /** Records a failed attempt, and returns how to proceed. */
     NextStep recordFailure(
             RequestContext context, LiveServer server, BackendCallException failure) {
-        return recordFailure(
+        if (failure.isCalled()) {
+            recordServerFailure(server, failure.outcome());
+        }
+        return recordAttempt(
                 context,
                 server,
                 failure.outcome(),
@@ -169,14 +173,13 @@
                 closedBy(failure));
     }
 
-    private NextStep recordFailure(
+    private NextStep recordAttempt(
             RequestContext context,
             LiveServer server,
             AttemptOutcome outcome,
             String reason,
             List<PromptPartId> promptParts,
             String closedBy) {
-        recordServerFailure(server, outcome);
         context.attempts().record(server.id(), outcome);
         Optional<RetryObstacle> obstacle = findObstacle(context, outcome);
         NextStep next = context.attempts().nextStep(outcome, obstacle.isEmpty());
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BackendCallException.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BackendCallException.java
@@ -12,16 +12,23 @@
 
     private final AttemptOutcome mOutcome;
     private final boolean mBrokenOff;
+    private final boolean mCalled;
     private final transient List<ResponsePart> mResponseParts;
 
     BackendCallException(Step step, RemoteName server, AttemptOutcome outcome, String message) {
-        this(step, server, outcome, message, false, List.of());
+        this(step, server, outcome, message, false, List.of(), true);
     }
 
     /** Returns an exception for a server that broke a call off that it had received. */
     static BackendCallException brokenOff(Step step, RemoteName server, String message) {
         return new BackendCallException(
-                step, server, AttemptOutcome.UNKNOWN, message, true, List.of());
+                step, server, AttemptOutcome.UNKNOWN, message, true, List.of(), true);
+    }
+
+    /** Returns an exception for a server that was not called. */
+    static BackendCallException notCalled(Step step, RemoteName server, String message) {
+        return new BackendCallException(
+                step, server, AttemptOutcome.NOT_SENT, message, false, List.of(), false);
     }
 
     /** Creates an exception for an error response of the server. */
@@ -31,7 +38,7 @@
             AttemptOutcome outcome,
             String message,
             List<ResponsePart> responseParts) {
-        this(step, server, outcome, message, false, responseParts);
+        this(step, server, outcome, message, false, responseParts, true);
     }
 
     private BackendCallException(
@@ -40,10 +47,12 @@
             AttemptOutcome outcome,
             String message,
             boolean brokenOff,
-            List<ResponsePart> responseParts) {
+            List<ResponsePart> responseParts,
+            boolean called) {
         super(step, server, message);
         mOutcome = outcome;
         mBrokenOff = brokenOff;
+        mCalled = called;
         mResponseParts = List.copyOf(responseParts);
     }
 
@@ -60,6 +69,11 @@
         return mBrokenOff;
     }
 
+    /** Returns whether the server was called, so that the failure says something of it. */
+    boolean isCalled() {
+        return mCalled;
+    }
+
     /** Returns the outcome of the attempt, as far as the failure proves it. */
     AttemptOutcome outcome() {
         return mOutcome;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -273,10 +273,9 @@
      * does after the prefill call, or that has started anew.
      */
     private static BackendCallException unusable(LiveServer server) {
-        return new BackendCallException(
+        return BackendCallException.notCalled(
                 Step.DECODE,
                 new RemoteName(server.id().value()),
-                AttemptOutcome.NOT_SENT,
                 "the engine wants no more requests, or has started anew");
     }
 
--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -50,6 +50,7 @@
     private final AtomicInteger mPrefillCount = new AtomicInteger();
     private final AtomicInteger mActiveRequests = new AtomicInteger();
     private final AtomicInteger mTurnedAwayCount = new AtomicInteger();
+    private final AtomicInteger mLostReports = new AtomicInteger();
     private volatile String mStage = "";
     private volatile Duration mPrefillDelay = Duration.ZERO;
     private volatile ServerBehaviour mBehaviour = ServerBehaviour.ANSWER;
@@ -202,6 +203,11 @@
         mStartedMillis = startedMillis;
     }
 
+    /** Resets the connections of the next calls for its report. */
+    public void setLostReports(int count) {
+        mLostReports.set(count);
+    }
+
     /** Sets the stage that the engine reports; orders do not change it. */
     public void setStage(String stage) {
         mStage = stage;
@@ -270,7 +276,9 @@
             return response.status(421).header("Fuchsiaford-Instance-Id", mId).send();
         }
         if (request.uri().equals("/api/report")) {
-            return Json.send(response, 200, report());
+            return mLostReports.getAndUpdate(n -> Math.max(0, n - 1)) > 0
+                    ? close(response)
+                    : Json.send(response, 200, report());
         }
         if (request.uri().equals("/api/order")) {
             return Json.body(request).flatMap(body -> acceptOrder(response, body));
