Keep the origin of streams whose server has stated its run

When an engine returned at another version, all streams recorded there in the last minute counted as unknown, also those that began long before, or whose engine had stated its run since; they could not be taken up. One refused call of the store made a host doubt the registry for 2.3 s. A statement was believed however long the host was suspended after it.

Streams whose server has stated its run stay known. Others become unknown if they began in the last 10 s in which the registry was up to date, or since. A loss of the store of under half a second needs no time to settle, and a statement that took over 1.2 s to be used is asked for again.

Found by review, with trials.

--- a/core/src/main/java/org/fuchsiaford/stream/ServerStreams.java
+++ b/core/src/main/java/org/fuchsiaford/stream/ServerStreams.java
@@ -7,8 +7,9 @@
 import org.fuchsiaford.backend.BackendServerId;
 
 /**
- * Which servers began the latest streams of this host. A registration may be out of date when a
- * stream begins, if the server has just been replaced under its ID.
+ * Which servers began the latest streams of this host, as far as they have not stated their run
+ * since. A registration may be out of date when a stream begins, if the server has just been
+ * replaced under its ID.
  *
  * <p>Invariant: a stream is kept for {@link #RETENTION_NANOS}. Thread-safe.
  */
@@ -29,10 +30,15 @@
         mEntries.addLast(new Entry(stream, server, nowNanos));
     }
 
-    /** Returns the streams that a server began lately. */
-    public synchronized List<StreamKey> of(BackendServerId server) {
+    /**
+     * Returns the streams that a server began since a time.
+     *
+     * @param sinceNanos a time on the monotonic clock
+     */
+    public synchronized List<StreamKey> begunSince(BackendServerId server, long sinceNanos) {
         return mEntries.stream()
                 .filter(entry -> entry.server().equals(server))
+                .filter(entry -> entry.begunNanos() - sinceNanos >= 0)
                 .map(Entry::stream)
                 .toList();
     }
--- a/core/src/main/java/org/fuchsiaford/stream/StreamOrigins.java
+++ b/core/src/main/java/org/fuchsiaford/stream/StreamOrigins.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -28,21 +29,37 @@
      *
      * @param firstNanos when the origin became known
      * @param recordedNanos when it was last recorded
+     * @param stated whether the server has stated its run since the stream began
      */
-    private record Entry(StreamOrigin origin, long firstNanos, long recordedNanos) {}
+    private record Entry(
+            StreamOrigin origin, long firstNanos, long recordedNanos, boolean stated) {}
 
     /**
      * Records that a stream has begun, or goes on, at its origin. What is known of a stream stays,
      * unless it turns out that it cannot be told any more.
      */
-    public synchronized void record(StreamKey stream, StreamOrigin origin, long nowNanos) {
+    public void record(StreamKey stream, StreamOrigin origin, long nowNanos) {
+        record(stream, origin, nowNanos, false);
+    }
+
+    /** As {@link #record}, for a stream whose server has stated its run since it began. */
+    public void recordStated(StreamKey stream, StreamOrigin origin, long nowNanos) {
+        record(stream, origin, nowNanos, true);
+    }
+
+    private synchronized void record(
+            StreamKey stream, StreamOrigin origin, long nowNanos, boolean stated) {
         Entry known = mEntries.remove(stream);
         boolean isKnown = known != null && origin.version().isPresent();
         mEntries.put(
                 stream,
                 isKnown
-                        ? new Entry(known.origin(), known.firstNanos(), nowNanos)
-                        : new Entry(origin, nowNanos, nowNanos));
+                        ? new Entry(
+                                known.origin(),
+                                known.firstNanos(),
+                                nowNanos,
+                                known.stated() || stated)
+                        : new Entry(origin, nowNanos, nowNanos, stated));
         if (mEntries.size() > MAX_STREAMS) {
             removeOldest();
         }
@@ -81,10 +98,18 @@
         return Optional.ofNullable(mEntries.get(stream)).map(Entry::origin);
     }
 
-    /** Returns whether the origin of a stream is known, and became so before a time. */
-    public synchronized boolean isKnownBefore(StreamKey stream, long nanos) {
+    /**
+     * Returns whether the origin of a stream is known for certain: the server has stated its run,
+     * or the origin was known before a time.
+     *
+     * @param currentNanos a time as of which the registry was up to date, if there was one
+     */
+    public synchronized boolean isCertain(StreamKey stream, OptionalLong currentNanos) {
         Entry known = mEntries.get(stream);
-        return known != null && known.firstNanos() - nanos < 0;
+        return known != null
+                && (known.stated()
+                        || currentNanos.isPresent()
+                                && known.firstNanos() - currentNanos.getAsLong() < 0);
     }
 
     /**
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginTracker.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/OriginTracker.java
@@ -67,6 +67,9 @@
 
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
 
+    /** Longer than a registration is out of date unless the store is away. */
+    private static final long MAX_REGISTRY_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private final FleetView mFleet;
     private final GatewayState mState;
     private final CoordinatorCalls mCalls;
@@ -194,18 +197,38 @@
     }
 
     /**
-     * Records that a stream of this host has begun, or goes on, at a server.
-     *
-     * @param version the version that began the stream
+     * Records that a stream of this host has begun at a server. Its registration may turn out to
+     * have been out of date.
      */
-    public void record(StreamKey stream, LiveServer server, SoftwareVersion version) {
+    public void record(StreamKey stream, LiveServer server) {
         long nowNanos = mTicker.nowNanos();
-        ServiceId service = server.service();
+        StreamOrigin origin = StreamOrigin.of(server.service(), server.version());
         mServerStreams.record(stream, server.id(), nowNanos);
-        mOrigins.record(stream, StreamOrigin.of(service, version), nowNanos);
-        if (versions().isMixed(service)) {
+        mOrigins.record(stream, origin, nowNanos);
+        report(stream, origin);
+    }
+
+    /**
+     * Records that a stream of this host has begun, or goes on, at a server that has stated its run
+     * since.
+     *
+     * @param version the version that began the stream
+     */
+    public void recordStated(StreamKey stream, ServiceId service, SoftwareVersion version) {
+        StreamOrigin origin = StreamOrigin.of(service, version);
+        mOrigins.recordStated(stream, origin, mTicker.nowNanos());
+        report(stream, origin);
+    }
+
+    private void report(StreamKey stream, StreamOrigin origin) {
+        if (versions().isMixed(origin.service())) {
             mHasUnreported = true;
-            store(List.of(new BegunStreams(service, version, List.of(stream))));
+            store(
+                    List.of(
+                            new BegunStreams(
+                                    origin.service(),
+                                    origin.version().orElse(null),
+                                    List.of(stream))));
         }
     }
 
@@ -225,7 +248,9 @@
      * streams there may have begun at either.
      */
     public void serverStarted(LiveServer server, Optional<LiveServer> before) {
-        List<StreamKey> streams = mServerStreams.of(server.id());
+        long currentNanos = mRegistryCurrentNanos.get().orElse(mTicker.nowNanos());
+        List<StreamKey> streams =
+                mServerStreams.begunSince(server.id(), currentNanos - MAX_REGISTRY_AGE_NANOS);
         boolean isOtherVersion =
                 before.filter(last -> !last.version().equals(server.version())).isPresent();
         if (isOtherVersion && !streams.isEmpty()) {
@@ -280,12 +305,10 @@
     /** Returns what is known in memory, unless a registration may have been out of date then. */
     private Optional<OriginResponse> known(ServiceId service, StreamKey stream) {
         return recorded(service, stream)
-                .filter(origin -> origin.version() == null || isProven(stream));
-    }
-
-    private boolean isProven(StreamKey stream) {
-        OptionalLong currentNanos = mRegistryCurrentNanos.get();
-        return currentNanos.isPresent() && mOrigins.isKnownBefore(stream, currentNanos.getAsLong());
+                .filter(
+                        origin ->
+                                origin.version() == null
+                                        || mOrigins.isCertain(stream, mRegistryCurrentNanos.get()));
     }
 
     private Optional<OriginResponse> recorded(ServiceId service, StreamKey stream) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamVersions.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamVersions.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.entry.gateway.engine.EngineRuns;
 import org.fuchsiaford.entry.gateway.fleet.OriginTracker;
@@ -33,6 +34,9 @@
     /** Retry delay for callers while it cannot be found out where their streams began. */
     private static final long ORIGIN_RETRY_MILLIS = 400;
 
+    /** Longer than an engine takes to state its run; none starts anew in a shorter time. */
+    private static final long MAX_STATEMENT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
     private final GatewayState mState;
     private final EnginePool mPool;
     private final OriginTracker mOrigins;
@@ -114,9 +118,23 @@
                         lastEventId));
     }
 
-    /** Returns whether a stream may go on at an engine, as the engine itself states it. */
+    /**
+     * Returns whether a stream may go on at an engine now, as the engine itself states it. It is
+     * asked again if this host was suspended meanwhile.
+     */
     Mono<Boolean> confirm(LiveServer engine) {
-        return mRuns.confirm(engine);
+        return Mono.defer(
+                () -> {
+                    long startNanos = mTicker.nowNanos();
+                    return mRuns.confirm(engine)
+                            .flatMap(
+                                    confirmed ->
+                                            confirmed
+                                                            && mTicker.nowNanos() - startNanos
+                                                                    > MAX_STATEMENT_AGE_NANOS
+                                                    ? confirm(engine)
+                                                    : Mono.just(confirmed));
+                });
     }
 
     /**
@@ -130,26 +148,28 @@
             return;
         }
         if (!begins) {
-            recordVersion(context, server);
+            recordStated(context);
         } else if (mRuns.isUndoubted(server)) {
             context.recordBegunUndoubted();
-            recordVersion(context, server);
+            mOrigins.record(RequestContext.streamKey(context.caller()), server);
         } else {
-            mRuns.confirmBegun(server).subscribe(stated -> recordBegun(context, server, stated));
+            mRuns.confirmBegun(server).subscribe(stated -> recordBegun(context, stated));
         }
     }
 
-    private void recordBegun(RequestContext context, LiveServer server, boolean stated) {
+    private void recordBegun(RequestContext context, boolean stated) {
         if (stated) {
-            recordVersion(context, server);
+            recordStated(context);
         } else {
             mOrigins.recordUnknown(RequestContext.streamKey(context.caller()), context.service());
         }
     }
 
-    private void recordVersion(RequestContext context, LiveServer server) {
-        mOrigins.record(
-                RequestContext.streamKey(context.caller()), server, context.version().get());
+    private void recordStated(RequestContext context) {
+        mOrigins.recordStated(
+                RequestContext.streamKey(context.caller()),
+                context.service(),
+                context.version().get());
     }
 
     /**
@@ -163,17 +183,20 @@
     }
 
     private Mono<Boolean> isKnown(RequestContext context, LiveServer begunBy) {
-        return isBegunAsRegistered(context, begunBy)
+        if (isStated(context, begunBy)) {
+            return Mono.just(true);
+        }
+        Mono<Boolean> isCurrent =
+                context.isBegunUndoubted()
+                        ? mOrigins.confirmStateSince(context.begunNanos())
+                        : Mono.just(false);
+        return isCurrent
                 .flatMap(known -> known ? Mono.just(true) : mRuns.confirm(begunBy))
-                .map(known -> known && !mState.servers().isReplaced(begunBy.run()));
+                .map(known -> known && !mState.servers().isReplaced(begunBy.run()))
+                .map(known -> known || isStated(context, begunBy));
     }
 
-    private Mono<Boolean> isBegunAsRegistered(RequestContext context, LiveServer begunBy) {
-        if (mRuns.isStatedSince(begunBy, context.begunNanos())) {
-            return Mono.just(true);
-        }
-        return context.isBegunUndoubted()
-                ? mOrigins.confirmStateSince(context.begunNanos())
-                : Mono.just(false);
+    private boolean isStated(RequestContext context, LiveServer begunBy) {
+        return mRuns.isStatedSince(begunBy, context.begunNanos());
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
@@ -40,6 +40,9 @@
     /** Leases do not expire in a shorter time without contact, and a slow call is no outage. */
     private static final long MIN_OUTAGE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** No server starts anew in a shorter time, so that its registration would be missing. */
+    private static final long MIN_LOSS_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final Duration MIN_REOPEN_DELAY = Duration.ofMillis(200);
 
     /** A store that rejects reads is retried about once a second. */
@@ -60,6 +63,7 @@
     private volatile boolean mWatchesPrefixes;
     private volatile long mEra = StoreRevision.FIRST_ERA;
     private boolean mUnavailable;
+    private long mLostNanos;
     private Optional<Long> mRegainedNanos = Optional.empty();
     private OptionalLong mLastCurrentNanos = OptionalLong.empty();
     private boolean mMayHaveExpired;
@@ -299,6 +303,7 @@
         if (!mUnavailable) {
             mLastCurrentNanos = registryCurrentNanos();
             mUnavailable = true;
+            mLostNanos = mTicker.nowNanos();
             mLog.write(new Decision.StoreSeen("lost", String.valueOf(cause.getMessage())));
         }
     }
@@ -318,7 +323,10 @@
                 return;
             }
             mUnavailable = false;
-            mRegainedNanos = Optional.of(mTicker.nowNanos());
+            long nowNanos = mTicker.nowNanos();
+            if (nowNanos - mLostNanos >= MIN_LOSS_NANOS) {
+                mRegainedNanos = Optional.of(nowNanos);
+            }
         }
         mLog.write(new Decision.StoreSeen("regained", null));
         if (mayHaveExpired) {
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FleetMixedVersionTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FleetMixedVersionTest.java
@@ -222,7 +222,7 @@
                 .subscribe(
                         engine -> {
                             if (engine.isPresent() && isRunning(engine.get())) {
-                                host.origins().record(key, engine.get(), engine.get().version());
+                                host.origins().record(key, engine.get());
                                 addBroken(id, key, engine.get());
                             } else {
                                 countRefusedAnew();
