--- a/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
+++ b/standin/src/main/java/org/fuchsiaford/standin/platform/PlatformServerStandin.java
@@ -14,7 +14,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.fuchsiaford.standin.Json;
 import org.fuchsiaford.standin.Standin;
 import org.reactivestreams.Publisher;
@@ -58,6 +60,8 @@
     private volatile Function<String, Duration> mPlainTime = uri -> Duration.ZERO;
     private volatile Function<String, Duration> mStreamTime =
             uri -> EVENT_GAP.multipliedBy(STREAM_EVENTS);
+    private volatile Function<String, Events> mEvents = uri -> new Events(STREAM_EVENTS, 0);
+    private volatile boolean mOnlyStreams;
     private volatile String mCrashingPart = "";
     private volatile String mCrashingBody = "";
     private volatile String mRetryAfter = "";
@@ -77,6 +81,25 @@
      */
     public record Execution(String request, String uri, HttpHeaders headers) {}
 
+    /**
+     * The events of a stream.
+     *
+     * @param count the number of events
+     * @param fillBytes the length of what is added to the data of each event
+     */
+    public record Events(int count, int fillBytes) {
+        /** Returns the events from one number on. */
+        Stream<byte[]> from(int first) {
+            return IntStream.rangeClosed(first, count).mapToObj(number -> event(number, fillBytes));
+        }
+
+        /** Returns the body of the whole stream. */
+        public String body() {
+            return from(1).map(e -> new String(e, StandardCharsets.UTF_8))
+                    .collect(Collectors.joining());
+        }
+    }
+
     /**
      * An accepted order to change the stage of an engine.
      *
@@ -121,6 +144,16 @@
         mStreamTime = workTime;
     }
 
+    /**
+     * Lets this server answer all requests by streams, also those without token counts.
+     *
+     * @param events returns the events for the path and query of a request
+     */
+    public void setEvents(Function<String, Events> events) {
+        mEvents = events;
+        mOnlyStreams = true;
+    }
+
     /** Sets the part of a prompt that crashes this server once it sends the first event for it. */
     public void setCrashingPart(String part) {
         mCrashingPart = part;
@@ -353,7 +386,7 @@
             case LOSE_ANSWER -> close(response);
             case ERROR -> response.status(500).sendString(Mono.just("error")).then();
             default ->
-                    request.requestHeaders().contains("Fuchsiaford-Token-Counts")
+                    mOnlyStreams || request.requestHeaders().contains("Fuchsiaford-Token-Counts")
                             ? stream(request, response, behaviour)
                             : workPlain(request)
                                     .then(Mono.defer(() -> respondPlain(response, behaviour)));
@@ -379,11 +412,11 @@
         String lastEventId = request.requestHeaders().get("Last-Event-Id", "0");
         int firstEvent = Integer.parseInt(lastEventId) + 1;
         boolean interrupted = behaviour == ServerBehaviour.BREAK_OFF;
-        int count = interrupted ? EVENTS_BEFORE_BREAK : STREAM_EVENTS - firstEvent + 1;
+        Events shape = mEvents.apply(request.uri());
         Flux<byte[]> events =
-                Flux.fromStream(IntStream.range(firstEvent, firstEvent + count).boxed())
-                        .map(PlatformServerStandin::event)
-                        .delayElements(mStreamTime.apply(request.uri()).dividedBy(STREAM_EVENTS))
+                Flux.fromStream(shape.from(firstEvent))
+                        .take(interrupted ? EVENTS_BEFORE_BREAK : shape.count())
+                        .delayElements(mStreamTime.apply(request.uri()).dividedBy(shape.count()))
                         .concatMap(event -> awaitEndOfPause().thenReturn(event));
         response.header("Content-Type", "text/event-stream");
         if (hasCrashingPart(request)) {
@@ -408,8 +441,8 @@
         return response.send(events.map(Unpooled::wrappedBuffer), buffer -> true).then();
     }
 
-    private static byte[] event(int number) {
-        return bytes("id: " + number + "\ndata: token-" + number + "\n\n");
+    private static byte[] event(int number, int fillBytes) {
+        return bytes("id: " + number + "\ndata: token-" + number + "-".repeat(fillBytes) + "\n\n");
     }
 
     private static byte[] bytes(String text) {
