--- a/entry/src/main/java/org/fuchsiaford/entry/EventLoopWatchdog.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/EventLoopWatchdog.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.EventExecutorGroup;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.StreamSupport;
 import org.jboss.logging.Logger;
@@ -75,6 +76,8 @@
                 Thread.sleep(mRound.toMillis());
             }
             mOnBlocked.run();
+        } catch (RejectedExecutionException e) {
+            LOG.debug("the event loops have ended with the process", e);
         } catch (InterruptedException e) {
             LOG.info("the event loops are not watched any more", e);
         }
