Check that the watchdog takes ended event loops for the end of the process

A stopping process ends its event loops before itself; the watchdog, whose task they then reject, must neither report them as blocked nor end with an uncaught exception.

--- a/entry/src/test/java/org/fuchsiaford/entry/EventLoopWatchdogTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/EventLoopWatchdogTest.java
@@ -47,4 +47,19 @@
     void idleEventLoopsAreNotReported() throws InterruptedException {
         assertThat(isReportedBlocked()).isFalse();
     }
+
+    /** A process that ends its event loops before itself must not print an exception about that. */
+    @Example
+    void eventLoopsThatHaveEndedAreNoFailure() throws InterruptedException {
+        CountDownLatch uncaught = new CountDownLatch(1);
+        Thread.UncaughtExceptionHandler former = Thread.getDefaultUncaughtExceptionHandler();
+        Thread.setDefaultUncaughtExceptionHandler((thread, error) -> uncaught.countDown());
+        try {
+            mLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS).await();
+            assertThat(isReportedBlocked()).isFalse();
+            assertThat(uncaught.getCount()).isEqualTo(1);
+        } finally {
+            Thread.setDefaultUncaughtExceptionHandler(former);
+        }
+    }
 }
