Let a stream wait for a place from its last event, not from its arrival

Cause: the time for which callers wait for an event was counted from the arrival of the request for each attempt, also of a stream whose caller had had events since. It now counts from the last events that were passed on.

aStreamThatBreaksLateWaitsForAPlace failed before (place free 0.4 s after the break, refused after 7 ms) and passes now, in one run each.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
@@ -136,7 +136,7 @@
                 context.version(),
                 context.route().targetLatencyMillis(),
                 context.arrivedNanos(),
-                context.arrivedNanos() + eventTimeoutNanos,
+                context.waitingSinceNanos() + eventTimeoutNanos,
                 context.deadlineNanos());
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -57,6 +57,7 @@
     private volatile long mFirstSentNanos;
     private volatile long mLastSentNanos;
     private volatile Exchange mExchange;
+    private volatile long mWaitingSinceNanos;
     private List<PromptPartId> mPromptParts;
 
     /**
@@ -81,6 +82,7 @@
         mService = service;
         mWorkspace = workspace;
         mArrivedNanos = arrivedNanos;
+        mWaitingSinceNanos = arrivedNanos;
         mDeadlineNanos = deadlineNanos;
         mAttempts = new RequestAttempts(route.kind(), route.maxServers());
         mStreamProgress = new StreamProgress(route.kind().isRepeatable(), caller.lastEventId());
@@ -214,6 +216,16 @@
         mExchange = new Exchange(last.server(), last.bodyBytes() + bytes, nowNanos);
     }
 
+    /** Records that events of a stream are passed on to its caller. */
+    void recordEvents(long nowNanos) {
+        mWaitingSinceNanos = nowNanos;
+    }
+
+    /** Returns when the caller got the last event, or sent the request if it got none. */
+    long waitingSinceNanos() {
+        return mWaitingSinceNanos;
+    }
+
     /** Returns how much of the body of a stream was received in the latest exchange. */
     Optional<Long> receivedBytes() {
         return Optional.ofNullable(mExchange)
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -355,8 +355,12 @@
             SynchronousSink<byte[]> sink) {
         StreamProgress progress = context.streamProgress();
         byte[] bytes = ((ResponsePart.Body) part).bytes();
-        context.recordReceived(bytes.length, mTicker.nowNanos());
+        long nowNanos = mTicker.nowNanos();
+        context.recordReceived(bytes.length, nowNanos);
         byte[] ready = progress.append(bytes);
+        if (ready.length > 0) {
+            context.recordEvents(nowNanos);
+        }
         if (progress.partialEventBytes() > MAX_EVENT_BYTES) {
             sink.error(failure(server, "an event exceeds " + MAX_EVENT_BYTES + " bytes"));
             return;
