--- a/core/src/test/java/org/fuchsiaford/stream/StreamOriginsTest.java
+++ b/core/src/test/java/org/fuchsiaford/stream/StreamOriginsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.fuchsiaford.backend.ServiceId;
@@ -81,4 +82,21 @@
                 .doesNotContain(key);
         assertThat(key.toFraction()).isGreaterThanOrEqualTo(0).isLessThan(1);
     }
+
+    @Example
+    void anOriginIsCertainIfTheRegistryWasCurrentSinceItWasKnown() {
+        mOrigins.record(STREAM, StreamOrigin.of(SERVICE, OLD), 5);
+        assertThat(mOrigins.isCertain(STREAM, OptionalLong.empty())).isFalse();
+        assertThat(mOrigins.isCertain(STREAM, OptionalLong.of(5))).isFalse();
+        assertThat(mOrigins.isCertain(STREAM, OptionalLong.of(6))).isTrue();
+        mOrigins.record(STREAM, StreamOrigin.of(SERVICE, OLD), 9);
+        assertThat(mOrigins.isCertain(STREAM, OptionalLong.of(6))).isTrue();
+    }
+
+    @Example
+    void anOriginIsCertainOnceItsServerHasStatedIt() {
+        mOrigins.recordStated(STREAM, StreamOrigin.of(SERVICE, OLD), 5);
+        mOrigins.record(STREAM, StreamOrigin.of(SERVICE, OLD), 6);
+        assertThat(mOrigins.isCertain(STREAM, OptionalLong.empty())).isTrue();
+    }
 }
