--- a/core/src/main/java/org/fuchsiaford/selection/EngineRequest.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineRequest.java
@@ -31,6 +31,7 @@
  * @param arrivedNanos when it arrived at its host
  * @param eventDeadlineNanos latest first event for which the caller waits
  * @param deadlineNanos when the caller stops waiting for the end
+ * @param attributes its route, workspace and what else its engines are chosen by
  */
 public record EngineRequest(
         HostId host,
@@ -45,4 +46,5 @@
         long targetMillis,
         long arrivedNanos,
         long eventDeadlineNanos,
-        long deadlineNanos) {}
+        long deadlineNanos,
+        RequestAttributes attributes) {}
--- a/core/src/test/java/org/fuchsiaford/selection/CrashingPromptTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/CrashingPromptTest.java
@@ -129,7 +129,8 @@
                 900,
                 mNowNanos,
                 mNowNanos + 3_600 * MILLI,
-                mNowNanos + 14 * SECOND);
+                mNowNanos + 14 * SECOND,
+                RequestAttributes.NONE);
     }
 
     private void submit(String id, boolean bad) {
--- a/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineSchedulerTest.java
@@ -108,7 +108,8 @@
                 TARGET_MILLIS,
                 nowNanos,
                 nowNanos + 3_600 * MILLI,
-                nowNanos + 14 * SECOND);
+                nowNanos + 14 * SECOND,
+                RequestAttributes.NONE);
     }
 
     private record Run(RequestId request, BackendServerId engine, long tokens, long endNanos) {}
--- a/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/SelectionTest.java
@@ -91,7 +91,8 @@
                         TARGET_MILLIS,
                         0,
                         SECOND,
-                        SECOND),
+                        SECOND,
+                        RequestAttributes.NONE),
                 CAPACITY,
                 SECOND);
     }
--- a/core/src/test/java/org/fuchsiaford/selection/VersionedEnginesTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/VersionedEnginesTest.java
@@ -83,7 +83,8 @@
                         900,
                         mNowNanos,
                         mNowNanos + 4 * SECOND,
-                        mNowNanos + 14 * SECOND),
+                        mNowNanos + 14 * SECOND,
+                        RequestAttributes.NONE),
                 mNowNanos);
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -10,6 +10,7 @@
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.selection.EngineAnswer;
 import org.fuchsiaford.selection.EngineRequest;
+import org.fuchsiaford.selection.RequestAttributes;
 import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.time.Ticker;
@@ -77,7 +78,8 @@
                 message.targetMillis(),
                 nowNanos - TimeUnit.MILLISECONDS.toNanos(message.ageMillis()),
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(message.eventLeftMillis()),
-                nowNanos + TimeUnit.MILLISECONDS.toNanos(message.leftMillis()));
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(message.leftMillis()),
+                Optional.ofNullable(message.attributes()).orElse(RequestAttributes.NONE));
     }
 
     private static PeerMessage.EnginesResponse toResponse(EngineAnswer answer) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
@@ -30,6 +30,7 @@
 import org.fuchsiaford.selection.EngineReservation;
 import org.fuchsiaford.selection.HeldEngines;
 import org.fuchsiaford.selection.LoadTracker;
+import org.fuchsiaford.selection.RequestAttributes;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
 
@@ -137,7 +138,16 @@
                 context.route().targetLatencyMillis(),
                 context.arrivedNanos(),
                 context.waitingSinceNanos() + eventTimeoutNanos,
-                context.deadlineNanos());
+                context.deadlineNanos(),
+                attributes(context));
+    }
+
+    private static RequestAttributes attributes(RequestContext context) {
+        return new RequestAttributes(
+                context.route().name(),
+                context.workspaceId().orElse(null),
+                context.route().targetGapMillis(),
+                List.of());
     }
 
     private Set<BackendServerId> excludedEngines(RequestContext context) {
@@ -208,7 +218,8 @@
                         TimeUnit.NANOSECONDS.toMillis(nowNanos - request.arrivedNanos()),
                         TimeUnit.NANOSECONDS.toMillis(request.eventDeadlineNanos() - nowNanos),
                         TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos),
-                        poll);
+                        poll,
+                        request.attributes());
         return mCalls.call(coordinator, message, EnginesResponse.class, CALL_TIMEOUT);
     }
 
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
@@ -27,6 +27,7 @@
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.LoadTracker;
+import org.fuchsiaford.selection.RequestAttributes;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.store.Store;
 import reactor.core.publisher.Mono;
@@ -154,7 +155,8 @@
                         0,
                         3_600,
                         14_000,
-                        false);
+                        false,
+                        RequestAttributes.NONE);
         EngineEvent completed = EngineEvent.of(EngineEvent.Kind.COMPLETED, request, 0);
         Mono<PeerMessage> response =
                 calls.remoteCoordinator()
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -26,6 +26,7 @@
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.selection.EngineEvent;
+import org.fuchsiaford.selection.RequestAttributes;
 import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.stream.StreamKey;
 import org.fuchsiaford.workspace.GrantId;
@@ -162,6 +163,7 @@
      *
      * @param version the software version that began the stream; null if it has not begun
      * @param poll whether the request was sent before and is still waiting
+     * @param attributes what else the engines are chosen by; null from hosts of an earlier build
      */
     record AcquireEngines(
             HostId host,
@@ -177,7 +179,8 @@
             long ageMillis,
             long eventLeftMillis,
             long leftMillis,
-            boolean poll)
+            boolean poll,
+            RequestAttributes attributes)
             implements PeerMessage {}
 
     /**
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -24,6 +24,7 @@
 import org.fuchsiaford.bundle.Digest;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.bundle.Generation;
+import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.fleet.FailureRate;
 import org.fuchsiaford.fleet.FleetSummary;
 import org.fuchsiaford.fleet.HostHeartbeat;
@@ -52,6 +53,7 @@
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.selection.EngineEvent;
+import org.fuchsiaford.selection.RequestAttributes;
 import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.stream.BegunStreams;
 import org.fuchsiaford.stream.StreamKey;
@@ -299,7 +301,7 @@
                     + "'tokens':{'promptTokens':7,'maxOutputTokens':8,"
                     + "'declaredOutputTokens':9},'promptParts':['p1'],'priority':1,'failed':['e1'],"
                     + "'version':'b1','targetMillis':2,'ageMillis':3,'eventLeftMillis':4,"
-                    + "'leftMillis':5,'poll':true}]",
+                    + "'leftMillis':5,'poll':true,'attributes':['n1','w1',6,['g1']]}]",
                 new PeerMessage.AcquireEngines(
                         host(),
                         new FailureDomainId("f1"),
@@ -314,7 +316,9 @@
                         3,
                         4,
                         5,
-                        true));
+                        true,
+                        new RequestAttributes(
+                                "n1", new WorkspaceId("w1"), 6, List.of(new RegionId("g1")))));
         add(
                 "['G',{'state':'GRANTED','decode':'e1','prefill':'e1','millis':0}]",
                 new PeerMessage.EnginesResponse(
