Keep new requests away from evacuated failure domains

Change: EvacuatedDomains keeps the evacuated failure domains; ServerRegistry leaves their servers out of every choice and fails the check before each send. A decode engine does not fetch KV cache from a prefill engine that was evacuated during its call. EvacuationListener is told before servers are used again.

--- a/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
@@ -18,7 +18,7 @@
  * #REMOVED_RETENTION_NANOS} only. Otherwise servers are dropped immediately. A run of a server that
  * has said it is leaving is not used again, whatever its entry says. A run whose entry had been
  * removed and that a restored store lists again is not used until the entry changes, or for {@link
- * #SUSPENSION_NANOS}. Thread-safe.
+ * #SUSPENSION_NANOS}. Servers in an evacuated failure domain are not used. Thread-safe.
  */
 public final class ServerRegistry {
     /** Servers register again within 2 s after an outage; the remainder is reaction time. */
@@ -32,6 +32,7 @@
     /** Shorter than the time in which a server that leaves still expects requests, at least 2 s. */
     public static final long REMOVED_RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
 
+    private final EvacuatedDomains mEvacuated;
     private final Map<BackendServerId, Entry> mEntries = new HashMap<>();
     private final Map<BackendServerId, Long> mSuspendedUntilNanos = new HashMap<>();
     private final Map<BackendServerId, Long> mLeavingRuns = new HashMap<>();
@@ -52,6 +53,21 @@
         }
     }
 
+    /** Creates an empty registry without evacuations that anyone is told of. */
+    public ServerRegistry() {
+        this(new EvacuatedDomains(domain -> {}));
+    }
+
+    /** Creates an empty registry. */
+    public ServerRegistry(EvacuatedDomains evacuated) {
+        mEvacuated = evacuated;
+    }
+
+    /** Returns the evacuated failure domains. */
+    public EvacuatedDomains evacuated() {
+        return mEvacuated;
+    }
+
     /** Records an entry of the store. Returns false if its known revision is the same or newer. */
     public synchronized boolean put(LiveServer server, long revision) {
         Entry last = mEntries.get(server.id());
@@ -149,6 +165,7 @@
                 .map(Entry::server)
                 .filter(server -> server.service().equals(service) && !isLeaving(server))
                 .filter(server -> !isSuspended(server, nowNanos))
+                .filter(server -> !mEvacuated.contains(server.failureDomain()))
                 .toList();
     }
 
@@ -184,6 +201,7 @@
                 .map(Entry::server)
                 .filter(now -> now.startedMillis() == server.startedMillis() && !isLeaving(now))
                 .filter(now -> !isSuspended(now, nowNanos))
+                .filter(now -> !mEvacuated.contains(now.failureDomain()))
                 .isPresent();
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -45,6 +45,7 @@
 import org.fuchsiaford.peer.PeerServer;
 import org.fuchsiaford.peer.TcpPeerClient;
 import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.registry.EvacuatedDomains;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.registry.ServerRegistry;
@@ -119,14 +120,7 @@
         mFleet = new FleetView(createSelf(settings));
         ServerHealth health = new ServerHealth();
         LoadTracker loads = new LoadTracker();
-        mState =
-                new GatewayState(
-                        adapter.stateDecoder(),
-                        new ServerRegistry(),
-                        mFleet,
-                        mLog,
-                        mTicker,
-                        (server, before) -> serverStarted(health, server, before));
+        mState = createState(health);
         Store store = adapter.store(settings, this::watchIntervalNanos);
         mFollower =
                 new StateFollower(
@@ -169,6 +163,7 @@
                         new PendingOrders(loads, mCoordination.dispatcher()::dispatch),
                         mLog,
                         mTicker);
+        mMetrics.registerGauge("evacuated_domains", mState.servers().evacuated()::size);
         mPeerServer = new PeerServer(settings.peerAddress(), this::handle);
         mGatewayServer = createServer(health, loads);
     }
@@ -179,6 +174,22 @@
         mCoordination.origins().serverStarted(server, before);
     }
 
+    private GatewayState createState(ServerHealth health) {
+        return new GatewayState(
+                mAdapter.stateDecoder(),
+                new ServerRegistry(new EvacuatedDomains(GatewayHost::evacuationEnds)),
+                mFleet,
+                mLog,
+                mTicker,
+                (server, before) -> serverStarted(health, server, before));
+    }
+
+    /**
+     * Called before servers are used again whose failure domain was evacuated until now. They may
+     * be cold; nothing depends on that yet.
+     */
+    private static void evacuationEnds(FailureDomainId domain) {}
+
     private long watchIntervalNanos() {
         return mCoordination.watchIntervalNanos();
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -173,6 +173,7 @@
         long nowNanos = mTicker.nowNanos();
         mFleet.removeExpired(nowNanos).forEach(mQuota::removeHost);
         mTracker.retainKnown();
+        mState.endDueEvacuations();
         removeSilentReporters(nowNanos);
         mLimiter.removeOld(mState.servers()::isRegistered, nowNanos);
         updateShare(nowNanos);
@@ -395,11 +396,12 @@
     }
 
     private synchronized boolean isBehind(long revision, long nowNanos) {
+        // Another host that is behind as well must not restart the time.
+        mIsBehind &= mState.revision() < mBehindRevision;
         if (revision <= mState.revision()) {
-            mIsBehind = false;
             return false;
         }
-        if (!mIsBehind || mState.revision() >= mBehindRevision) {
+        if (!mIsBehind) {
             mIsBehind = true;
             mBehindRevision = revision;
             mBehindSinceNanos = nowNanos;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/PrefillClient.java
@@ -95,7 +95,13 @@
             String handle = mProtocol.readKvHandle(response.body());
             long fetchMillis = Math.max(0, ttlMillis - FETCH_MARGIN_MILLIS);
             long untilNanos = mTicker.nowNanos() + TimeUnit.MILLISECONDS.toNanos(fetchMillis);
-            return Mono.just(new KvSource(engine.address(), engine.version(), handle, untilNanos));
+            return Mono.just(
+                    new KvSource(
+                            engine.address(),
+                            engine.failureDomain(),
+                            engine.version(),
+                            handle,
+                            untilNanos));
         } catch (UnreadableException e) {
             return Mono.error(
                     new BackendCallException(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -156,13 +156,20 @@
 
     private boolean isFetchable(KvSource source, SoftwareVersion version) {
         return source.version().equals(version)
+                && !isEvacuated(source)
                 && mTicker.nowNanos() - source.fetchUntilNanos() < 0;
     }
 
-    /** Releases unused KV cache in the background. */
+    private boolean isEvacuated(KvSource source) {
+        return mState.servers().evacuated().contains(source.failureDomain());
+    }
+
+    /** Releases unused KV cache in the background; in evacuated failure domains it expires. */
     private Mono<Void> releaseKvCache(Optional<KvSource> source) {
         return Mono.fromRunnable(
-                () -> source.ifPresent(s -> mClient.releaseKvCache(s).subscribe()));
+                () ->
+                        source.filter(s -> !isEvacuated(s))
+                                .ifPresent(s -> mClient.releaseKvCache(s).subscribe()));
     }
 
     private Mono<Optional<KvSource>> prefillPrompt(
@@ -209,7 +216,7 @@
                 .flatMapMany(
                         may ->
                                 may && isAccepting(server)
-                                        ? send(context, progress, assignment, source)
+                                        ? send(context, progress, assignment, current(source))
                                         : handleFailure(
                                                 context,
                                                 progress,
@@ -218,6 +225,11 @@
                                                 source));
     }
 
+    /** The failure domain of the prefill engine may have been evacuated since it was called. */
+    private Optional<KvSource> current(Optional<KvSource> source) {
+        return source.filter(s -> !isEvacuated(s));
+    }
+
     private boolean isAccepting(LiveServer server) {
         long nowNanos = mTicker.nowNanos();
         return mState.servers().isUsable(server, nowNanos) && !mBackoff.isActive(server, nowNanos);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -187,6 +187,14 @@
             long revision)
             implements Decision {}
 
+    /**
+     * The evacuation of a failure domain has changed: no new request is sent to its servers until
+     * it has ended.
+     *
+     * @param state begun, ended, or kept although a restored store lacks it
+     */
+    record Evacuation(String failureDomain, String state, long revision) implements Decision {}
+
     /**
      * A backend server has said that it is leaving, that it wants no requests from this host, or
      * how many it takes from all hosts.
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/StateDecoder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/StateDecoder.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.RoutingTable;
 import org.fuchsiaford.store.StoreKey;
@@ -18,6 +19,12 @@
     /** Returns the backend server whose registration is stored under the key, if any. */
     Optional<BackendServerId> serverId(StoreKey key);
 
+    /**
+     * Returns the failure domain that operators have evacuated for as long as the key is stored, if
+     * any.
+     */
+    Optional<FailureDomainId> evacuatedDomain(StoreKey key);
+
     /**
      * Decodes the operators' routing table.
      *
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.StateDecoder;
@@ -35,8 +36,9 @@
 import org.fuchsiaford.time.Ticker;
 
 /**
- * The state that this host has read from the store: the routing table in force, the backend servers
- * the registered hosts and the software versions that serve streams.
+ * The state that this host has read from the store: the routing table in force, the backend
+ * servers, the evacuated failure domains, the registered hosts and the software versions that serve
+ * streams.
  *
  * <p>Invariant: an entry never reverts to an older revision, whatever its source, and the routing
  * table never reverts to a lower version. In a new era of the store, entries may be older copies:
@@ -198,6 +200,9 @@
                         .filter(key -> !present.contains(key))
                         .toList();
         removedKeys.forEach(key -> remove(key, revision, true));
+        if (!removedKeys.isEmpty()) {
+            mLastChangeRevision = Math.max(mLastChangeRevision, revision);
+        }
         entries.stream()
                 .filter(entry -> isConcerned(entry.key()))
                 .filter(entry -> !mDecoder.isRoutingTable(entry.key()))
@@ -244,6 +249,8 @@
             putTable(mDecoder.readRoutingTable(entry.value()), entry.revision());
         } else if (server.isPresent()) {
             putServer(server.get(), entry, isOfNewEra);
+        } else if (mDecoder.evacuatedDomain(entry.key()).isPresent()) {
+            beginEvacuation(mDecoder.evacuatedDomain(entry.key()).get(), entry.revision());
         } else if (hostId(entry.key()).isPresent()) {
             mFleet.register(HostEntry.read(hostId(entry.key()).get(), entry.value()));
         } else if (recordedService(entry.key()).isPresent()) {
@@ -254,6 +261,12 @@
         }
     }
 
+    private void beginEvacuation(FailureDomainId domain, long revision) {
+        if (mServers.evacuated().begin(domain)) {
+            mLog.write(new Decision.Evacuation(domain.value(), "begun", revision));
+        }
+    }
+
     private void putVersions(
             ServiceId service, List<SoftwareVersion> versions, boolean isOfNewEra) {
         Set<SoftwareVersion> known = new HashSet<>(isOfNewEra ? mVersions.of(service) : List.of());
@@ -323,6 +336,36 @@
         hostId(key).ifPresent(mFleet::unregister);
         recordedService(key).ifPresent(service -> removeVersions(service, last, revision));
         mDecoder.serverId(key).ifPresent(id -> removeServer(id, revision, isMissing));
+        boolean isLost = isMissing && last != null && isOfNewEra(revision, last, 0);
+        mDecoder.evacuatedDomain(key)
+                .ifPresent(domain -> removeEvacuation(domain, revision, isLost));
+    }
+
+    /**
+     * Ends an evacuation.
+     *
+     * @param isLost whether the store has lost its key, since it was restored from a copy
+     */
+    private void removeEvacuation(FailureDomainId domain, long revision, boolean isLost) {
+        boolean isNews =
+                isLost
+                        ? mServers.evacuated().keepMissing(domain, mTicker.nowNanos())
+                        : mServers.evacuated().end(domain);
+        if (isNews) {
+            String state = isLost ? "kept" : "ended";
+            mLog.write(new Decision.Evacuation(domain.value(), state, revision));
+        }
+    }
+
+    /** Ends the evacuations that a restored store has lacked for too long. */
+    public void endDueEvacuations() {
+        mServers.evacuated()
+                .endDue(mTicker.nowNanos())
+                .forEach(
+                        domain ->
+                                mLog.write(
+                                        new Decision.Evacuation(
+                                                domain.value(), "ended", mRevision)));
     }
 
     private void removeVersions(ServiceId service, StoreEntry last, long revision) {
--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/EntryMetrics.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/EntryMetrics.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.metrics;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Arrays;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.workspace.WorkspaceId;
 import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramReservoir;
@@ -108,6 +110,11 @@
         return histogram == null ? 0 : (long) histogram.getSnapshot().get95thPercentile();
     }
 
+    /** Registers a number of the whole host that is read whenever metrics are. */
+    public void registerGauge(String name, IntSupplier value) {
+        mRegistry.register("fuchsiaford_" + name, (Gauge<Integer>) value::getAsInt);
+    }
+
     static Histogram histogram(MetricRegistry registry, String name) {
         return registry.histogram(name, () -> new Histogram(new HdrHistogramReservoir()));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/PrometheusText.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/PrometheusText.java
@@ -22,7 +22,15 @@
         Stream<String> counters = registry.getCounters().entrySet().stream().map(e -> counter(e));
         Stream<String> histograms =
                 registry.getHistograms().entrySet().stream().flatMap(PrometheusText::histogram);
-        return Stream.concat(counters, histograms).collect(Collectors.joining("\n", "", "\n"));
+        Stream<String> gauges =
+                registry.getGauges().keySet().stream().map(name -> gauge(registry, name));
+        return Stream.of(counters, histograms, gauges)
+                .flatMap(samples -> samples)
+                .collect(Collectors.joining("\n", "", "\n"));
+    }
+
+    private static String gauge(MetricRegistry registry, String name) {
+        return name + " " + registry.getGauges().get(name).getValue();
     }
 
     private static String counter(Map.Entry<String, Counter> entry) {
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGatewayFleet.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGatewayFleet.java
@@ -38,6 +38,8 @@
     private static final int SEATS_PER_ENGINE = 64;
     private static final String TABLE_KEY = "op/config";
     private static final String SERVERS_PREFIX = "servers/";
+    private static final String EVACUATION_PREFIX = "op/evacuate/";
+    private static final String FIRST_DOMAIN = "d0";
 
     private final VirtualTimeScheduler mScheduler = VirtualTimeScheduler.create();
     private final Ticker mTime = () -> mScheduler.now(TimeUnit.NANOSECONDS);
@@ -111,6 +113,21 @@
         mStore.put(new StoreKey(SERVERS_PREFIX + server), value.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Registers an engine in a failure domain. */
+    void registerIn(String domain, String server) {
+        mStore.put(
+                new StoreKey(SERVERS_PREFIX + server),
+                ("v1 1 " + domain).getBytes(StandardCharsets.UTF_8));
+    }
+
+    void evacuate(String domain) {
+        mStore.put(new StoreKey(EVACUATION_PREFIX + domain), new byte[] {1});
+    }
+
+    void endEvacuation(String domain) {
+        mStore.remove(new StoreKey(EVACUATION_PREFIX + domain));
+    }
+
     void unregister(String server) {
         mStore.remove(new StoreKey(SERVERS_PREFIX + server));
     }
@@ -119,7 +136,7 @@
         return host(address).map(host -> host.handle(message)).orElse(Mono.never());
     }
 
-    /** Reads entries that consist of a software version and a start time. */
+    /** Reads entries of a software version, a start time and maybe a failure domain. */
     static final class Decoder implements StateDecoder {
         @Override
         public List<StoreKey> prefixes() {
@@ -139,6 +156,14 @@
                     : Optional.empty();
         }
 
+        @Override
+        public Optional<FailureDomainId> evacuatedDomain(StoreKey key) {
+            return key.value().startsWith(EVACUATION_PREFIX)
+                    ? Optional.of(
+                            new FailureDomainId(key.value().substring(EVACUATION_PREFIX.length())))
+                    : Optional.empty();
+        }
+
         @Override
         public RoutingTable readRoutingTable(byte[] value) {
             EngineCapacity capacity = new EngineCapacity(SEATS_PER_ENGINE, 1_000_000, 500);
@@ -157,7 +182,7 @@
                     id,
                     SERVICE,
                     new ServerAddress("10.9.0.1", 80),
-                    new FailureDomainId("d0"),
+                    new FailureDomainId(parts.length > 2 ? parts[2] : FIRST_DOMAIN),
                     new SoftwareVersion(parts[0]),
                     SEATS_PER_ENGINE,
                     Optional.of(EngineStage.DECODE),
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
@@ -93,6 +93,11 @@
                     : Optional.empty();
         }
 
+        @Override
+        public Optional<FailureDomainId> evacuatedDomain(StoreKey key) {
+            return Optional.empty();
+        }
+
         @Override
         public RoutingTable readRoutingTable(byte[] value) {
             EngineCapacity capacity = new EngineCapacity(8, 10_000, 500);
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -122,6 +122,9 @@
         add(
                 "'OriginRecordsFailed','operation':'o','reason':'r'",
                 new Decision.OriginRecordsFailed("o", "r"));
+        add(
+                "'Evacuation','failureDomain':'d','state':'s','revision':1",
+                new Decision.Evacuation("d", "s", 1));
         add("'TableInForce','version':1,'revision':2", new Decision.TableInForce(1, 2));
         add(
                 "'ServerSeen','server':'s','service':'v','state':'t','stage':'g','version':'w',"
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
@@ -15,12 +15,14 @@
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.registry.EvacuatedDomains;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerAddress;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.routing.RequestLimits;
 import org.fuchsiaford.routing.RoutingTable;
+import org.fuchsiaford.store.StoreChange;
 import org.fuchsiaford.store.StoreEntry;
 import org.fuchsiaford.store.StoreKey;
 import org.fuchsiaford.store.StoreKeys;
@@ -32,16 +34,21 @@
     private static final StoreKey TABLE = new StoreKey("table");
 
     private static final ServiceId SERVICE = new ServiceId("app");
+    private static final StoreKey EVACUATION = new StoreKey("evacuate/z");
+    private static final StoreKey SERVER = new StoreKey("a");
+    private static final byte[] ANY = {1};
 
     private final List<String> mDecoded = new ArrayList<>();
+    private final List<FailureDomainId> mEnded = new ArrayList<>();
+    private long mNowNanos;
     private final GatewayState mState =
             new GatewayState(
                     new RecordingDecoder(),
-                    new ServerRegistry(),
+                    new ServerRegistry(new EvacuatedDomains(mEnded::add)),
                     new FleetView(
                             new HostRecord(new HostId("h"), DOMAIN, "1.1.1.1:1", "1.1.1.1:2", 1)),
                     new DecisionLog("h"),
-                    () -> 0,
+                    () -> mNowNanos,
                     (server, before) -> {});
 
     private final class RecordingDecoder implements StateDecoder {
@@ -57,11 +64,18 @@
 
         @Override
         public Optional<BackendServerId> serverId(StoreKey key) {
-            return isRoutingTable(key) || key.value().startsWith("/fuchsiaford/")
+            return isRoutingTable(key)
+                            || key.value().startsWith("/fuchsiaford/")
+                            || evacuatedDomain(key).isPresent()
                     ? Optional.empty()
                     : Optional.of(new BackendServerId(key.value()));
         }
 
+        @Override
+        public Optional<FailureDomainId> evacuatedDomain(StoreKey key) {
+            return key.equals(EVACUATION) ? Optional.of(DOMAIN) : Optional.empty();
+        }
+
         @Override
         public RoutingTable readRoutingTable(byte[] value) {
             mDecoded.add("table");
@@ -91,6 +105,70 @@
                 new StoreRevision(era, number).ordered());
     }
 
+    private static StoreEntry entry(StoreKey key, long era, long number) {
+        return new StoreEntry(key, ANY, new StoreRevision(era, number).ordered());
+    }
+
+    private void applySnapshot(long era, long number, StoreEntry... entries) {
+        mState.applySnapshot(new StoreRevision(era, number).ordered(), List.of(entries));
+    }
+
+    private int usableServers() {
+        return mState.usable(SERVICE, mNowNanos).size();
+    }
+
+    /** Guards against requests to servers that operators have taken out of service. */
+    @Example
+    void anEvacuationTakesServersOutUntilItsKeyIsRemoved() {
+        applySnapshot(1, 2, entry(SERVER, 1, 2));
+        LiveServer server = mState.usable(SERVICE, 0).get(0);
+        mState.apply(new StoreChange(EVACUATION, ANY, 3));
+        assertThat(usableServers()).isZero();
+        assertThat(mState.servers().isUsable(server, 0)).isFalse();
+        assertThat(mState.servers().registered()).containsExactly(server);
+        mState.apply(new StoreChange(EVACUATION, null, 4));
+        assertThat(usableServers()).isEqualTo(1);
+        assertThat(mState.servers().isUsable(server, 0)).isTrue();
+        assertThat(mEnded).containsExactly(DOMAIN);
+    }
+
+    /** Guards against an evacuation that goes on at a host which missed the removal of its key. */
+    @Example
+    void anEvacuationWhoseKeyASnapshotOfTheSameEraLacksEndsAtOnce() {
+        applySnapshot(1, 3, entry(SERVER, 1, 2), entry(EVACUATION, 1, 3));
+        assertThat(usableServers()).isZero();
+        long changed = mState.lastChangeRevision();
+        applySnapshot(1, 9, entry(SERVER, 1, 2));
+        assertThat(usableServers()).isEqualTo(1);
+        assertThat(mState.lastChangeRevision()).isGreaterThan(changed);
+    }
+
+    /** Guards against requests there between a restore and the operators' writing the key again. */
+    @Example
+    void anEvacuationThatARestoredStoreLacksIsKeptForABoundedTime() {
+        applySnapshot(1, 90, entry(SERVER, 1, 2), entry(EVACUATION, 1, 90));
+        applySnapshot(2, 20, entry(SERVER, 2, 2));
+        mNowNanos = EvacuatedDomains.RETENTION_NANOS - 1;
+        mState.endDueEvacuations();
+        assertThat(usableServers()).isZero();
+        mNowNanos++;
+        mState.endDueEvacuations();
+        assertThat(usableServers()).isEqualTo(1);
+        assertThat(mEnded).containsExactly(DOMAIN);
+    }
+
+    @Example
+    void anEvacuationThatIsWrittenAgainInARestoredStoreEndsWithItsKeyOnly() {
+        applySnapshot(1, 90, entry(SERVER, 1, 2), entry(EVACUATION, 1, 90));
+        applySnapshot(2, 20, entry(SERVER, 2, 2));
+        mState.apply(new StoreChange(EVACUATION, ANY, entry(EVACUATION, 2, 21).revision()));
+        mNowNanos = 2 * EvacuatedDomains.RETENTION_NANOS;
+        mState.endDueEvacuations();
+        assertThat(usableServers()).isZero();
+        mState.apply(new StoreChange(EVACUATION, null, entry(EVACUATION, 2, 22).revision()));
+        assertThat(usableServers()).isEqualTo(1);
+    }
+
     private List<String> knownVersions() {
         return mState.versions().of(SERVICE).stream().map(SoftwareVersion::value).toList();
     }
