Move the fair queue and the share meter to a package of their own

The platform's path needs the fair queue and the share meter that only the signed-bundle path could use: they were package-private and keyed by workspace. They now are in core/fairness, with the flow, the order within a flow and the decay time given by their users. The pool scheduler uses them as before.

--- a/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
@@ -2,12 +2,16 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.fairness.FairQueue;
+import org.fuchsiaford.fairness.ShareMeter;
 import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.workspace.WorkspaceId;
 
 /**
  * The placement policy of a pool. Decode capacity is reserved before prefill starts, so that the
@@ -50,10 +54,18 @@
     /** Weight of a finished request in the moving average of the output fraction. */
     private static final double OUTPUT_SMOOTHING_FACTOR = 0.05;
 
+    /** Time in which the recent usage of a workspace falls to 1/e. */
+    private static final long USAGE_DECAY_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private static final Comparator<QueuedPlacementRequest> EARLIEST_DEADLINE_FIRST =
+            Comparator.comparingLong(QueuedPlacementRequest::deadlineNanos);
+
     private final PoolEngines mEngines;
-    private final ShareMeter mShares = new ShareMeter();
-    private final FairQueue mOnTimeQueue = new FairQueue();
-    private final FairQueue mLateQueue = new FairQueue();
+    private final ShareMeter<WorkspaceId> mShares = new ShareMeter<>(USAGE_DECAY_NANOS);
+    private final FairQueue<WorkspaceId, QueuedPlacementRequest> mOnTimeQueue =
+            new FairQueue<>(EARLIEST_DEADLINE_FIRST);
+    private final FairQueue<WorkspaceId, QueuedPlacementRequest> mLateQueue =
+            new FairQueue<>(EARLIEST_DEADLINE_FIRST);
     private final Map<RequestId, Placement> mPlacements = new HashMap<>();
     private final List<PlacementDecision> mDecisions = new ArrayList<>();
 
@@ -84,7 +96,7 @@
                         nowNanos + targetNanos,
                         costNanos,
                         request.promptTokens() + expectedOutputTokens);
-        long aheadNanos = mOnTimeQueue.costAheadNanos(request);
+        long aheadNanos = mOnTimeQueue.costAhead(queued);
         if (lateNanos(queued, nowNanos + aheadNanos, nowNanos) <= 0) {
             mOnTimeQueue.add(queued);
         } else {
@@ -98,7 +110,7 @@
         long idleNanos = mEngines.idleFirstTokenNanos(request);
         QueuedPlacementRequest late =
                 queued.withDeadline(nowNanos + MAX_LATE_WAIT_NANOS + idleNanos);
-        long aheadNanos = mOnTimeQueue.totalCostNanos() + mLateQueue.costAheadNanos(request);
+        long aheadNanos = mOnTimeQueue.totalCost() + mLateQueue.costAhead(late);
         long lateNanos = lateNanos(late, nowNanos + aheadNanos, nowNanos);
         if (lateNanos > 0) {
             refuse(request.request(), lateNanos);
@@ -109,11 +121,19 @@
 
     @Override
     public void withdraw(RequestId request, long nowNanos) {
-        mOnTimeQueue.find(request).ifPresent(mOnTimeQueue::remove);
-        mLateQueue.find(request).ifPresent(mLateQueue::remove);
+        remove(mOnTimeQueue, request);
+        remove(mLateQueue, request);
         release(request, nowNanos);
     }
 
+    private static void remove(
+            FairQueue<WorkspaceId, QueuedPlacementRequest> queue, RequestId request) {
+        queue.all().stream()
+                .filter(queued -> queued.request().request().equals(request))
+                .findFirst()
+                .ifPresent(queue::remove);
+    }
+
     @Override
     public void recordEvent(PlacementEvent event, long nowNanos) {
         Placement placement = mPlacements.get(event.request());
@@ -178,7 +198,7 @@
         return mOnTimeQueue.all().size() + mLateQueue.all().size();
     }
 
-    private boolean placeNext(FairQueue queue, long nowNanos) {
+    private boolean placeNext(FairQueue<WorkspaceId, QueuedPlacementRequest> queue, long nowNanos) {
         // No request may overtake one that waits for decode capacity, or small requests would
         // starve large ones.
         return queue.heads().stream()
@@ -186,7 +206,10 @@
                 .anyMatch(queued -> tryPlace(queue, queued, nowNanos));
     }
 
-    private boolean tryPlace(FairQueue queue, QueuedPlacementRequest queued, long nowNanos) {
+    private boolean tryPlace(
+            FairQueue<WorkspaceId, QueuedPlacementRequest> queue,
+            QueuedPlacementRequest queued,
+            long nowNanos) {
         PlacementRequest request = queued.request();
         Optional<PrefillEngine> prefill =
                 mEngines.choosePrefill(request, nowNanos)
@@ -196,7 +219,7 @@
             return false;
         }
         queue.serve(queued);
-        mShares.add(request, queued.tokens(), nowNanos);
+        mShares.add(request.workspace(), queued.weight(), queued.tokens(), nowNanos);
         place(request, prefill.get(), decode.get(), nowNanos);
         return true;
     }
@@ -244,7 +267,7 @@
     }
 
     private long queuedCostNanos() {
-        return mOnTimeQueue.totalCostNanos() + mLateQueue.totalCostNanos();
+        return mOnTimeQueue.totalCost() + mLateQueue.totalCost();
     }
 
     /**
