Measure the longest time between events of each stream

Cause: streams are late although their first event is in time. That pauses between their events are the reason is believed, but nothing shows it.

Change: the Ended line of a stream has its longest time between events and when that ended (longestGapMillis, longestGapEndMillis), over all attempts, as this host received them. fuchsiaford_stream_gaps_over_target counts, by service, the streams with a longer one than targetGapMs of their route.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -83,6 +83,13 @@
         mMetrics.record(server.service(), nowNanos - sentNanos);
     }
 
+    /** Records that a stream has ended, whether complete or not. */
+    void recordStreamEnd(RequestContext context) {
+        if (context.isOverGapTarget()) {
+            mMetrics.countLongGap(context.service());
+        }
+    }
+
     /**
      * Returns whether the retry budget allows a prefill call, since a failed one counts as a retry.
      */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -54,6 +54,7 @@
     private long mBegunNanos;
     private Optional<SoftwareVersion> mVersion = Optional.empty();
     private final AtomicInteger mSendCount = new AtomicInteger();
+    private final StreamGaps mGaps = new StreamGaps();
     private final AtomicBoolean mRaced = new AtomicBoolean();
     private volatile long mFirstSentNanos;
     private volatile long mLastSentNanos;
@@ -235,6 +236,19 @@
     /** Records that events of a stream are passed on to its caller. */
     void recordEvents(long nowNanos) {
         mWaitingSinceNanos = nowNanos;
+        mGaps.record(nowNanos);
+    }
+
+    /** Returns the longest time between events of the stream, once events arrived twice. */
+    Optional<StreamGaps.Gap> longestGap() {
+        return mGaps.longest();
+    }
+
+    /** Returns whether events of the stream were further apart than its route's target. */
+    boolean isOverGapTarget() {
+        long targetNanos = TimeUnit.MILLISECONDS.toNanos(mRoute.targetGapMillis());
+        return targetNanos > 0
+                && longestGap().filter(gap -> gap.lengthNanos() > targetNanos).isPresent();
     }
 
     /** Returns when the caller got the last event, or sent the request if it got none. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
@@ -1,5 +1,6 @@
 package org.fuchsiaford.entry.gateway.forward;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.fuchsiaford.entry.gateway.log.Decision;
@@ -165,7 +166,17 @@
                 mTableVersion,
                 mFraming,
                 endsInsideEvent() ? true : null,
-                mAfterStopMillis);
+                mAfterStopMillis,
+                longestGap().map(gap -> toMillis(gap.lengthNanos())).orElse(null),
+                longestGap().map(gap -> toMillis(gap.endNanos() - mStartNanos)).orElse(null));
+    }
+
+    private Optional<StreamGaps.Gap> longestGap() {
+        return Optional.ofNullable(mContext).flatMap(RequestContext::longestGap);
+    }
+
+    private static long toMillis(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
 
     private boolean endsInsideEvent() {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -97,11 +97,8 @@
                 .takeUp(context)
                 .thenMany(
                         Flux.defer(
-                                () ->
-                                        attempt(
-                                                context,
-                                                context.streamProgress(),
-                                                Optional.empty())));
+                                () -> attempt(context, context.streamProgress(), Optional.empty())))
+                .doFinally(signal -> mAttempts.recordStreamEnd(context));
     }
 
     /**
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -140,6 +140,9 @@
      * @param framing how the backend server marked the end of the response
      * @param insideEvent true if the response is a stream that ended inside an event; else null
      * @param afterStopMillis how long after the stop signal the request arrived; null if before it
+     * @param longestGapMillis the longest time between events of a stream, as this host received
+     *     them; null if the response is no stream of two events or more
+     * @param longestGapEndMillis when that time ended, from the arrival of the request
      */
     record Ended(
             String request,
@@ -155,7 +158,9 @@
             long tableVersion,
             String framing,
             Boolean insideEvent,
-            Long afterStopMillis)
+            Long afterStopMillis,
+            Long longestGapMillis,
+            Long longestGapEndMillis)
             implements Decision {}
 
     /**
--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/ServiceMetrics.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/ServiceMetrics.java
@@ -50,6 +50,12 @@
         mRegistry.counter("fuchsiaford_server_notices" + labels).inc();
     }
 
+    /** Counts a stream with events further apart than the target of its route. */
+    public void countLongGap(ServiceId service) {
+        String labels = "{service=\"" + label(service) + "\"}";
+        mRegistry.counter("fuchsiaford_stream_gaps_over_target" + labels).inc();
+    }
+
     /**
      * Records the time until a server responded, in a histogram in microseconds.
      *
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -98,8 +98,10 @@
                 "'Ended','request':'r','route':'t','workspace':'w','outcome':'o','status':1,"
                         + "'reason':'y','sends':2,'elapsedMillis':3,'firstByteMillis':4,"
                         + "'retryAfterMillis':5,'tableVersion':6,'framing':'f',"
-                        + "'insideEvent':true,'afterStopMillis':7",
-                new Decision.Ended("r", "t", "w", "o", 1, "y", 2, 3, 4, 5, 6, "f", true, 7L));
+                        + "'insideEvent':true,'afterStopMillis':7,"
+                        + "'longestGapMillis':8,'longestGapEndMillis':9",
+                new Decision.Ended(
+                        "r", "t", "w", "o", 1, "y", 2, 3, 4, 5, 6, "f", true, 7L, 8L, 9L));
     }
 
     private void addBeliefs() {
--- a/entry/src/test/java/org/fuchsiaford/entry/metrics/ServiceMetricsTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/metrics/ServiceMetricsTest.java
@@ -20,10 +20,12 @@
         mMetrics.count(service, AttemptOutcome.ANSWERED);
         mMetrics.count(service, AttemptOutcome.NOT_RUN);
         mMetrics.record(service, TimeUnit.MILLISECONDS.toNanos(3));
+        mMetrics.countLongGap(service);
 
         assertThat(PrometheusText.write(mRegistry))
                 .contains("fuchsiaford_attempts_total{service=\"app\",outcome=\"answered\"} 2")
                 .contains("fuchsiaford_attempts_total{service=\"app\",outcome=\"not_run\"} 1")
+                .contains("fuchsiaford_stream_gaps_over_target_total{service=\"app\"} 1")
                 .contains("fuchsiaford_attempt_micros_count{service=\"app\"} 1");
     }
 
