Call the store less often where a coordinator tells what has changed

Change: a host that asks another coordinator lets the store hold its watch for 6 s. Coordinators, hosts without one and hosts of services with several versions wait 1.5 s as before.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -33,6 +33,7 @@
 import org.fuchsiaford.entry.gateway.order.StageControllerFactory;
 import org.fuchsiaford.entry.gateway.protocol.Adapter;
 import org.fuchsiaford.entry.gateway.protocol.PublishedStatus;
+import org.fuchsiaford.entry.gateway.protocol.WatchTiming;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
 import org.fuchsiaford.entry.gateway.state.StateFollower;
 import org.fuchsiaford.entry.metrics.EntryMetrics;
@@ -121,7 +122,9 @@
         ServerHealth health = new ServerHealth();
         LoadTracker loads = new LoadTracker();
         mState = createState(health);
-        Store store = adapter.store(settings, this::watchIntervalNanos);
+        Store store =
+                adapter.store(
+                        settings, WatchTiming.of(this::watchIntervalNanos, this::watchWaitMillis));
         mFollower =
                 new StateFollower(
                         store,
@@ -194,6 +197,10 @@
         return mCoordination.watchIntervalNanos();
     }
 
+    private long watchWaitMillis() {
+        return mCoordination.watchWaitMillis();
+    }
+
     private static HostRecord createSelf(GatewaySettings settings) {
         return new HostRecord(
                 new HostId(settings.hostName() + "-" + UUID.randomUUID()),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -43,7 +43,21 @@
     /** The first coordinator chooses engines for all hosts, so it learns of changes soon. */
     private static final long COORDINATOR_WATCH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
+    /**
+     * Wait of a watch at a host that learns from no other that its own watch is silent; short
+     * enough for changes to be in force in time after a connection has fallen silent.
+     */
+    private static final long WATCH_WAIT_MILLIS = 1_500;
+
+    /**
+     * Wait of a watch at a host that compares its state with that of a coordinator twice a second
+     * and calls the store for its registration every second. Each of both finds a silent watch
+     * sooner than the watch does, which then only costs calls.
+     */
+    private static final long COMPARED_WATCH_WAIT_MILLIS = 6_000;
+
     private final FleetView mFleet;
+    private final GatewayState mState;
     private final Ticker mTicker;
     private final HeldEngines mHeld = new HeldEngines();
     private final OutcomeTally mTally = new OutcomeTally();
@@ -81,6 +95,7 @@
             StateFollower follower,
             BooleanSupplier isAccepting) {
         mFleet = fleet;
+        mState = state;
         mTicker = ticker;
         long startNanos = ticker.nowNanos();
         EngineQueues queues = new EngineQueues();
@@ -172,6 +187,17 @@
                 maxNanos, mFleet.presentCount(mTicker.nowNanos()) * WATCH_INTERVAL_NANOS_PER_HOST);
     }
 
+    /**
+     * Returns how long the store may hold a watch open. While streams are recorded, what this host
+     * knows of engines has to be proven by recent responses.
+     */
+    public long watchWaitMillis() {
+        boolean compares = mCalls.remoteCoordinator().isPresent() && !mCalls.isAmongCoordinators();
+        return compares && !mState.versions().isAnyMixed()
+                ? COMPARED_WATCH_WAIT_MILLIS
+                : WATCH_WAIT_MILLIS;
+    }
+
     /** What other hosts read of the store reaches this host within a heartbeat. */
     private boolean isStateCurrent(boolean isRegistryCurrent) {
         return isRegistryCurrent && !mHeartbeats.isBehind();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorCalls.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorCalls.java
@@ -62,6 +62,11 @@
         return mTracker.isPrimary(mTicker.nowNanos());
     }
 
+    /** Returns whether this host is one of those that others may ask. */
+    public boolean isAmongCoordinators() {
+        return mTracker.coordinators().stream().anyMatch(host -> host.id().equals(mSelf.id()));
+    }
+
     /** Returns the coordinator to ask, or empty if this host decides by itself. */
     public Optional<HostRecord> remoteCoordinator() {
         return mTracker.primary(mTicker.nowNanos())
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/Adapter.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/Adapter.java
@@ -1,7 +1,6 @@
 package org.fuchsiaford.entry.gateway.protocol;
 
 import java.util.List;
-import java.util.function.LongSupplier;
 import org.fuchsiaford.entry.gateway.GatewaySettings;
 import org.fuchsiaford.store.Store;
 import reactor.core.publisher.Mono;
@@ -18,9 +17,9 @@
     /**
      * Creates a client of the store.
      *
-     * @param watchIntervalNanos the least time between two calls of a watch, if it makes several
+     * @param timing how often and for how long it watches, if a watch makes several calls
      */
-    Store store(GatewaySettings settings, LongSupplier watchIntervalNanos);
+    Store store(GatewaySettings settings, WatchTiming timing);
 
     /** Returns the protocol between callers and this host. */
     CallerProtocol callerProtocol();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/StateFollower.java
@@ -34,8 +34,11 @@
  * this host also registers again. Thread-safe.
  */
 public final class StateFollower {
-    /** An unavailable store is detected within this time plus the timeout of a call. */
-    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(2_000);
+    /**
+     * An unavailable store, and connections that have fallen silent, are detected within this time
+     * plus the timeout of a call.
+     */
+    private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(1_000);
 
     /** Leases do not expire in a shorter time without contact, and a slow call is no outage. */
     private static final long MIN_OUTAGE_NANOS = TimeUnit.SECONDS.toNanos(2);
