Bind requests to the regions that route and workspace allow

Change: settings region and failureDomainRegions, filled in from the platform's region and zones, state the regions (RegionMap); without them nothing is bound. A bound request gets plain servers, decode and prefill engines of its regions only, at the host and at the scheduler; a failure domain without a known region serves none. Without a registered server in an allowed region, or without a region that both allow, it is refused before its body arrives. A bound request whose regions are full does not hold up the others in the queue.

--- a/core/src/main/java/org/fuchsiaford/json/JsonObjectReader.java
+++ b/core/src/main/java/org/fuchsiaford/json/JsonObjectReader.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -196,6 +198,29 @@
                 .toList();
     }
 
+    /**
+     * Reads a required object of which any field is a non-empty string; others are reported and
+     * left out.
+     */
+    public Map<String, String> textFields(String field) {
+        JsonObjectReader object = object(field);
+        Map<String, String> result = new LinkedHashMap<>();
+        object.mNode
+                .fieldNames()
+                .forEachRemaining(
+                        name -> {
+                            JsonNode value = object.mNode.path(name);
+                            if (name.isEmpty()
+                                    || !value.isTextual()
+                                    || value.textValue().isEmpty()) {
+                                object.addProblem(name, "must be a non-empty string with a name");
+                            } else {
+                                result.put(name, value.textValue());
+                            }
+                        });
+        return result;
+    }
+
     /** Adds a problem for every field that has not been read. */
     public void reportUnknownFields() {
         mNode.fieldNames()
--- a/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
@@ -33,6 +33,7 @@
     public static final long REMOVED_RETENTION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_800);
 
     private final EvacuatedDomains mEvacuated;
+    private final RegionMap mRegions;
     private final Map<BackendServerId, Entry> mEntries = new HashMap<>();
     private final Map<BackendServerId, Long> mSuspendedUntilNanos = new HashMap<>();
     private final Map<BackendServerId, Long> mLeavingRuns = new HashMap<>();
@@ -53,14 +54,20 @@
         }
     }
 
-    /** Creates an empty registry without evacuations that anyone is told of. */
+    /** Creates an empty registry without known regions; no one is told of evacuations. */
     public ServerRegistry() {
-        this(new EvacuatedDomains(domain -> {}));
+        this(new EvacuatedDomains(domain -> {}), RegionMap.NONE);
     }
 
     /** Creates an empty registry. */
-    public ServerRegistry(EvacuatedDomains evacuated) {
+    public ServerRegistry(EvacuatedDomains evacuated, RegionMap regions) {
         mEvacuated = evacuated;
+        mRegions = regions;
+    }
+
+    /** Returns the regions of the failure domains. */
+    public RegionMap regions() {
+        return mRegions;
     }
 
     /** Returns the evacuated failure domains. */
@@ -169,6 +176,11 @@
                 .toList();
     }
 
+    /** Returns the servers of a service that accept new requests bound to regions. */
+    public List<LiveServer> usable(ServiceId service, AllowedRegions allowed, long nowNanos) {
+        return mRegions.admitted(usable(service, nowNanos), allowed);
+    }
+
     /** Returns the registered servers, whether or not they accept requests. */
     public synchronized List<LiveServer> registered() {
         return mEntries.values().stream()
--- a/core/src/main/java/org/fuchsiaford/routing/GatewayRoute.java
+++ b/core/src/main/java/org/fuchsiaford/routing/GatewayRoute.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.registry.AllowedRegions;
 
 /**
  * A route that forwards client requests to one or more services, selected by virtual host and path.
@@ -20,6 +21,7 @@
  * @param maxServers the maximum number of backend servers that may run one request
  * @param publicAccess whether the route accepts requests without a key
  * @param services the services that requests are distributed over; never empty
+ * @param allowedRegions the regions whose servers may serve requests
  */
 public record GatewayRoute(
         String name,
@@ -32,7 +34,8 @@
         int priority,
         int maxServers,
         boolean publicAccess,
-        List<WeightedService> services) {
+        List<WeightedService> services,
+        AllowedRegions allowedRegions) {
 
     /**
      * Clients abandon a stream without events after the longest of three times: this minimum, the
@@ -43,6 +46,34 @@
     private static final long EVENT_TIMEOUT_LATENCY_FACTOR = 4;
     private static final long EVENT_TIMEOUT_GAP_FACTOR = 8;
 
+    /** Creates a route whose requests servers in all regions may serve. */
+    public GatewayRoute(
+            String name,
+            String virtualHost,
+            String pathPrefix,
+            RequestKind kind,
+            long timeoutMillis,
+            long targetLatencyMillis,
+            long targetGapMillis,
+            int priority,
+            int maxServers,
+            boolean publicAccess,
+            List<WeightedService> services) {
+        this(
+                name,
+                virtualHost,
+                pathPrefix,
+                kind,
+                timeoutMillis,
+                targetLatencyMillis,
+                targetGapMillis,
+                priority,
+                maxServers,
+                publicAccess,
+                services,
+                AllowedRegions.ALL);
+    }
+
     /** Returns how long clients wait for the next event of a stream, in milliseconds. */
     public long eventTimeoutMillis() {
         return Math.max(
--- a/core/src/main/java/org/fuchsiaford/selection/AvailableEngines.java
+++ b/core/src/main/java/org/fuchsiaford/selection/AvailableEngines.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.registry.AllowedRegions;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.SoftwareVersion;
@@ -44,11 +45,19 @@
         plan.prefill().ifPresent(engine -> mLimiter.acquire(engine.run(), nowNanos));
     }
 
-    /** Returns whether any engine could ever serve requests that are bound to a version. */
-    boolean canServe(ServiceId service, Optional<SoftwareVersion> version, long nowNanos) {
-        return version.isEmpty()
-                ? !mPool.usable(service, nowNanos).isEmpty()
-                : !decodeEngines(service, version, nowNanos).isEmpty();
+    /** Returns whether any engine could ever serve a request. */
+    boolean canServe(EngineRequest request, long nowNanos) {
+        List<LiveServer> engines =
+                request.version().isEmpty()
+                        ? mPool.usable(request.service(), nowNanos)
+                        : decodeEngines(request.service(), request.version(), nowNanos);
+        return !admitted(engines, request).isEmpty();
+    }
+
+    /** Returns the engines in the regions that are allowed for a request. */
+    List<LiveServer> admitted(List<LiveServer> engines, EngineRequest request) {
+        return mPool.regions()
+                .admitted(engines, AllowedRegions.of(request.attributes().allowedRegions()));
     }
 
     /**
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -12,6 +12,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.ToLongFunction;
 import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.prompt.PromptQuarantine;
@@ -124,10 +125,22 @@
             return refuseQuarantined(request, quarantineNanos);
         }
         Optional<EngineAnswer.Granted> grant =
-                mWaits.queue(request).isEmpty() ? tryGrant(request, nowNanos) : Optional.empty();
+                isNext(request) ? tryGrant(request, nowNanos) : Optional.empty();
         return grant.isPresent() ? grant.get() : enqueue(request, nowNanos);
     }
 
+    /** Returns whether no queued request competes with a new one, since all need other regions. */
+    private boolean isNext(EngineRequest request) {
+        List<RegionId> regions = request.attributes().allowedRegions();
+        return mWaits.queue(request).isEmpty()
+                || mQueued.values().stream()
+                        .map(queued -> queued.mRequest)
+                        .filter(queued -> queued.service().equals(request.service()))
+                        .filter(queued -> queued.version().equals(request.version()))
+                        .map(queued -> queued.attributes().allowedRegions())
+                        .noneMatch(awaited -> awaited.isEmpty() || awaited.equals(regions));
+    }
+
     private static EngineAnswer.Refused refuseQuarantined(
             EngineRequest request, long quarantineNanos) {
         long millis = TimeUnit.NANOSECONDS.toMillis(quarantineNanos);
@@ -221,17 +234,34 @@
         long othersTokens = version.isPresent() ? 0 : mWaits.othersOnTimeTokens(service);
         queue.unservable(othersTokens, mEngines.kvCacheTokens(service, version, nowNanos), nowNanos)
                 .forEach(queued -> answers.add(refuseQueued(queue, queued, nowNanos)));
+        List<EngineRequest> passedOver = new ArrayList<>();
         Optional<EngineQueue.QueuedRequest> next = queue.next(othersTokens > 0, nowNanos);
         while (next.isPresent()) {
-            RequestId id = next.get().request();
-            Optional<EngineAnswer.Granted> grant = tryGrant(mQueued.get(id).mRequest, nowNanos);
-            if (grant.isEmpty()) {
-                return;
+            EngineRequest request = mQueued.get(next.get().request()).mRequest;
+            boolean waits = waitsForRegions(request, passedOver);
+            Optional<EngineAnswer.Granted> grant =
+                    waits ? Optional.empty() : tryGrant(request, nowNanos);
+            if (grant.isPresent()) {
+                cancel(request.request());
+                answers.add(grant.get());
+            } else if (request.attributes().allowedRegions().isEmpty()) {
+                break;
+            } else {
+                queue.remove(request.request());
+                passedOver.add(request);
             }
-            cancel(id);
-            answers.add(grant.get());
             next = queue.next(othersTokens > 0, nowNanos);
         }
+        passedOver.forEach(request -> queue.add(mWaits.queuedRequest(request)));
+    }
+
+    /**
+     * A request without room in its regions does not hold up those for other regions, but those for
+     * the same ones wait behind it.
+     */
+    private static boolean waitsForRegions(EngineRequest request, List<EngineRequest> passedOver) {
+        List<RegionId> regions = request.attributes().allowedRegions();
+        return passedOver.stream().anyMatch(o -> o.attributes().allowedRegions().equals(regions));
     }
 
     private EngineAnswer refuseQueued(
@@ -381,13 +411,9 @@
     }
 
     private EngineAnswer enqueue(EngineRequest request, long nowNanos) {
-        if (!mEngines.canServe(request.service(), request.version(), nowNanos)) {
+        if (!mEngines.canServe(request, nowNanos)) {
             return new EngineAnswer.Refused(
-                    request,
-                    EngineWaits.MIN_RETRY_MILLIS,
-                    request.version().isEmpty()
-                            ? "no engine is known"
-                            : "no engine has the software version that began the stream");
+                    request, EngineWaits.MIN_RETRY_MILLIS, noEngineReason(request));
         }
         EngineQueue queue = mWaits.queue(request);
         long waitNanos = mWaits.estimateWaitNanos(request, nowNanos);
@@ -402,6 +428,14 @@
         return waiting(request, waitNanos, nowNanos);
     }
 
+    private static String noEngineReason(EngineRequest request) {
+        String regions =
+                request.attributes().allowedRegions().isEmpty() ? "" : " in an allowed region";
+        return request.version().isEmpty()
+                ? "no engine is known" + regions
+                : "no engine" + regions + " has the software version that began the stream";
+    }
+
     private EngineAnswer.Waiting waiting(EngineRequest request, long waitNanos, long nowNanos) {
         return new EngineAnswer.Waiting(
                 mWaits.queue(request).onTimeTokens(nowNanos),
@@ -410,7 +444,8 @@
 
     private Optional<EngineAnswer.Granted> tryGrant(EngineRequest request, long nowNanos) {
         EngineCapacity capacity = mPool.capacity(request.service());
-        List<LiveServer> engines = mEngines.availableNow(request.service(), nowNanos);
+        List<LiveServer> engines =
+                mEngines.admitted(mEngines.availableNow(request.service(), nowNanos), request);
         return mPlanner.plan(eligible(engines, request), request, capacity, nowNanos)
                 .map(plan -> grant(request, plan, nowNanos));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -177,7 +177,8 @@
     private GatewayState createState(ServerHealth health) {
         return new GatewayState(
                 mAdapter.stateDecoder(),
-                new ServerRegistry(new EvacuatedDomains(GatewayHost::evacuationEnds)),
+                new ServerRegistry(
+                        new EvacuatedDomains(GatewayHost::evacuationEnds), mSettings.regions()),
                 mFleet,
                 mLog,
                 mTicker,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -1,8 +1,11 @@
 package org.fuchsiaford.entry.gateway;
 
 import java.util.List;
+import java.util.Optional;
 import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.peer.PeerAddress;
+import org.fuchsiaford.registry.RegionMap;
 
 /**
  * The settings of an entry host that follows a live registry through an adapter. Immutable.
@@ -10,6 +13,8 @@
  * @param adapter the name of the adapter
  * @param hostName the host name in logs
  * @param failureDomain the failure domain in which the host runs
+ * @param region the region in which the host runs, if stated
+ * @param regions the regions of the failure domains; without any, no request is bound to regions
  * @param cores the processor capacity of the host, in cores
  * @param callerAddress the address on which the host listens for callers
  * @param readinessAddress the address of the readiness endpoint
@@ -35,6 +40,8 @@
         String adapter,
         String hostName,
         FailureDomainId failureDomain,
+        Optional<RegionId> region,
+        RegionMap regions,
         double cores,
         PeerAddress callerAddress,
         PeerAddress readinessAddress,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -2,14 +2,19 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.entry.settings.SettingsDocument;
 import org.fuchsiaford.entry.settings.SettingsException;
 import org.fuchsiaford.json.JsonObjectReader;
 import org.fuchsiaford.json.JsonProblem;
 import org.fuchsiaford.json.JsoncParser;
+import org.fuchsiaford.registry.RegionMap;
 
 /**
  * Reads {@link GatewaySettings} from JSON with comments and reports all problems at once.
@@ -61,10 +66,17 @@
     }
 
     private static GatewaySettings read(JsonObjectReader root) {
+        FailureDomainId domain = new FailureDomainId(root.name("failureDomain"));
+        Optional<RegionId> region =
+                root.has("region")
+                        ? Optional.of(new RegionId(root.text("region")))
+                        : Optional.empty();
         return new GatewaySettings(
                 root.name("adapter"),
                 root.name("hostName"),
-                new FailureDomainId(root.name("failureDomain")),
+                domain,
+                region,
+                regions(root, domain, region),
                 cores(root),
                 SettingsDocument.address(root, "callerAddress"),
                 SettingsDocument.address(root, "readinessAddress"),
@@ -88,6 +100,22 @@
                         : DEFAULT_MAX_RESPONSE_BYTES);
     }
 
+    /** Reads the regions of the failure domains; that of the host itself need not be repeated. */
+    private static RegionMap regions(
+            JsonObjectReader root, FailureDomainId domain, Optional<RegionId> region) {
+        Map<FailureDomainId, RegionId> regions = new HashMap<>();
+        if (root.has("failureDomainRegions")) {
+            root.textFields("failureDomainRegions")
+                    .forEach((d, r) -> regions.put(new FailureDomainId(d), new RegionId(r)));
+        }
+        if (region.isPresent()
+                && !region.get().equals(regions.getOrDefault(domain, region.get()))) {
+            root.addProblem("region", "differs from that of failureDomain in failureDomainRegions");
+        }
+        region.ifPresent(own -> regions.put(domain, own));
+        return new RegionMap(regions);
+    }
+
     private static double cores(JsonObjectReader root) {
         return root.decimal("processorShare", MIN_CORES, MAX_CORES)
                 * root.decimal("processorCores", MIN_CORES, MAX_CORES);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -138,7 +138,8 @@
     private LiveServer pick(RequestContext context) throws RefusalException {
         mAdmission.reauthorize(context);
         long nowNanos = mTicker.nowNanos();
-        List<LiveServer> servers = mState.servers().usable(context.service(), nowNanos);
+        List<LiveServer> servers =
+                mState.servers().usable(context.service(), context.allowedRegions(), nowNanos);
         long retryAfterMillis = mBackoff.millisUntilFirstEnds(servers, nowNanos);
         if (retryAfterMillis > 0) {
             throw context.placementRefusal(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineAdmission.java
@@ -99,7 +99,7 @@
     private void requireAcceptingEngine(RequestContext context) throws RefusalException {
         long nowNanos = mTicker.nowNanos();
         List<LiveServer> engines =
-                mPool.usable(context.service(), nowNanos).stream()
+                usable(context, nowNanos).stream()
                         .filter(engine -> engine.hasStage(EngineStage.DECODE))
                         .toList();
         long retryAfterMillis = mBackoff.millisUntilFirstEnds(engines, nowNanos);
@@ -108,6 +108,11 @@
         }
     }
 
+    private List<LiveServer> usable(RequestContext context, long nowNanos) {
+        return mPool.regions()
+                .admitted(mPool.usable(context.service(), nowNanos), context.allowedRegions());
+    }
+
     /** Releases engines that were granted while the caller left. */
     private static void releaseIf(boolean cancelled, AtomicReference<EngineAssignment> granted) {
         if (cancelled && granted.get() != null) {
@@ -142,12 +147,12 @@
                 attributes(context));
     }
 
-    private static RequestAttributes attributes(RequestContext context) {
+    private RequestAttributes attributes(RequestContext context) {
         return new RequestAttributes(
                 context.route().name(),
                 context.workspaceId().orElse(null),
                 context.route().targetGapMillis(),
-                List.of());
+                mPool.regions().isBinding() ? context.allowedRegions().toList() : List.of());
     }
 
     private Set<BackendServerId> excludedEngines(RequestContext context) {
@@ -235,7 +240,7 @@
             EngineRequest request,
             EnginesResponse response) {
         return switch (response.state()) {
-            case GRANTED -> Mono.justOrEmpty(hold(coordinator, request, response));
+            case GRANTED -> Mono.justOrEmpty(hold(coordinator, context, request, response));
             case REFUSED ->
                     Mono.error(context.placementRefusal(response.millis(), response.reason()));
             case WAITING, UNKNOWN -> Mono.empty();
@@ -243,10 +248,13 @@
     }
 
     private Optional<EngineAssignment> hold(
-            HostRecord coordinator, EngineRequest request, EnginesResponse response) {
+            HostRecord coordinator,
+            RequestContext context,
+            EngineRequest request,
+            EnginesResponse response) {
         long nowNanos = mTicker.nowNanos();
-        List<LiveServer> engines =
-                mBackoff.acceptingNow(mPool.usable(request.service(), nowNanos), nowNanos);
+        // A coordinator of the build before knows no regions.
+        List<LiveServer> engines = mBackoff.acceptingNow(usable(context, nowNanos), nowNanos);
         Optional<LiveServer> decode = find(engines, response.decode());
         if (decode.isEmpty() || !isOfVersion(decode.get(), request)) {
             cancel(coordinator, request);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -22,6 +22,7 @@
 import org.fuchsiaford.failure.Step;
 import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.prompt.RequestFingerprint;
+import org.fuchsiaford.registry.AllowedRegions;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
@@ -109,6 +110,11 @@
         return mWorkspace.map(WorkspaceDeclaration::id);
     }
 
+    /** Returns the regions whose servers may serve the request. */
+    AllowedRegions allowedRegions() {
+        return RouteAdmission.allowedRegions(mRoute, mWorkspace);
+    }
+
     /** Returns the token counts that the request is planned with. */
     TokenCounts tokens() {
         return mCaller.tokens().orElse(DEFAULT_TOKENS);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteAdmission.java
@@ -8,6 +8,7 @@
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.failure.RefusalReason;
 import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.registry.AllowedRegions;
 import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.routing.RequestLimits;
 import org.fuchsiaford.routing.RoutingTable;
@@ -20,6 +21,8 @@
  * Finds the route of a request, authenticates its workspace and enforces the workspace's token
  * limit, according to the routing table in force.
  *
+ * <p>A request that is bound to regions without a server is refused before its body arrives.
+ *
  * <p>Invariant: a host without a routing table refuses requests as not run and retryable. It
  * reports a route or key as unknown only if its routing table does not contain it. Thread-safe.
  */
@@ -30,6 +33,12 @@
      */
     private static final long ROUTING_TABLE_RETRY_MILLIS = 150;
 
+    /**
+     * Retry delay for callers whose requests no region with a server may serve. A server that
+     * starts there is registered within about this time.
+     */
+    private static final long NO_REGION_RETRY_MILLIS = 1_000;
+
     private final GatewayState mState;
     private final LimitCharging mCharging;
     private final HostShutdown mShutdown;
@@ -62,8 +71,8 @@
     /**
      * Finds the route of a request and authenticates its workspace.
      *
-     * @throws RefusalException if there is no routing table yet, no matching route, or no workspace
-     *     with the key of the request
+     * @throws RefusalException if there is no routing table yet, no matching route, no workspace
+     *     with the key of the request, or no server in a region that is allowed for it
      */
     AuthorizedRoute authorize(CallerRequest request) throws RefusalException {
         RoutingTable table =
@@ -83,7 +92,38 @@
                                                 RefusalReason.NOT_FOUND,
                                                 Step.ADMIT,
                                                 "no route matches this host and path"));
-        return new AuthorizedRoute(table, route, workspace(table, route, request));
+        Optional<WorkspaceDeclaration> workspace = workspace(table, route, request);
+        requireRegion(route, allowedRegions(route, workspace));
+        return new AuthorizedRoute(table, route, workspace);
+    }
+
+    /** Returns the regions that both a route and its workspace allow. */
+    static AllowedRegions allowedRegions(
+            GatewayRoute route, Optional<WorkspaceDeclaration> workspace) {
+        return route.allowedRegions()
+                .and(
+                        workspace
+                                .map(WorkspaceDeclaration::allowedRegions)
+                                .orElse(AllowedRegions.ALL));
+    }
+
+    private void requireRegion(GatewayRoute route, AllowedRegions allowed) throws RefusalException {
+        if (!allowed.bound() || !mState.regions().isBinding()) {
+            return;
+        }
+        boolean hasServer =
+                route.services().stream()
+                        .flatMap(service -> mState.servers().registered(service.service()).stream())
+                        .anyMatch(s -> mState.regions().admits(s.failureDomain(), allowed));
+        if (!hasServer) {
+            throw RefusalException.notRunRetry(
+                    RefusalReason.BUSY,
+                    NO_REGION_RETRY_MILLIS,
+                    Step.ADMIT,
+                    allowed.isNone()
+                            ? "route and workspace allow no common region"
+                            : "no allowed region has a backend server");
+        }
     }
 
     private static Optional<WorkspaceDeclaration> workspace(
@@ -101,8 +141,8 @@
 
     /**
      * Checks, immediately before a request is sent, that its route still leads to the same service,
-     * its key still belongs to the same workspace, and it ends before this host if that is
-     * stopping.
+     * its key still belongs to the same workspace, the same regions are allowed, and it ends before
+     * this host if that is stopping.
      *
      * @throws RefusalException if the routing table has changed in between or this host stops, and
      *     the request may no longer run
@@ -115,7 +155,10 @@
                         .anyMatch(service -> service.service().equals(context.service()));
         boolean sameWorkspace =
                 current.workspace().map(WorkspaceDeclaration::id).equals(context.workspaceId());
-        if (!sameService || !sameWorkspace) {
+        boolean sameRegions =
+                allowedRegions(current.route(), current.workspace())
+                        .equals(context.allowedRegions());
+        if (!sameService || !sameWorkspace || !sameRegions) {
             throw RefusalException.notRunRetry(
                     RefusalReason.BUSY,
                     ROUTING_TABLE_RETRY_MILLIS,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamSilence.java
@@ -106,6 +106,12 @@
                         .stream()
                         .filter(engine -> engine.hasStage(EngineStage.DECODE))
                         .filter(engine -> !tried.contains(engine.id()))
+                        .filter(
+                                engine ->
+                                        mPool.regions()
+                                                .admits(
+                                                        engine.failureDomain(),
+                                                        context.allowedRegions()))
                         .filter(engine -> !engine.id().equals(server.id()))
                         .anyMatch(engine -> isOfVersion(context, engine));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -20,6 +20,7 @@
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.RegionMap;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.registry.SoftwareVersion;
@@ -134,6 +135,11 @@
         return mServers.usable(service, nowNanos);
     }
 
+    @Override
+    public RegionMap regions() {
+        return mServers.regions();
+    }
+
     @Override
     public EngineCapacity capacity(ServiceId service) {
         return mTable.flatMap(table -> table.service(service))
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.entry.gateway.fleet.Coordination;
 import org.fuchsiaford.entry.gateway.fleet.CoordinatorCalls;
 import org.fuchsiaford.entry.gateway.fleet.OriginTracker;
@@ -20,6 +21,7 @@
 import org.fuchsiaford.peer.PeerException;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.peer.message.PeerMessage.EnginesResponse;
+import org.fuchsiaford.registry.EvacuatedDomains;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.registry.SoftwareVersion;
@@ -54,7 +56,8 @@
         mState =
                 new GatewayState(
                         new FakeGatewayFleet.Decoder(),
-                        new ServerRegistry(),
+                        new ServerRegistry(
+                                new EvacuatedDomains(ended -> {}), FakeGatewayFleet.REGIONS),
                         mView,
                         log,
                         fleet.time(),
@@ -139,6 +142,12 @@
 
     /** Acquires an engine as a request does, and releases it at once. */
     Mono<LiveServer> acquire(RequestId request, Optional<SoftwareVersion> version) {
+        return acquire(request, version, List.of());
+    }
+
+    /** Acquires an engine in one of the regions, or any if there are none. */
+    Mono<LiveServer> acquire(
+            RequestId request, Optional<SoftwareVersion> version, List<RegionId> allowedRegions) {
         CoordinatorCalls calls = mCoordination.calls();
         PeerMessage.AcquireEngines message =
                 new PeerMessage.AcquireEngines(
@@ -156,7 +165,7 @@
                         3_600,
                         14_000,
                         false,
-                        RequestAttributes.NONE);
+                        new RequestAttributes(null, null, 0, allowedRegions));
         EngineEvent completed = EngineEvent.of(EngineEvent.Kind.COMPLETED, request, 0);
         Mono<PeerMessage> response =
                 calls.remoteCoordinator()
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGatewayFleet.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGatewayFleet.java
@@ -12,10 +12,12 @@
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.entry.gateway.protocol.StateDecoder;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.registry.EngineStage;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.RegionMap;
 import org.fuchsiaford.registry.ServerAddress;
 import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.routing.EngineCapacity;
@@ -34,6 +36,17 @@
 final class FakeGatewayFleet implements AutoCloseable {
     static final ServiceId SERVICE = new ServiceId("llm");
 
+    /** The regions of the failure domains; others have none that is known. */
+    static final RegionMap REGIONS =
+            new RegionMap(
+                    Map.of(
+                            new FailureDomainId("d0"),
+                            new RegionId("r1"),
+                            new FailureDomainId("d1"),
+                            new RegionId("r2"),
+                            new FailureDomainId("d2"),
+                            new RegionId("r2")));
+
     private static final int DOMAINS = 3;
     private static final int SEATS_PER_ENGINE = 64;
     private static final String TABLE_KEY = "op/config";
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FleetEvacuationTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FleetEvacuationTest.java
@@ -38,19 +38,6 @@
     /** By how much the bound is longer for hosts that are cut off from the store. */
     private static final long MAX_SKEW_MILLIS = 6_000;
 
-    /** Begins before the evacuation and goes on until after its end. */
-    enum Trouble {
-        NONE,
-        STORE_REFUSES_ONE_HOST,
-        STORE_REFUSES_ALL_COORDINATORS,
-        STORE_REFUSES_ALL_HOSTS_BUT_ONE,
-        HOSTS_CUT_IN_TWO,
-        HOSTS_CUT_IN_TWO_AND_STORE_REFUSES_SOME,
-        ONE_HOST_CUT_OFF_FROM_ALL_HOSTS,
-        MESSAGES_LOST,
-        ALL_HOSTS_KILLED_BEFORE
-    }
-
     private FakeGatewayFleet mFleet;
     private Random mRandom;
     private long mNowMillis;
@@ -64,7 +51,7 @@
     private int mSentAway;
     private int mSentElsewhere;
 
-    private void run(int hosts, Trouble trouble, long seed) {
+    private void run(int hosts, FleetTrouble trouble, long seed) {
         mRandom = new Random(seed);
         mRefused.clear();
         mLateSends.clear();
@@ -79,7 +66,7 @@
             fleet.addresses().forEach(fleet::start);
             for (mNowMillis = 0; mNowMillis < END_MILLIS; mNowMillis += STEP_MILLIS) {
                 if (mNowMillis == TROUBLE_MILLIS) {
-                    begin(trouble);
+                    mRefused.addAll(trouble.begin(fleet));
                 }
                 if (mNowMillis == EVACUATION_MILLIS) {
                     fleet.evacuate(EVACUATED);
@@ -99,44 +86,6 @@
                 .isGreaterThan(EVACUATION_END_MILLIS);
     }
 
-    private void begin(Trouble trouble) {
-        List<String> addresses = mFleet.addresses();
-        List<String> third = addresses.subList(0, addresses.size() / 3);
-        switch (trouble) {
-            case NONE -> {}
-            case STORE_REFUSES_ONE_HOST -> refuse(addresses.subList(0, 1));
-            case STORE_REFUSES_ALL_COORDINATORS ->
-                    refuse(
-                            mFleet.hosts().stream()
-                                    .filter(FakeGateway::isCoordinator)
-                                    .map(FakeGateway::address)
-                                    .toList());
-            case STORE_REFUSES_ALL_HOSTS_BUT_ONE -> refuse(addresses.subList(1, addresses.size()));
-            case HOSTS_CUT_IN_TWO -> cutFromOthers(third);
-            case HOSTS_CUT_IN_TWO_AND_STORE_REFUSES_SOME -> {
-                cutFromOthers(third);
-                refuse(addresses.subList(1, addresses.size() / 2));
-            }
-            case ONE_HOST_CUT_OFF_FROM_ALL_HOSTS -> cutFromOthers(addresses.subList(0, 1));
-            case MESSAGES_LOST -> mFleet.network().setFaultRate(0.1);
-            case ALL_HOSTS_KILLED_BEFORE -> {
-                addresses.forEach(mFleet::kill);
-                addresses.forEach(mFleet::start);
-            }
-        }
-    }
-
-    private void refuse(List<String> addresses) {
-        mRefused.addAll(addresses);
-        addresses.forEach(address -> mFleet.network().cut(address, FakeNetwork.STORE));
-    }
-
-    private void cutFromOthers(List<String> group) {
-        mFleet.addresses().stream()
-                .filter(other -> !group.contains(other))
-                .forEach(other -> group.forEach(a -> mFleet.network().cut(a, other)));
-    }
-
     /** Sends a request from the first host and from a random one. */
     private void sendRequests(int hosts) {
         if (mNowMillis >= 3_000) {
@@ -168,23 +117,23 @@
 
     @Property(tries = 27, seed = "61", shrinking = ShrinkingMode.OFF)
     void sixHostsLeaveAnEvacuatedDomainInTimeAndReturnToIt(
-            @ForAll Trouble trouble, @ForAll @IntRange(min = 1, max = 1_000) int seed) {
+            @ForAll FleetTrouble trouble, @ForAll @IntRange(min = 1, max = 1_000) int seed) {
         run(6, trouble, seed);
     }
 
     @Property(tries = 9, seed = "62", shrinking = ShrinkingMode.OFF)
     void ninetyFiveHostsLeaveAnEvacuatedDomainInTimeAndReturnToIt(
-            @ForAll("troubles") Trouble trouble) {
+            @ForAll("troubles") FleetTrouble trouble) {
         run(95, trouble, 95);
     }
 
     @Provide
-    Arbitrary<Trouble> troubles() {
-        return Arbitraries.of(Trouble.class);
+    Arbitrary<FleetTrouble> troubles() {
+        return Arbitraries.of(FleetTrouble.class);
     }
 
     @Example
     void threeHundredNinetyHostsLeaveAnEvacuatedDomainInTimeAndReturnToIt() {
-        run(390, Trouble.HOSTS_CUT_IN_TWO_AND_STORE_REFUSES_SOME, 390);
+        run(390, FleetTrouble.HOSTS_CUT_IN_TWO_AND_STORE_REFUSES_SOME, 390);
     }
 }
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/state/GatewayStateTest.java
@@ -17,6 +17,7 @@
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.registry.EvacuatedDomains;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.registry.RegionMap;
 import org.fuchsiaford.registry.ServerAddress;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.registry.SoftwareVersion;
@@ -44,7 +45,7 @@
     private final GatewayState mState =
             new GatewayState(
                     new RecordingDecoder(),
-                    new ServerRegistry(new EvacuatedDomains(mEnded::add)),
+                    new ServerRegistry(new EvacuatedDomains(mEnded::add), RegionMap.NONE),
                     new FleetView(
                             new HostRecord(new HostId("h"), DOMAIN, "1.1.1.1:1", "1.1.1.1:2", 1)),
                     new DecisionLog("h"),
--- a/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
@@ -7,6 +7,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import net.jqwik.api.Example;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.entry.gateway.GatewaySettings;
 import org.fuchsiaford.entry.gateway.GatewaySettingsReader;
 
@@ -19,6 +21,8 @@
         return Files.readString(Path.of("..", "deploy", "host.jsonc"))
                 .replace("{{nodeName|json}}", "\"edge-1\"")
                 .replace("{{zone|json}}", "\"z1\"")
+                .replace("{{region|json}}", "\"r1\"")
+                .replace("{{zones|json}}", "{\"z1\":\"r1\",\"z2\":\"r2\"}")
                 .replaceAll("\\{\\{listen\\.(\\w+)\\|json}}", "\"10.0.0.1:80\"")
                 .replace("{{ip}}:{{internalPorts.0}}", "10.0.0.1:7600")
                 .replace("{{seeds|json}}", "[\"10.0.0.2:90\"]")
@@ -43,6 +47,9 @@
         assertThat(settings.cores()).isEqualTo(1.5);
         assertThat(settings.limitWindowMillis()).isEqualTo(8_000);
         assertThat(settings.seedPeers()).hasSize(1);
+        assertThat(settings.region()).contains(new RegionId("r1"));
+        assertThat(settings.regions().regionOf(new FailureDomainId("z2")))
+                .contains(new RegionId("r2"));
         assertThat(GatewaySettingsReader.isFor(renderedTemplate())).isTrue();
     }
 
@@ -58,6 +65,45 @@
                 .hasMessageContaining("maxResponseBytes");
     }
 
+    private static String withRegions(String region, String domains) throws IOException {
+        return renderedTemplate()
+                .replace("\"r1\",\n", region + ",\n")
+                .replace("{\"z1\":\"r1\",\"z2\":\"r2\"}", domains);
+    }
+
+    /** Guards against settings by which a server may be taken for one in another region. */
+    @Example
+    void regionsThatContradictEachOtherOrAreNoNamesAreRejected()
+            throws IOException, SettingsException {
+        GatewaySettingsReader reader = new GatewaySettingsReader();
+        assertThat(reader.read(withRegions("\"r1\"", "{}")).regions().regions())
+                .containsOnlyKeys(new FailureDomainId("z1"));
+        for (String text :
+                new String[] {
+                    withRegions("\"r2\"", "{\"z1\":\"r1\"}"),
+                    withRegions("\"\"", "{}"),
+                    withRegions("\"r1\"", "{\"z1\":\"\"}"),
+                    withRegions("\"r1\"", "{\"z1\":3}"),
+                    withRegions("\"r1\"", "[]")
+                }) {
+            assertThatThrownBy(() -> reader.read(text))
+                    .isInstanceOf(SettingsException.class)
+                    .hasMessageContaining("egion");
+        }
+    }
+
+    /** Guards against settings files of former builds that are no longer accepted. */
+    @Example
+    void withoutRegionsNothingIsBound() throws IOException, SettingsException {
+        String without =
+                renderedTemplate()
+                        .replaceAll("\"region\": .*\n", "")
+                        .replaceAll("\"failureDomainRegions\": .*\n", "");
+        GatewaySettings settings = new GatewaySettingsReader().read(without);
+        assertThat(settings.region()).isEmpty();
+        assertThat(settings.regions().isBinding()).isFalse();
+    }
+
     private static String withOrderLease(String replacement) throws IOException {
         return renderedTemplate().replace("\"orderLeaseSeconds\": 3", replacement);
     }
