Serve waiting model requests fairly by kind, workspace, domain and size

The queue of a service ordered requests that can meet their target by priority and then arrival, and estimated the wait of each by everything queued. In a burst at twice the capacity the least urgent kinds were hardly served, one workspace at many times its usual load pushed the others out, and the head of the queue stopped all requests until an engine had room for it.

EngineQueue now takes turns between kinds (route and priority) with FairQueue, weighted by urgency (up to 3) and by what the kind asks for inside the shares of its workspaces. Within a kind, those of a workspace, failure domain or size that is behind go first, then those that must start first, where a longer prompt must start earlier. A workspace beyond its share, weighted by its rate limit, goes after all others, except for a floor. A request that is too large for the free KV cache of every engine has one kept for it while smaller ones use the others. The wait is estimated by what is ahead in this order. Without a queue, requests are granted engines as before.

--- a/core/src/main/java/org/fuchsiaford/fairness/FairQueue.java
+++ b/core/src/main/java/org/fuchsiaford/fairness/FairQueue.java
@@ -1,7 +1,6 @@
 package org.fuchsiaford.fairness;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -68,9 +67,21 @@
 
     /** Returns the first item of each flow, in the order in which to serve them. */
     public List<T> heads() {
+        return heads(item -> true);
+    }
+
+    /**
+     * Returns the first item of each flow that is accepted, in the order in which to serve them.
+     */
+    public List<T> heads(Predicate<T> isAccepted) {
         return mFlows.values().stream()
-                .filter(flow -> !flow.mItems.isEmpty())
-                .map(flow -> new Head<>(flow.mVirtualTime, Collections.min(flow.mItems, mOrder)))
+                .flatMap(
+                        flow ->
+                                flow.mItems.stream()
+                                        .filter(isAccepted)
+                                        .min(mOrder)
+                                        .map(item -> new Head<>(flow.mVirtualTime, item))
+                                        .stream())
                 .sorted(
                         Comparator.comparingDouble((Head<T> head) -> head.virtualTime)
                                 .thenComparing(head -> head.item, mOrder))
--- a/core/src/main/java/org/fuchsiaford/fairness/ShareMeter.java
+++ b/core/src/main/java/org/fuchsiaford/fairness/ShareMeter.java
@@ -11,12 +11,14 @@
  * thread-safe.
  */
 public final class ShareMeter<K> {
-    private static final double SHARE_TOLERANCE = 1.1;
     private static final double MIN_TRACKED_TOKENS = 1;
 
     private final Map<K, Usage> mUsages = new HashMap<>();
     private final double mDecayNanos;
+    private final double mTolerance;
     private long mLastDecayNanos;
+    private double mTotalTokens;
+    private double mTotalWeight;
 
     private static final class Usage {
         private double mTokens;
@@ -27,9 +29,11 @@
      * Creates a meter without usage.
      *
      * @param decayNanos the time in which a sum falls to 1/e
+     * @param tolerance the multiple of its share up to which an account counts as within it
      */
-    public ShareMeter(long decayNanos) {
+    public ShareMeter(long decayNanos, double tolerance) {
         mDecayNanos = decayNanos;
+        mTolerance = tolerance;
     }
 
     /** Adds the tokens of a request to an account with the given positive weight. */
@@ -37,6 +41,8 @@
         decay(nowNanos);
         Usage usage = mUsages.computeIfAbsent(account, id -> new Usage());
         usage.mTokens += tokens;
+        mTotalTokens += tokens;
+        mTotalWeight += weight - usage.mWeight;
         usage.mWeight = weight;
     }
 
@@ -52,9 +58,7 @@
         if (own == null || mUsages.size() == 1) {
             return 1;
         }
-        double tokens = mUsages.values().stream().mapToDouble(usage -> usage.mTokens).sum();
-        double weight = mUsages.values().stream().mapToDouble(usage -> usage.mWeight).sum();
-        double shareTokens = SHARE_TOLERANCE * own.mWeight / weight * tokens;
+        double shareTokens = mTolerance * own.mWeight / mTotalWeight * mTotalTokens;
         return Math.min(shareTokens / own.mTokens, 1);
     }
 
@@ -73,5 +77,7 @@
         double factor = Math.exp(-elapsedNanos / mDecayNanos);
         mUsages.values().forEach(usage -> usage.mTokens *= factor);
         mUsages.values().removeIf(usage -> usage.mTokens < MIN_TRACKED_TOKENS);
+        mTotalTokens = mUsages.values().stream().mapToDouble(usage -> usage.mTokens).sum();
+        mTotalWeight = mUsages.values().stream().mapToDouble(usage -> usage.mWeight).sum();
     }
 }
--- a/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/placement/PoolScheduler.java
@@ -57,11 +57,14 @@
     /** Time in which the recent usage of a workspace falls to 1/e. */
     private static final long USAGE_DECAY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    private static final double SHARE_TOLERANCE = 1.1;
+
     private static final Comparator<QueuedPlacementRequest> EARLIEST_DEADLINE_FIRST =
             Comparator.comparingLong(QueuedPlacementRequest::deadlineNanos);
 
     private final PoolEngines mEngines;
-    private final ShareMeter<WorkspaceId> mShares = new ShareMeter<>(USAGE_DECAY_NANOS);
+    private final ShareMeter<WorkspaceId> mShares =
+            new ShareMeter<>(USAGE_DECAY_NANOS, SHARE_TOLERANCE);
     private final FairQueue<WorkspaceId, QueuedPlacementRequest> mOnTimeQueue =
             new FairQueue<>(EARLIEST_DEADLINE_FIRST);
     private final FairQueue<WorkspaceId, QueuedPlacementRequest> mLateQueue =
--- a/core/src/main/java/org/fuchsiaford/routing/RoutingTable.java
+++ b/core/src/main/java/org/fuchsiaford/routing/RoutingTable.java
@@ -22,6 +22,7 @@
     private final Map<ServiceId, ServiceDeclaration> mServices;
     private final Map<KeyHash, WorkspaceDeclaration> mWorkspacesByKey;
     private final Map<WorkspaceId, WorkspaceDeclaration> mWorkspaces;
+    private final double mMeanTokensPerSecond;
 
     /**
      * Creates a table.
@@ -40,6 +41,12 @@
         mLimits = limits;
         mServices = byId(services, ServiceDeclaration::id);
         mWorkspaces = byId(workspaces, WorkspaceDeclaration::id);
+        mMeanTokensPerSecond =
+                workspaces.stream()
+                        .filter(workspace -> workspace.quota().isLimited())
+                        .mapToLong(workspace -> workspace.quota().tokensPerSecond())
+                        .average()
+                        .orElse(1);
         mRoutesByVirtualHost =
                 routes.stream()
                         .sorted(longestPrefixFirst())
@@ -106,6 +113,18 @@
         return Optional.ofNullable(mWorkspaces.get(id));
     }
 
+    /**
+     * Returns the weight of a workspace where capacity is scarce: its rate limit relative to the
+     * mean; 1 if it has none.
+     */
+    public double weight(WorkspaceId id) {
+        return workspace(id)
+                .map(WorkspaceDeclaration::quota)
+                .filter(TokenQuota::isLimited)
+                .map(quota -> quota.tokensPerSecond() / mMeanTokensPerSecond)
+                .orElse(1.0);
+    }
+
     /** Returns whether any workspace is declared; without workspaces, no request needs a key. */
     public boolean hasWorkspaces() {
         return !mWorkspaces.isEmpty();
--- a/core/src/main/java/org/fuchsiaford/selection/AvailableEngines.java
+++ b/core/src/main/java/org/fuchsiaford/selection/AvailableEngines.java
@@ -8,6 +8,7 @@
 import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.stream.ServedVersions;
+import org.fuchsiaford.workspace.WorkspaceId;
 
 /**
  * The engines of a pool that may be sent requests: those whose software version is recorded, as far
@@ -38,6 +39,11 @@
         return mVersions.admitted(service, mPool.usable(service, nowNanos));
     }
 
+    /** Returns the weight of the workspace of a request, if it has one. */
+    double weight(Optional<WorkspaceId> workspace) {
+        return workspace.map(mPool::weight).orElse(1.0);
+    }
+
     /** Takes a permit for each engine of a plan. */
     void acquire(EnginePlan plan, long nowNanos) {
         mLimiter.acquire(plan.decode().run(), nowNanos);
--- a/core/src/main/java/org/fuchsiaford/selection/EngineAnswer.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineAnswer.java
@@ -1,5 +1,7 @@
 package org.fuchsiaford.selection;
 
+import org.fuchsiaford.fairness.FairAccounts;
+
 /** The answer to a request for engines. All are immutable. */
 public sealed interface EngineAnswer {
     /**
@@ -14,9 +16,11 @@
      * The request waits for capacity.
      *
      * @param queuedTokens the tokens queued for its service that can still meet their target
+     * @param rank its place among the requests of its kind
      * @param waitMillis the estimated wait, in milliseconds
      */
-    record Waiting(long queuedTokens, long waitMillis) implements EngineAnswer {}
+    record Waiting(long queuedTokens, FairAccounts.Rank rank, long waitMillis)
+            implements EngineAnswer {}
 
     /**
      * The request cannot be served in time.
--- a/core/src/main/java/org/fuchsiaford/selection/EnginePool.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePool.java
@@ -4,6 +4,7 @@
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.EngineCapacity;
+import org.fuchsiaford.workspace.WorkspaceId;
 
 /** The engines of each service. Implementations are thread-safe. */
 public interface EnginePool {
@@ -12,4 +13,9 @@
 
     /** Returns the capacity of each engine of a service; unlimited if none is declared. */
     EngineCapacity capacity(ServiceId service);
+
+    /** Returns the positive weight of a workspace relative to others, where engines are scarce. */
+    default double weight(WorkspaceId workspace) {
+        return 1;
+    }
 }
--- a/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
@@ -6,6 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.fuchsiaford.fairness.Claim;
+import org.fuchsiaford.fairness.FairAccounts;
+import org.fuchsiaford.fairness.FairQueue;
+import org.fuchsiaford.fairness.Kind;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
 
@@ -13,10 +20,12 @@
  * Queue of model requests that wait for capacity on a decode engine.
  *
  * <p>Load pattern: bursts of a few seconds at twice the capacity of the engines. Requests that can
- * still meet their latency target go first, by priority and then by arrival, so that a burst does
- * not delay every request beyond its target. Late requests are served once no request that can meet
- * its target is queued at any host. The size of a request does not affect its position, so large
- * requests are not starved. Invariant: each request leaves the queue exactly once. Thread-safe.
+ * still meet their latency target go first, so that a burst does not delay every request beyond its
+ * target; late requests are served once no request that can meet its target is queued at any host.
+ * Among either, kinds of request take turns by {@link FairAccounts}, and within a kind those go
+ * first whose workspace, failure domain or size is behind, and then those that must start first,
+ * where a longer prompt must start earlier because it takes longer to read. Invariant: each request
+ * leaves the queue exactly once. Thread-safe.
  */
 public final class EngineQueue {
     /** Weight of the newest sample in the moving averages. */
@@ -45,21 +54,37 @@
      */
     private static final long INITIAL_FIRST_EVENT_NANOS = 300_000_000L;
 
+    /** Reading time per prompt token until one is observed, as of a prefill engine. */
+    private static final double INITIAL_NANOS_PER_PROMPT_TOKEN = 20_000;
+
     /** Mean deviations above the mean that cover about 90% of the times to the first event. */
     private static final int FIRST_EVENT_DEVIATIONS = 2;
 
+    /** Time for which the ranks of queued requests are kept; bounds the work of an overload. */
+    private static final long RANK_INTERVAL_NANOS = 20_000_000L;
+
+    private static final Comparator<Entry> ORDER =
+            Comparator.comparingInt((Entry entry) -> entry.flow().priority())
+                    .thenComparing(entry -> entry.mRank)
+                    .thenComparingDouble(entry -> entry.mLatestStartNanos);
+
     private final Map<RequestId, QueuedRequest> mQueued = new LinkedHashMap<>();
+    private final FairAccounts mAccounts = new FairAccounts();
+    private final FairQueue<Kind, Entry> mOnTime = new FairQueue<>(ORDER);
+    private final FairQueue<Kind, Entry> mLate = new FairQueue<>(ORDER);
+    private long mRankedNanos;
     private double mMeanRunNanos = INITIAL_RUN_NANOS;
     private double mNanosPerToken = INITIAL_NANOS_PER_TOKEN;
     private double mMeanFirstEventNanos = INITIAL_FIRST_EVENT_NANOS;
     private double mFirstEventDeviationNanos;
+    private double mNanosPerPromptToken = INITIAL_NANOS_PER_PROMPT_TOKEN;
 
     /**
      * A queued request. Times are on the monotonic clock.
      *
      * @param request the id of the request
      * @param tokens its token counts
-     * @param priority its priority; zero is the highest
+     * @param claim on whose account it asks
      * @param arrivedNanos when it arrived
      * @param targetStartNanos latest start that still meets the latency target
      * @param firstEventDeadlineNanos latest first event that is still of use to the caller
@@ -67,11 +92,59 @@
     public record QueuedRequest(
             RequestId request,
             TokenCounts tokens,
-            int priority,
+            Claim claim,
             long arrivedNanos,
             long targetStartNanos,
             long firstEventDeadlineNanos) {}
 
+    /** A request in the order of its kind. */
+    private static final class Entry implements FairQueue.Item<Kind> {
+        private final QueuedRequest mQueued;
+        private final double mWeight;
+        private final double mLatestStartNanos;
+        private FairAccounts.Rank mRank;
+
+        Entry(QueuedRequest queued, double weight, double latestStartNanos) {
+            mQueued = queued;
+            mWeight = weight;
+            mLatestStartNanos = latestStartNanos;
+        }
+
+        @Override
+        public Kind flow() {
+            return mQueued.claim().kind();
+        }
+
+        @Override
+        public double weight() {
+            return mWeight;
+        }
+
+        @Override
+        public long tokens() {
+            return mQueued.claim().tokens();
+        }
+
+        @Override
+        public long cost() {
+            return mQueued.tokens().plannedKvTokens();
+        }
+
+        boolean isWithinShare() {
+            return mRank != FairAccounts.Rank.OVER_SHARE;
+        }
+    }
+
+    /** Records that a request asks for engines, or asks again after a refusal. */
+    public synchronized void recordAsked(Claim claim, long nowNanos) {
+        mAccounts.recordAsked(claim, nowNanos);
+    }
+
+    /** Records that a request is granted engines. */
+    public synchronized void recordServed(Claim claim, long nowNanos) {
+        mAccounts.recordServed(claim, nowNanos);
+    }
+
     /** Records the duration of a complete run, from the grant of capacity to the end. */
     public synchronized void observeRunDuration(TokenCounts tokens, long durationNanos) {
         mMeanRunNanos += (durationNanos - mMeanRunNanos) * SMOOTHING_FACTOR;
@@ -85,7 +158,9 @@
     }
 
     /** Records the time from the grant of capacity to the first event. */
-    public synchronized void observeTimeToFirstEvent(long durationNanos) {
+    public synchronized void observeTimeToFirstEvent(long promptTokens, long durationNanos) {
+        double perToken = (double) durationNanos / Math.max(1, promptTokens);
+        mNanosPerPromptToken += (perToken - mNanosPerPromptToken) * SMOOTHING_FACTOR;
         double deviation = Math.abs(durationNanos - mMeanFirstEventNanos);
         mFirstEventDeviationNanos += (deviation - mFirstEventDeviationNanos) * SMOOTHING_FACTOR;
         mMeanFirstEventNanos += (durationNanos - mMeanFirstEventNanos) * SMOOTHING_FACTOR;
@@ -99,14 +174,45 @@
         return (long) mMeanRunNanos;
     }
 
+    /** Returns the place of a request among those of its kind. */
+    public synchronized FairAccounts.Rank rank(Claim claim) {
+        return mAccounts.rank(claim);
+    }
+
     /** Adds a request. */
     public synchronized void add(QueuedRequest queued) {
         mQueued.put(queued.request(), queued);
+        mOnTime.add(entry(queued));
     }
 
-    /** Removes a request. Returns whether it was still queued. */
+    private Entry entry(QueuedRequest queued) {
+        double readNanos = mNanosPerPromptToken * queued.tokens().promptTokens();
+        Entry entry =
+                new Entry(
+                        queued,
+                        mAccounts.weight(queued.claim().kind()),
+                        queued.targetStartNanos() - readNanos);
+        entry.mRank = mAccounts.rank(queued.claim());
+        return entry;
+    }
+
+    /** Removes a request that is not served. Returns whether it was still queued. */
     public synchronized boolean remove(RequestId request) {
-        return mQueued.remove(request) != null;
+        QueuedRequest queued = mQueued.remove(request);
+        find(mOnTime, queued).ifPresent(mOnTime::remove);
+        find(mLate, queued).ifPresent(mLate::remove);
+        return queued != null;
+    }
+
+    /** Removes a request that is granted engines and charges it to its kind. */
+    public synchronized void serve(RequestId request) {
+        QueuedRequest queued = mQueued.remove(request);
+        find(mOnTime, queued).ifPresent(mOnTime::serve);
+        find(mLate, queued).ifPresent(mLate::serve);
+    }
+
+    private static Optional<Entry> find(FairQueue<Kind, Entry> queue, QueuedRequest queued) {
+        return queue.all().stream().filter(entry -> entry.mQueued == queued).findFirst();
     }
 
     /** Returns the number of queued requests. */
@@ -127,6 +233,28 @@
                 .sum();
     }
 
+    /**
+     * Returns the planned tokens of the requests that would be served before a new one or, if it is
+     * queued, before this one.
+     */
+    public synchronized long tokensAhead(QueuedRequest queued, long nowNanos) {
+        postponeLate(nowNanos);
+        Entry entry = entry(queued);
+        return entry.isWithinShare()
+                ? mOnTime.costAhead(entry, other -> ORDER.compare(other, entry) < 0)
+                : mOnTime.totalCost();
+    }
+
+    private void postponeLate(long nowNanos) {
+        mOnTime.all().stream()
+                .filter(entry -> !canMeetTarget(entry.mQueued, nowNanos))
+                .forEach(
+                        entry -> {
+                            mOnTime.remove(entry);
+                            mLate.add(entry);
+                        });
+    }
+
     /**
      * Returns the request to serve next, without removing it.
      *
@@ -134,12 +262,33 @@
      *     hosts; if so, no late request is returned, so that the capacity is left to them
      */
     public synchronized Optional<QueuedRequest> next(boolean othersOnTime, long nowNanos) {
-        Comparator<QueuedRequest> late = Comparator.comparing(q -> !canMeetTarget(q, nowNanos));
-        return mQueued.values().stream()
-                .filter(queued -> !othersOnTime || canMeetTarget(queued, nowNanos))
-                .min(
-                        late.thenComparingInt(QueuedRequest::priority)
-                                .thenComparingLong(QueuedRequest::arrivedNanos));
+        return next(Set.of(), othersOnTime, nowNanos);
+    }
+
+    /**
+     * Returns the request to serve next, without removing it.
+     *
+     * @param blocked the requests that have to wait; if one of them can meet its target, no late
+     *     request is returned
+     */
+    synchronized Optional<QueuedRequest> next(
+            Set<RequestId> blocked, boolean othersOnTime, long nowNanos) {
+        postponeLate(nowNanos);
+        updateRanks(nowNanos);
+        FairQueue<Kind, Entry> queue = mOnTime.isEmpty() && !othersOnTime ? mLate : mOnTime;
+        Predicate<Entry> isFree = entry -> !blocked.contains(entry.mQueued.request());
+        return Stream.of(isFree.and(Entry::isWithinShare), isFree)
+                .flatMap(isAccepted -> queue.heads(isAccepted).stream())
+                .findFirst()
+                .map(entry -> entry.mQueued);
+    }
+
+    private void updateRanks(long nowNanos) {
+        if (nowNanos - mRankedNanos >= RANK_INTERVAL_NANOS) {
+            mRankedNanos = nowNanos;
+            Stream.concat(mOnTime.all().stream(), mLate.all().stream())
+                    .forEach(entry -> entry.mRank = mAccounts.rank(entry.mQueued.claim()));
+        }
     }
 
     private static boolean canMeetTarget(QueuedRequest queued, long nowNanos) {
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -123,8 +123,11 @@
         if (quarantineNanos > 0) {
             return refuseQuarantined(request, quarantineNanos);
         }
+        mWaits.queue(request).recordAsked(mWaits.claim(request), nowNanos);
         Optional<EngineAnswer.Granted> grant =
-                mWaits.queue(request).isEmpty() ? tryGrant(request, nowNanos) : Optional.empty();
+                mWaits.queue(request).isEmpty()
+                        ? tryGrant(request, eligible(request, nowNanos), nowNanos)
+                        : Optional.empty();
         return grant.isPresent() ? grant.get() : enqueue(request, nowNanos);
     }
 
@@ -221,16 +224,29 @@
         long othersTokens = version.isPresent() ? 0 : mWaits.othersOnTimeTokens(service);
         queue.unservable(othersTokens, mEngines.kvCacheTokens(service, version, nowNanos), nowNanos)
                 .forEach(queued -> answers.add(refuseQueued(queue, queued, nowNanos)));
-        Optional<EngineQueue.QueuedRequest> next = queue.next(othersTokens > 0, nowNanos);
+        grant(queue, othersTokens > 0, answers, nowNanos);
+    }
+
+    private void grant(
+            EngineQueue queue, boolean othersOnTime, List<EngineAnswer> answers, long nowNanos) {
+        EngineRoom room = new EngineRoom(mLoads);
+        Optional<EngineQueue.QueuedRequest> next =
+                queue.next(room.blocked(), othersOnTime, nowNanos);
         while (next.isPresent()) {
-            RequestId id = next.get().request();
-            Optional<EngineAnswer.Granted> grant = tryGrant(mQueued.get(id).mRequest, nowNanos);
-            if (grant.isEmpty()) {
-                return;
+            EngineRequest request = mQueued.get(next.get().request()).mRequest;
+            EngineCapacity capacity = mPool.capacity(request.service());
+            List<LiveServer> engines = eligible(request, nowNanos);
+            if (!room.keepFor(request, engines, capacity)) {
+                Optional<EngineAnswer.Granted> grant =
+                        tryGrant(request, room.free(engines), nowNanos);
+                if (grant.isEmpty()) {
+                    return;
+                }
+                mQueued.remove(request.request());
+                queue.serve(request.request());
+                answers.add(grant.get());
             }
-            cancel(id);
-            answers.add(grant.get());
-            next = queue.next(othersTokens > 0, nowNanos);
+            next = queue.next(room.blocked(), othersOnTime, nowNanos);
         }
     }
 
@@ -238,9 +254,10 @@
             EngineQueue queue, EngineQueue.QueuedRequest queued, long nowNanos) {
         EngineRequest request = mQueued.remove(queued.request()).mRequest;
         queue.remove(queued.request());
+        long waitNanos = mWaits.estimateWaitNanos(request, nowNanos);
         return new EngineAnswer.Refused(
                 request,
-                mWaits.busyRetryMillis(request, 0, nowNanos),
+                mWaits.busyRetryMillis(request, waitNanos, nowNanos),
                 "no engine had free capacity in time");
     }
 
@@ -294,7 +311,8 @@
         if (held != null) {
             held.reservation().endPrefillBacklog();
             held.recordFirstEvent(nowNanos);
-            mWaits.queue(held.request()).observeTimeToFirstEvent(durationNanos);
+            mWaits.queue(held.request())
+                    .observeTimeToFirstEvent(held.request().tokens().promptTokens(), durationNanos);
         }
     }
 
@@ -405,18 +423,19 @@
     private EngineAnswer.Waiting waiting(EngineRequest request, long waitNanos, long nowNanos) {
         return new EngineAnswer.Waiting(
                 mWaits.queue(request).onTimeTokens(nowNanos),
+                mWaits.queue(request).rank(mWaits.claim(request)),
                 TimeUnit.NANOSECONDS.toMillis(waitNanos));
     }
 
-    private Optional<EngineAnswer.Granted> tryGrant(EngineRequest request, long nowNanos) {
-        EngineCapacity capacity = mPool.capacity(request.service());
-        List<LiveServer> engines = mEngines.availableNow(request.service(), nowNanos);
-        return mPlanner.plan(eligible(engines, request), request, capacity, nowNanos)
+    private Optional<EngineAnswer.Granted> tryGrant(
+            EngineRequest request, List<LiveServer> engines, long nowNanos) {
+        return mPlanner.plan(engines, request, mPool.capacity(request.service()), nowNanos)
                 .map(plan -> grant(request, plan, nowNanos));
     }
 
     /** Leaves the engines out whose room queued requests need that can go on nowhere else. */
-    private List<LiveServer> eligible(List<LiveServer> engines, EngineRequest request) {
+    private List<LiveServer> eligible(EngineRequest request, long nowNanos) {
+        List<LiveServer> engines = mEngines.availableNow(request.service(), nowNanos);
         if (request.version().isPresent()) {
             return engines;
         }
@@ -436,6 +455,7 @@
         EngineAnswer.Granted grant = new EngineAnswer.Granted(request, plan, nowNanos);
         mEngines.acquire(plan, nowNanos);
         mQuarantine.recordPlaced(nowNanos);
+        mWaits.queue(request).recordServed(mWaits.claim(request), nowNanos);
         mHeld.put(request.request(), new HeldGrant(grant, reservation, prefillWasIdle));
         return grant;
     }
--- a/core/src/main/java/org/fuchsiaford/selection/EngineWaits.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineWaits.java
@@ -1,9 +1,12 @@
 package org.fuchsiaford.selection;
 
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToLongFunction;
 import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.fairness.Claim;
+import org.fuchsiaford.fairness.Kind;
 
 /**
  * Estimates how long requests for engines wait, and when those that are refused should come back.
@@ -60,12 +63,23 @@
         return new EngineQueue.QueuedRequest(
                 request.request(),
                 request.tokens(),
-                request.priority(),
+                claim(request),
                 request.arrivedNanos(),
                 request.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(targetStartMillis),
                 firstEventDeadlineNanos(request));
     }
 
+    /** Returns on whose account a request asks for engines. */
+    Claim claim(EngineRequest request) {
+        RequestAttributes attributes = request.attributes();
+        return new Claim(
+                new Kind(Objects.requireNonNullElse(attributes.route(), ""), request.priority()),
+                attributes.findWorkspace(),
+                mEngines.weight(attributes.findWorkspace()),
+                request.domain(),
+                request.tokens().plannedKvTokens());
+    }
+
     /**
      * Returns the latest time for the first event: afterwards the caller abandons the stream, or
      * the run would not end before the deadline of the request. How much of a stream is left that
@@ -85,7 +99,7 @@
         ServiceId service = request.service();
         EngineQueue queue = queue(request);
         long aheadTokens =
-                queue.onTimeTokens(nowNanos)
+                queue.tokensAhead(queuedRequest(request), nowNanos)
                         + request.tokens().plannedKvTokens()
                         + (request.version().isPresent() ? 0 : othersOnTimeTokens(service));
         return Math.max(
--- a/core/src/test/java/org/fuchsiaford/routing/RoutingTableTest.java
+++ b/core/src/test/java/org/fuchsiaford/routing/RoutingTableTest.java
@@ -62,6 +62,30 @@
         assertThat(table().workspaceOfKey(KeyHash.of("Key"))).isEmpty();
     }
 
+    private static WorkspaceDeclaration workspace(String id, long tokensPerSecond) {
+        return new WorkspaceDeclaration(
+                new WorkspaceId(id),
+                List.of(),
+                OptionalInt.empty(),
+                new TokenQuota(tokensPerSecond, 1, 1));
+    }
+
+    /** A workspace without a limit must have neither no share nor all of it. */
+    @Example
+    void sharesFollowTheRateLimits() {
+        RoutingTable table =
+                new RoutingTable(
+                        1,
+                        RequestLimits.DEFAULT,
+                        List.of(),
+                        List.of(),
+                        List.of(workspace("a", 300), workspace("b", 100), workspace("c", 0)));
+        assertThat(table.weight(new WorkspaceId("a"))).isEqualTo(1.5);
+        assertThat(table.weight(new WorkspaceId("b"))).isEqualTo(0.5);
+        assertThat(table.weight(new WorkspaceId("c"))).isEqualTo(1);
+        assertThat(table.weight(new WorkspaceId("unknown"))).isEqualTo(1);
+    }
+
     @Property(seed = "7")
     void servicesAreDrawnByWeight(
             @ForAll @IntRange(min = 1, max = 100) int oldWeight,
--- a/core/src/test/java/org/fuchsiaford/selection/EngineQueueTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineQueueTest.java
@@ -8,6 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
+import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.fairness.Claim;
+import org.fuchsiaford.fairness.Kind;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
 
@@ -33,7 +36,12 @@
         return new EngineQueue.QueuedRequest(
                 new RequestId(id),
                 TOKENS,
-                priority,
+                new Claim(
+                        new Kind("route", priority),
+                        Optional.empty(),
+                        1,
+                        new FailureDomainId("here"),
+                        TOKENS.plannedKvTokens()),
                 arrivedNanos,
                 arrivedNanos + TARGET_START_DELAY_NANOS,
                 arrivedNanos + FIRST_EVENT_TIMEOUT_NANOS);
@@ -169,6 +177,7 @@
                 .forEach(
                         i ->
                                 mQueue.observeTimeToFirstEvent(
+                                        TOKENS.promptTokens(),
                                         (i % 2 == 0 ? 400 : 800) * MILLI_NANOS));
         assertThat(mQueue.unservable(0, LARGE_CAPACITY_TOKENS, 2_500 * MILLI_NANOS)).isEmpty();
         assertThat(mQueue.unservable(0, LARGE_CAPACITY_TOKENS, 2_800 * MILLI_NANOS)).hasSize(1);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/EngineDispatcher.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/EngineDispatcher.java
@@ -125,6 +125,7 @@
                     new Decision.Queued(
                             request.request().value(),
                             waiting.queuedTokens(),
+                            waiting.rank().name().toLowerCase(Locale.ROOT),
                             waiting.waitMillis()));
             mWaiting.put(request.request(), sink);
             mPoll.update(Flux.interval(POLL_INTERVAL).subscribe(tick -> dispatch()));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -36,8 +36,11 @@
     /**
      * A request is queued for engine capacity; written by the host that schedules it. The tokens
      * are those of the requests queued there that can still meet their latency target.
+     *
+     * @param rank its place among the requests of its kind: {@code behind}, {@code even} or {@code
+     *     over_share}
      */
-    record Queued(String request, long waitingTokens, long estimatedWaitMillis)
+    record Queued(String request, long waitingTokens, String rank, long estimatedWaitMillis)
             implements Decision {}
 
     /** A stage order was sent to an engine. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -33,6 +33,7 @@
 import org.fuchsiaford.store.StoreRevision;
 import org.fuchsiaford.stream.ServedVersions;
 import org.fuchsiaford.time.Ticker;
+import org.fuchsiaford.workspace.WorkspaceId;
 
 /**
  * The state that this host has read from the store: the routing table in force, the backend servers
@@ -139,6 +140,11 @@
                 .orElse(new EngineCapacity(Integer.MAX_VALUE, Long.MAX_VALUE, 0));
     }
 
+    @Override
+    public double weight(WorkspaceId workspace) {
+        return mTable.map(table -> table.weight(workspace)).orElse(1.0);
+    }
+
     /**
      * Records servers that have said they are leaving.
      *
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -66,8 +66,8 @@
                         + "'leftMillis':6,'registryRevision':7",
                 new Decision.Placed("r", "s", "v", 8, "p", 1, 2, 3, 4, 5, 6, 7));
         add(
-                "'Queued','request':'r','waitingTokens':1,'estimatedWaitMillis':2",
-                new Decision.Queued("r", 1, 2));
+                "'Queued','request':'r','waitingTokens':1,'rank':'even','estimatedWaitMillis':2",
+                new Decision.Queued("r", 1, "even", 2));
         add(
                 "'Ordered','server':'s','stage':'t','fence':1,'outcome':'o'",
                 new Decision.Ordered("s", "t", 1, "o"));
