--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -124,8 +124,11 @@
         if (quarantineNanos > 0) {
             return refuseQuarantined(request, quarantineNanos);
         }
+        mWaits.queue(request).recordAsked(mWaits.claim(request), nowNanos);
         Optional<EngineAnswer.Granted> grant =
-                isNext(request) ? tryGrant(request, nowNanos) : Optional.empty();
+                isNext(request)
+                        ? tryGrant(request, eligible(request, nowNanos), nowNanos)
+                        : Optional.empty();
         return grant.isPresent() ? grant.get() : enqueue(request, nowNanos);
     }
 
@@ -234,43 +237,51 @@
         long othersTokens = version.isPresent() ? 0 : mWaits.othersOnTimeTokens(service);
         queue.unservable(othersTokens, mEngines.kvCacheTokens(service, version, nowNanos), nowNanos)
                 .forEach(queued -> answers.add(refuseQueued(queue, queued, nowNanos)));
-        List<EngineRequest> passedOver = new ArrayList<>();
-        Optional<EngineQueue.QueuedRequest> next = queue.next(othersTokens > 0, nowNanos);
-        while (next.isPresent()) {
-            EngineRequest request = mQueued.get(next.get().request()).mRequest;
-            boolean waits = waitsForRegions(request, passedOver);
-            Optional<EngineAnswer.Granted> grant =
-                    waits ? Optional.empty() : tryGrant(request, nowNanos);
-            if (grant.isPresent()) {
-                cancel(request.request());
-                answers.add(grant.get());
-            } else if (request.attributes().allowedRegions().isEmpty()) {
-                break;
-            } else {
-                queue.remove(request.request());
-                passedOver.add(request);
-            }
-            next = queue.next(othersTokens > 0, nowNanos);
-        }
-        passedOver.forEach(request -> queue.add(mWaits.queuedRequest(request)));
+        grant(queue, othersTokens > 0, answers, nowNanos);
     }
 
     /**
      * A request without room in its regions does not hold up those for other regions, but those for
      * the same ones wait behind it.
      */
-    private static boolean waitsForRegions(EngineRequest request, List<EngineRequest> passedOver) {
-        List<RegionId> regions = request.attributes().allowedRegions();
-        return passedOver.stream().anyMatch(o -> o.attributes().allowedRegions().equals(regions));
+    private void grant(
+            EngineQueue queue, boolean othersOnTime, List<EngineAnswer> answers, long nowNanos) {
+        EngineRoom room = new EngineRoom(mLoads);
+        Set<List<RegionId>> fullRegions = new HashSet<>();
+        Optional<EngineQueue.QueuedRequest> next =
+                queue.next(room.blocked(), othersOnTime, nowNanos);
+        while (next.isPresent()) {
+            EngineRequest request = mQueued.get(next.get().request()).mRequest;
+            List<RegionId> regions = request.attributes().allowedRegions();
+            List<LiveServer> engines = eligible(request, nowNanos);
+            if (fullRegions.contains(regions)) {
+                room.passOver(request);
+            } else if (!room.keepFor(request, engines, mPool.capacity(request.service()))) {
+                Optional<EngineAnswer.Granted> grant =
+                        tryGrant(request, room.free(engines), nowNanos);
+                if (grant.isPresent()) {
+                    mQueued.remove(request.request());
+                    queue.serve(request.request());
+                    answers.add(grant.get());
+                } else if (regions.isEmpty()) {
+                    return;
+                } else {
+                    fullRegions.add(regions);
+                    room.passOver(request);
+                }
+            }
+            next = queue.next(room.blocked(), othersOnTime, nowNanos);
+        }
     }
 
     private EngineAnswer refuseQueued(
             EngineQueue queue, EngineQueue.QueuedRequest queued, long nowNanos) {
         EngineRequest request = mQueued.remove(queued.request()).mRequest;
         queue.remove(queued.request());
+        long waitNanos = mWaits.estimateWaitNanos(request, nowNanos);
         return new EngineAnswer.Refused(
                 request,
-                mWaits.busyRetryMillis(request, 0, nowNanos),
+                mWaits.busyRetryMillis(request, waitNanos, nowNanos),
                 "no engine had free capacity in time");
     }
 
@@ -324,7 +335,8 @@
         if (held != null) {
             held.reservation().endPrefillBacklog();
             held.recordFirstEvent(nowNanos);
-            mWaits.queue(held.request()).observeTimeToFirstEvent(durationNanos);
+            mWaits.queue(held.request())
+                    .observeTimeToFirstEvent(held.request().tokens().promptTokens(), durationNanos);
         }
     }
 
@@ -439,19 +451,20 @@
     private EngineAnswer.Waiting waiting(EngineRequest request, long waitNanos, long nowNanos) {
         return new EngineAnswer.Waiting(
                 mWaits.queue(request).onTimeTokens(nowNanos),
+                mWaits.queue(request).rank(mWaits.claim(request)),
                 TimeUnit.NANOSECONDS.toMillis(waitNanos));
     }
 
-    private Optional<EngineAnswer.Granted> tryGrant(EngineRequest request, long nowNanos) {
-        EngineCapacity capacity = mPool.capacity(request.service());
-        List<LiveServer> engines =
-                mEngines.admitted(mEngines.availableNow(request.service(), nowNanos), request);
-        return mPlanner.plan(eligible(engines, request), request, capacity, nowNanos)
+    private Optional<EngineAnswer.Granted> tryGrant(
+            EngineRequest request, List<LiveServer> engines, long nowNanos) {
+        return mPlanner.plan(engines, request, mPool.capacity(request.service()), nowNanos)
                 .map(plan -> grant(request, plan, nowNanos));
     }
 
     /** Leaves the engines out whose room queued requests need that can go on nowhere else. */
-    private List<LiveServer> eligible(List<LiveServer> engines, EngineRequest request) {
+    private List<LiveServer> eligible(EngineRequest request, long nowNanos) {
+        List<LiveServer> engines =
+                mEngines.admitted(mEngines.availableNow(request.service(), nowNanos), request);
         if (request.version().isPresent()) {
             return engines;
         }
@@ -471,6 +484,7 @@
         EngineAnswer.Granted grant = new EngineAnswer.Granted(request, plan, nowNanos);
         mEngines.acquire(plan, nowNanos);
         mQuarantine.recordPlaced(nowNanos);
+        mWaits.queue(request).recordServed(mWaits.claim(request), nowNanos);
         mHeld.put(request.request(), new HeldGrant(grant, reservation, prefillWasIdle));
         return grant;
     }
