Read prompts apart that would make running streams late

Cause: a prompt was left to a decode engine that was not busy and quick enough for the first event of its own stream. The streams that run there make pauses while it reads, which nothing counted.

Change: StreamPauses estimates the pause from the prompts that wait at the engine and from the pauses measured of complete streams, which hosts report with their last engine event (two optional fields). EnginePlanner lets a decode engine with running streams read a prompt only if none becomes late, counts how long they then hold KV cache, chooses among prefill engines by the time of the transfer, and lets the decode engine read that makes the fewest late if no prefill engine is reachable. A prompt that no engine can read until its caller stops waiting is refused at once. Services that declare no tokens in an event, and requests without a gap target, are placed as before.

--- a/core/src/main/java/org/fuchsiaford/selection/EngineEvent.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineEvent.java
@@ -16,15 +16,28 @@
  * @param outcome the outcome of the call; null for the other kinds
  * @param durationNanos the duration of the call, of the prefill, or the time since the grant; zero
  *     if it does not matter
+ * @param gapNanos the mean time between the events of a complete stream; zero if not stated, as by
+ *     builds before this one
+ * @param longestGapNanos the longest time between its events; zero if not stated
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"kind", "request", "server", "outcome", "durationNanos"})
+@JsonPropertyOrder({
+    "kind",
+    "request",
+    "server",
+    "outcome",
+    "durationNanos",
+    "gapNanos",
+    "longestGapNanos"
+})
 public record EngineEvent(
         Kind kind,
         RequestId request,
         BackendServerId server,
         AttemptOutcome outcome,
-        long durationNanos) {
+        long durationNanos,
+        long gapNanos,
+        long longestGapNanos) {
 
     /** The kinds of events. */
     public enum Kind {
@@ -50,12 +63,29 @@
 
     /** Creates an event of a request. */
     public static EngineEvent of(Kind kind, RequestId request, long durationNanos) {
-        return new EngineEvent(kind, request, null, null, durationNanos);
+        return new EngineEvent(kind, request, null, null, durationNanos, 0, 0);
+    }
+
+    /** Creates the event that a stream is complete. */
+    public static EngineEvent completed(RequestId request, long durationNanos, StreamPace pace) {
+        return new EngineEvent(
+                Kind.COMPLETED,
+                request,
+                null,
+                null,
+                durationNanos,
+                pace.gapNanos(),
+                pace.longestGapNanos());
+    }
+
+    /** Returns how the events of a complete stream followed each other. */
+    public StreamPace pace() {
+        return new StreamPace(gapNanos, longestGapNanos);
     }
 
     /** Creates an event about a server. */
     public static EngineEvent called(
             BackendServerId server, AttemptOutcome outcome, long durationNanos) {
-        return new EngineEvent(Kind.CALLED, null, server, outcome, durationNanos);
+        return new EngineEvent(Kind.CALLED, null, server, outcome, durationNanos, 0, 0);
     }
 }
--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -1,11 +1,13 @@
 package org.fuchsiaford.selection;
 
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServiceId;
@@ -28,6 +30,11 @@
  * there then lengthens all streams of the engine, and with them the time for which they hold KV
  * cache, so prefill engines are preferred as long as they meet the target.
  *
+ * <p>Where the declaration tells how many tokens an event has, a decode engine that runs streams
+ * reads a prompt only if {@link StreamPauses} finds none that it makes late; otherwise a prefill
+ * engine reads it. If none can be reached, the decode engine reads it that makes the fewest late.
+ * The choice then also counts the time for which running streams hold KV cache longer.
+ *
  * <p>After a loss of engines, prompts can arrive faster than the remaining engines prefill them. An
  * engine with too large a backlog is not selected, so that requests wait at the hosts, where those
  * that can still meet their target go first, and not at an engine.
@@ -69,6 +76,7 @@
      */
     private static final double INITIAL_TOKENS_PER_MILLI = 40;
 
+    private static final double NANOS_PER_MILLI = 1e6;
     private static final double SPEED_SMOOTHING_FACTOR = 0.2;
     private static final double FAILURE_PENALTY = 2;
     private static final double JITTER = 0.02;
@@ -76,6 +84,7 @@
     private final LoadTracker mLoads;
     private final ServerHealth mHealth;
     private final ServerRanking mRanking;
+    private final StreamPauses mPauses = new StreamPauses();
     private final Map<ServiceId, Double> mTokensPerMilli = new HashMap<>();
 
     /**
@@ -94,15 +103,72 @@
      * other prompt waited there.
      */
     public synchronized void observePrefill(ServiceId service, long tokens, long durationNanos) {
-        double speed = tokens * 1e6 / Math.max(1, durationNanos);
+        double speed = tokens * NANOS_PER_MILLI / Math.max(1, durationNanos);
         double last = tokensPerMilli(service);
         mTokensPerMilli.put(service, last + (speed - last) * SPEED_SMOOTHING_FACTOR);
     }
 
-    private double tokensPerMilli(ServiceId service) {
+    /** Returns the prefill speed of a service in prompt tokens per millisecond. */
+    public synchronized double tokensPerMilli(ServiceId service) {
         return mTokensPerMilli.getOrDefault(service, INITIAL_TOKENS_PER_MILLI);
     }
 
+    /** Returns the pauses of the streams at the decode engines. */
+    StreamPauses pauses() {
+        return mPauses;
+    }
+
+    /** Returns whether a prompt has to be read apart from running streams like its own. */
+    boolean mustReadApart(EngineRequest request, EngineCapacity capacity) {
+        double readNanos = decodeReadNanos(request.service(), request.tokens().promptTokens());
+        return mPauses.makesLate(request, capacity, readNanos);
+    }
+
+    /**
+     * Returns whether no engine can read a prompt until its caller stops waiting for the first
+     * event; false until the speed of the engines has been observed.
+     */
+    synchronized boolean isTooLong(EngineRequest request, long nowNanos) {
+        Double speed = mTokensPerMilli.get(request.service());
+        return speed != null
+                && request.tokens().promptTokens() / speed * NANOS_PER_MILLI
+                        > request.eventDeadlineNanos() - nowNanos;
+    }
+
+    private double decodeReadNanos(ServiceId service, long tokens) {
+        return tokens * DECODE_PREFILL_SLOWDOWN / tokensPerMilli(service) * NANOS_PER_MILLI;
+    }
+
+    private double pauseNanos(LiveServer decode, EngineRequest request, EngineCapacity capacity) {
+        long tokens = mLoads.total(decode.id()).unreadTokens() + request.tokens().promptTokens();
+        return mPauses.pauseNanos(
+                request.service(), capacity, decodeReadNanos(request.service(), tokens));
+    }
+
+    /** Returns how many streams are late if a decode engine reads the prompt of a request. */
+    private int lateStreams(LiveServer decode, EngineRequest request, EngineCapacity capacity) {
+        if (!StreamPauses.areLimited(request, capacity)) {
+            return 0;
+        }
+        return mPauses.lateStreams(
+                decode.id(),
+                mLoads.total(decode.id()).requests(),
+                request,
+                pauseNanos(decode, request, capacity));
+    }
+
+    /** Records that the engines of a plan were granted, before their load is counted. */
+    void recordGrant(EngineRequest request, EnginePlan plan, EngineCapacity capacity) {
+        mPauses.add(request, plan, pauseNanos(plan.decode(), request, capacity));
+    }
+
+    /** Records how the events of a complete stream followed each other. */
+    void observePace(EngineRequest request, StreamPace pace, long nowNanos) {
+        double tokensPerNano =
+                tokensPerMilli(request.service()) / DECODE_PREFILL_SLOWDOWN / NANOS_PER_MILLI;
+        mPauses.observe(request.request(), pace, tokensPerNano, nowNanos);
+    }
+
     /**
      * Selects the engines for a request.
      *
@@ -115,15 +181,36 @@
             EngineCapacity capacity,
             long nowNanos) {
         double maxBacklogMillis = request.targetMillis() * BACKLOG_TARGET_FRACTION;
-        return rankedDecodeEngines(servers, request, capacity, nowNanos)
-                .map(
-                        decode ->
-                                new EnginePlan(
-                                        decode,
-                                        selectPrefill(
-                                                servers, request, decode, capacity, nowNanos)))
-                .filter(plan -> backlogMillis(plan) <= maxBacklogMillis)
-                .findFirst();
+        Stream<EnginePlan> plans =
+                rankedDecodeEngines(servers, request, capacity, nowNanos)
+                        .map(
+                                decode ->
+                                        new EnginePlan(
+                                                decode,
+                                                selectPrefill(
+                                                        servers, request, decode, capacity,
+                                                        nowNanos)))
+                        .filter(plan -> backlogMillis(plan) <= maxBacklogMillis);
+        return StreamPauses.areLimited(request, capacity)
+                ? withFewestLate(plans.iterator(), request, capacity)
+                : plans.findFirst();
+    }
+
+    /** Returns the first plan that makes no stream late, or else the one that does to fewest. */
+    private Optional<EnginePlan> withFewestLate(
+            Iterator<EnginePlan> plans, EngineRequest request, EngineCapacity capacity) {
+        Optional<EnginePlan> best = Optional.empty();
+        int fewest = Integer.MAX_VALUE;
+        while (fewest > 0 && plans.hasNext()) {
+            EnginePlan plan = plans.next();
+            int late =
+                    plan.prefill().isPresent() ? 0 : lateStreams(plan.decode(), request, capacity);
+            if (late < fewest) {
+                fewest = late;
+                best = Optional.of(plan);
+            }
+        }
+        return best;
     }
 
     private synchronized double backlogMillis(EnginePlan plan) {
@@ -182,17 +269,27 @@
             long nowNanos) {
         long promptTokens = request.tokens().promptTokens();
         long targetMillis = request.targetMillis();
-        if (mHealth.failureRate(decode.id(), nowNanos) > UNRELIABLE_FAILURE_RATE) {
+        boolean apart = lateStreams(decode, request, capacity) > 0;
+        if (!apart && mHealth.failureRate(decode.id(), nowNanos) > UNRELIABLE_FAILURE_RATE) {
             return Optional.empty();
         }
         ServerLoad load = mLoads.total(decode.id());
         boolean busy = load.tokens() > capacity.kvCacheTokens() * BUSY_KV_CACHE_FRACTION;
-        double decodePrefillTokens = (load.unreadTokens() + promptTokens) * DECODE_PREFILL_SLOWDOWN;
+        double delayedFraction =
+                StreamPauses.areLimited(request, capacity)
+                        ? (double) load.tokens() / Math.max(1, capacity.kvCacheTokens())
+                        : 0;
+        double decodePrefillTokens =
+                (load.unreadTokens() + promptTokens)
+                        * DECODE_PREFILL_SLOWDOWN
+                        * (1 + delayedFraction);
         double speed = tokensPerMilli(decode.service());
         double withinTargetTokens = targetMillis * PREFILL_TARGET_FRACTION * speed;
         double maxPrefillTokens =
                 busy ? Math.max(decodePrefillTokens, withinTargetTokens) : decodePrefillTokens;
-        if (!busy && decodePrefillTokens / speed <= targetMillis * DECODE_PREFILL_TARGET_FRACTION) {
+        if (!apart
+                && !busy
+                && decodePrefillTokens / speed <= targetMillis * DECODE_PREFILL_TARGET_FRACTION) {
             return Optional.empty();
         }
         FailureDomainId decodeDomain = decode.failureDomain();
@@ -200,24 +297,35 @@
                 withStage(servers, EngineStage.PREFILL, request.failed()).stream()
                         .filter(server -> server.version().equals(decode.version()))
                         .filter(server -> !mHealth.isPaused(server.id(), nowNanos));
-        return ServerRanking.sortByScore(
-                        candidates, server -> prefillCostTokens(server, decodeDomain, nowNanos))
+        ToDoubleFunction<LiveServer> cost =
+                server ->
+                        prefillCostTokens(server, decodeDomain, nowNanos)
+                                + transferTokens(
+                                        promptTokens,
+                                        capacity,
+                                        server.failureDomain().equals(decodeDomain),
+                                        speed);
+        return ServerRanking.sortByScore(candidates, cost)
                 .findFirst()
                 .filter(
                         server ->
-                                prefillCostTokens(server, decodeDomain, nowNanos)
-                                                + promptTokens
-                                                + TRANSFER_COST_TOKENS
-                                        < maxPrefillTokens);
+                                apart
+                                        || cost.applyAsDouble(server) + promptTokens
+                                                < maxPrefillTokens);
     }
 
-    /** The transfer of the KV cache takes longer between failure domains. */
     private double prefillCostTokens(
             LiveServer server, FailureDomainId decodeDomain, long nowNanos) {
         return mLoads.total(server.id()).unreadTokens()
                 + mRanking.penalty(server, decodeDomain, nowNanos) * TRANSFER_COST_TOKENS;
     }
 
+    /** The transfer of the KV cache takes longer between failure domains. */
+    private static double transferTokens(
+            long promptTokens, EngineCapacity capacity, boolean sameDomain, double speed) {
+        return TRANSFER_COST_TOKENS + capacity.transferMillis(promptTokens, sameDomain) * speed;
+    }
+
     private static List<LiveServer> withStage(
             List<LiveServer> servers, EngineStage stage, Set<BackendServerId> failed) {
         return servers.stream()
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -119,6 +119,11 @@
             long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
             return new EngineAnswer.Refused(request, leftMillis, "no engine can hold the prompt");
         }
+        if (mPlanner.isTooLong(request, nowNanos)) {
+            long leftMillis = TimeUnit.NANOSECONDS.toMillis(request.deadlineNanos() - nowNanos);
+            return new EngineAnswer.Refused(
+                    request, leftMillis, "no engine can read the prompt in time");
+        }
         long quarantineNanos = mQuarantine.admit(request.promptParts(), nowNanos);
         if (quarantineNanos > 0) {
             return refuseQuarantined(request, quarantineNanos);
@@ -281,6 +286,7 @@
     /** Records that the decode engine has to prefill the prompt of a request itself. */
     public synchronized void recordPrefillFailure(RequestId request) {
         reservation(request).ifPresent(EngineReservation::leavePromptToDecode);
+        mPlanner.pauses().leavePromptToDecode(request);
     }
 
     /**
@@ -294,10 +300,19 @@
         if (held != null) {
             held.reservation().endPrefillBacklog();
             held.recordFirstEvent(nowNanos);
+            mPlanner.pauses().begin(request, nowNanos);
             mWaits.queue(held.request()).observeTimeToFirstEvent(durationNanos);
         }
     }
 
+    /** Records how the events of a complete stream followed each other, before its release. */
+    public synchronized void recordPace(RequestId request, StreamPace pace, long nowNanos) {
+        HeldGrant held = mHeld.get(request);
+        if (held != null) {
+            mPlanner.observePace(held.request(), pace, nowNanos);
+        }
+    }
+
     /**
      * Releases the capacity of a request whose stream was complete.
      *
@@ -341,6 +356,7 @@
         HeldGrant held = mHeld.remove(request);
         if (held != null) {
             held.reservation().release();
+            mPlanner.pauses().remove(request);
         }
     }
 
@@ -431,6 +447,7 @@
                 plan.prefill()
                         .map(engine -> mLoads.total(engine.id()).requests() <= 0)
                         .orElse(false);
+        mPlanner.recordGrant(request, plan, mPool.capacity(request.service()));
         LoadSink loads = request.host().equals(mSelf) ? mLoads : mLoads.grantedToOthers();
         EngineReservation reservation = new EngineReservation(loads, plan, request.tokens());
         EngineAnswer.Granted grant = new EngineAnswer.Granted(request, plan, nowNanos);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/EngineDispatcher.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/EngineDispatcher.java
@@ -197,8 +197,10 @@
             case PREFILL_FAILED -> mScheduler.recordPrefillFailure(request);
             case FIRST_EVENT ->
                     mScheduler.recordFirstEvent(request, event.durationNanos(), mTicker.nowNanos());
-            case COMPLETED ->
-                    mScheduler.complete(request, event.durationNanos(), mTicker.nowNanos());
+            case COMPLETED -> {
+                mScheduler.recordPace(request, event.pace(), mTicker.nowNanos());
+                mScheduler.complete(request, event.durationNanos(), mTicker.nowNanos());
+            }
             case BROKEN_OFF -> mScheduler.breakOff(request, mTicker.nowNanos());
             case RELEASED -> mScheduler.release(request);
             case CANCELLED -> cancel(request);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineHold.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/EngineHold.java
@@ -1,5 +1,7 @@
 package org.fuchsiaford.entry.gateway.forward;
 
+import org.fuchsiaford.selection.StreamPace;
+
 /**
  * Engines that are reserved for one attempt of a request, and the way to report its progress to the
  * scheduler that reserved them. Implementations are thread-safe.
@@ -25,8 +27,9 @@
      * Releases the engines after a complete stream.
      *
      * @param sinceGrantNanos the time since the engines were granted
+     * @param pace how its events followed each other
      */
-    void complete(long sinceGrantNanos);
+    void complete(long sinceGrantNanos, StreamPace pace);
 
     /** Releases the engines after the decode engine has broken the stream off. */
     void breakOff();
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/LocalEngineHold.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/LocalEngineHold.java
@@ -4,6 +4,7 @@
 import org.fuchsiaford.entry.gateway.fleet.EngineDispatcher;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.selection.EngineEvent;
+import org.fuchsiaford.selection.StreamPace;
 
 /** Engines that the scheduler of this host has granted. Thread-safe. */
 final class LocalEngineHold implements EngineHold {
@@ -40,8 +41,8 @@
     }
 
     @Override
-    public void complete(long sinceGrantNanos) {
-        apply(EngineEvent.Kind.COMPLETED, sinceGrantNanos);
+    public void complete(long sinceGrantNanos, StreamPace pace) {
+        mDispatcher.apply(List.of(EngineEvent.completed(mRequest, sinceGrantNanos, pace)));
     }
 
     @Override
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RemoteEngineHold.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RemoteEngineHold.java
@@ -6,6 +6,7 @@
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.EngineReservation;
 import org.fuchsiaford.selection.HeldEngines;
+import org.fuchsiaford.selection.StreamPace;
 
 /**
  * Engines that a coordinator has granted. Their load is counted here as well, so that other
@@ -62,24 +63,24 @@
     }
 
     @Override
-    public void complete(long sinceGrantNanos) {
-        release(EngineEvent.Kind.COMPLETED, sinceGrantNanos);
+    public void complete(long sinceGrantNanos, StreamPace pace) {
+        release(EngineEvent.completed(mRequest, sinceGrantNanos, pace));
     }
 
     @Override
     public void breakOff() {
-        release(EngineEvent.Kind.BROKEN_OFF, 0);
+        release(EngineEvent.of(EngineEvent.Kind.BROKEN_OFF, mRequest, 0));
     }
 
     @Override
     public void release() {
-        release(EngineEvent.Kind.RELEASED, 0);
+        release(EngineEvent.of(EngineEvent.Kind.RELEASED, mRequest, 0));
     }
 
-    private void release(EngineEvent.Kind kind, long durationNanos) {
+    private void release(EngineEvent event) {
         if (mHeld.remove(mCoordinator.id(), mRequest)) {
             mReservation.release();
-            report(kind, durationNanos);
+            mCalls.report(mCoordinator, event);
         }
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestContext.java
@@ -28,6 +28,7 @@
 import org.fuchsiaford.routing.GatewayRoute;
 import org.fuchsiaford.routing.TokenCounts;
 import org.fuchsiaford.routing.WorkspaceDeclaration;
+import org.fuchsiaford.selection.StreamPace;
 import org.fuchsiaford.stream.StreamKey;
 import org.fuchsiaford.workspace.WorkspaceId;
 
@@ -244,6 +245,11 @@
         return mGaps.longest();
     }
 
+    /** Returns how the events of the stream followed each other, if one attempt sent them all. */
+    StreamPace pace() {
+        return sendCount() == 1 ? mGaps.pace() : StreamPace.UNKNOWN;
+    }
+
     /** Returns whether events of the stream were further apart than its route's target. */
     boolean isOverGapTarget() {
         long targetNanos = TimeUnit.MILLISECONDS.toNanos(mRoute.targetGapMillis());
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamForwarder.java
@@ -122,7 +122,11 @@
         return Mono.fromCallable(() -> checkAndRecordSend(context, assignment.plan()))
                 .flatMap(plan -> kvSource(context, assignment, kept))
                 .flatMapMany(source -> decode(context, progress, assignment, source))
-                .doOnComplete(() -> assignment.hold().complete(sinceGrantNanos(assignment)))
+                .doOnComplete(
+                        () ->
+                                assignment
+                                        .hold()
+                                        .complete(sinceGrantNanos(assignment), context.pace()))
                 .doFinally(signal -> assignment.hold().release());
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamGaps.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/StreamGaps.java
@@ -1,6 +1,7 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import java.util.Optional;
+import org.fuchsiaford.selection.StreamPace;
 
 /**
  * The longest time between events of one stream that its caller is sent, over all attempts. The
@@ -9,7 +10,8 @@
  * <p>Not thread-safe but for reading: the signals of one stream arrive sequentially.
  */
 final class StreamGaps {
-    private boolean mBegun;
+    private int mArrivals;
+    private long mFirstNanos;
     private long mLastNanos;
     private volatile Gap mLongest;
 
@@ -23,13 +25,23 @@
 
     /** Records that events have arrived. */
     void record(long nowNanos) {
-        if (mBegun && (mLongest == null || nowNanos - mLastNanos > mLongest.lengthNanos())) {
+        if (mArrivals == 0) {
+            mFirstNanos = nowNanos;
+        } else if (mLongest == null || nowNanos - mLastNanos > mLongest.lengthNanos()) {
             mLongest = new Gap(nowNanos - mLastNanos, nowNanos);
         }
-        mBegun = true;
+        mArrivals++;
         mLastNanos = nowNanos;
     }
 
+    /** Returns how the events followed each other. */
+    StreamPace pace() {
+        return mArrivals < 2
+                ? StreamPace.UNKNOWN
+                : new StreamPace(
+                        (mLastNanos - mFirstNanos) / (mArrivals - 1), mLongest.lengthNanos());
+    }
+
     /** Returns the longest gap; empty until events have arrived twice. */
     Optional<Gap> longest() {
         return Optional.ofNullable(mLongest);
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/EngineAdmissionTest.java
@@ -48,6 +48,7 @@
 import org.fuchsiaford.selection.HeldEngines;
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.ServerHealth;
+import org.fuchsiaford.selection.StreamPace;
 import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.store.StoreChange;
@@ -223,7 +224,7 @@
     }
 
     private void release(int index) {
-        mAssignments.get(index).hold().complete(0);
+        mAssignments.get(index).hold().complete(0, StreamPace.UNKNOWN);
     }
 
     private int requestsOnEngine() {
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/StreamGapsTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/forward/StreamGapsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
+import org.fuchsiaford.selection.StreamPace;
 
 /** Guards against a wait for the first event that is taken for a pause between events. */
 class StreamGapsTest {
@@ -19,6 +20,7 @@
         gaps.record(millis(950));
         gaps.record(millis(1_300));
         gaps.record(millis(1_350));
+        assertThat(gaps.pace()).isEqualTo(new StreamPace(millis(150), millis(350)));
         assertThat(gaps.longest()).contains(new StreamGaps.Gap(millis(350), millis(1_300)));
     }
 }
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -54,6 +54,7 @@
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.RequestAttributes;
+import org.fuchsiaford.selection.StreamPace;
 import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.stream.BegunStreams;
 import org.fuchsiaford.stream.StreamKey;
@@ -333,12 +334,12 @@
     private void addReports() {
         var engine = new BackendServerId("e1");
         add(
-                "['n',{'host':'h1','events':[['COMPLETED','r1',null,null,6],"
-                        + "['CALLED',null,'e1','NOT_RUN',0]]}]",
+                "['n',{'host':'h1','events':[['COMPLETED','r1',null,null,6,7,8],"
+                        + "['CALLED',null,'e1','NOT_RUN',0,0,0]]}]",
                 new PeerMessage.ReportEngineEvents(
                         host(),
                         List.of(
-                                EngineEvent.of(EngineEvent.Kind.COMPLETED, new RequestId("r1"), 6),
+                                EngineEvent.completed(new RequestId("r1"), 6, new StreamPace(7, 8)),
                                 EngineEvent.called(engine, AttemptOutcome.NOT_RUN, 0))));
         var workspace = new WorkspaceId("w1");
         add(
@@ -416,6 +417,16 @@
         assertThat(entries.entries().get(0).era()).isZero();
     }
 
+    /** The build before has no paces of streams; one after this may have further elements. */
+    @Example
+    void engineEventsWithoutPaceOrWithMoreAreRead() throws IOException {
+        var form = "['n',{'host':'h1','events':[['COMPLETED','r1',null,null,6%s]]}]";
+        var without = read(form.formatted(""), PeerMessage.ReportEngineEvents.class);
+        assertThat(without.events().get(0).pace()).isEqualTo(StreamPace.UNKNOWN);
+        var more = read(form.formatted(",7,8,9"), PeerMessage.ReportEngineEvents.class);
+        assertThat(more.events().get(0).pace()).isEqualTo(new StreamPace(7, 8));
+    }
+
     private static <T extends PeerMessage> T read(String json, Class<T> type) throws IOException {
         var bytes = new Form(json.replace('\'', '"'), null).bytes();
         return type.cast(PeerCodec.decode(Unpooled.wrappedBuffer(bytes)).message());
