--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -19,7 +19,6 @@
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
-import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.stream.ServedVersions;
 
@@ -127,7 +126,7 @@
         }
         long quarantineNanos = mQuarantine.admit(request.promptParts(), nowNanos);
         if (quarantineNanos > 0) {
-            return refuseQuarantined(request, quarantineNanos);
+            return EngineRefusals.quarantined(request, quarantineNanos);
         }
         mWaits.queue(request).recordAsked(mWaits.claim(request), nowNanos);
         Optional<EngineAnswer.Granted> grant =
@@ -149,15 +148,6 @@
                         .noneMatch(awaited -> awaited.isEmpty() || awaited.equals(regions));
     }
 
-    private static EngineAnswer.Refused refuseQuarantined(
-            EngineRequest request, long quarantineNanos) {
-        long millis = TimeUnit.NANOSECONDS.toMillis(quarantineNanos);
-        return new EngineAnswer.Refused(
-                request,
-                Math.max(EngineWaits.MIN_RETRY_MILLIS, millis),
-                "a part of the prompt has crashed engines");
-    }
-
     /**
      * Returns the state of an earlier request of a host, which proves that the host still waits for
      * it; empty if the request is not known.
@@ -221,7 +211,7 @@
                                     mQuarantine.remainingNanos(request.promptParts(), nowNanos);
                             if (nanos > 0) {
                                 cancel(request.request());
-                                answers.add(refuseQuarantined(request, nanos));
+                                answers.add(EngineRefusals.quarantined(request, nanos));
                             }
                         });
     }
@@ -440,8 +430,7 @@
 
     private EngineAnswer enqueue(EngineRequest request, long nowNanos) {
         if (!mEngines.canServe(request, nowNanos)) {
-            return new EngineAnswer.Refused(
-                    request, EngineWaits.MIN_RETRY_MILLIS, noEngineReason(request));
+            return EngineRefusals.noEngine(request);
         }
         EngineQueue queue = mWaits.queue(request);
         long waitNanos = mWaits.estimateWaitNanos(request, nowNanos);
@@ -456,14 +445,6 @@
         return waiting(request, waitNanos, nowNanos);
     }
 
-    private static String noEngineReason(EngineRequest request) {
-        String regions =
-                request.attributes().allowedRegions().isEmpty() ? "" : " in an allowed region";
-        return request.version().isEmpty()
-                ? "no engine is known" + regions
-                : "no engine" + regions + " has the software version that began the stream";
-    }
-
     private EngineAnswer.Waiting waiting(EngineRequest request, long waitNanos, long nowNanos) {
         return new EngineAnswer.Waiting(
                 mWaits.queue(request).onTimeTokens(nowNanos),
