Limit what cold servers get from all hosts together

Cause: a server that has just started crashes at a rate that it serves easily later, and is the least loaded of the fleet at that moment, so all hosts turn to it. Hosts know nothing of coldStartS, coldPerS and coldRemainingMs.

Change: ServerRateLimiter takes several sources, the lowest rate counting. ColdServers keeps a deadline for each cold run: from its registration, for new runs beside known ones, after a failed connection, and by markCold at the end of an evacuation. Deadlines travel in last fields of heartbeats, summaries and permits, which the build before ignores. Hosts ask a coordinator for each request to a plain server of a service that declares coldPerS; the scheduler takes permits for decode and prefill engines; warm servers come first. Hosts without a coordinator use half of their share at random moments. A host that reaches neither the store nor another host takes all such servers for cold.

Services that declare no coldPerS cause no messages and no limits.

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetSummary.java
@@ -6,6 +6,7 @@
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.prompt.QuarantinedPrompt;
 import org.fuchsiaford.registry.ServerRun;
+import org.fuchsiaford.serverlimit.ColdServer;
 import org.fuchsiaford.serverlimit.NamedLimit;
 
 /**
@@ -21,6 +22,7 @@
  * @param quarantined the parts of prompts that it refuses, since they crash engines
  * @param limits what servers have said about the requests that they take
  * @param stateEra the era of the store revision; zero if the sender does not know eras
+ * @param cold the servers that are cold; null from hosts of an earlier build
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -32,7 +34,8 @@
     "leaving",
     "quarantined",
     "limits",
-    "stateEra"
+    "stateEra",
+    "cold"
 })
 public record FleetSummary(
         HostRecord coordinator,
@@ -43,4 +46,5 @@
         List<ServerRun> leaving,
         List<QuarantinedPrompt> quarantined,
         List<NamedLimit> limits,
-        long stateEra) {}
+        long stateEra,
+        List<ColdServer> cold) {}
--- a/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/HostHeartbeat.java
@@ -8,6 +8,7 @@
 import org.fuchsiaford.quota.WorkspaceTotal;
 import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.serverlimit.ColdServer;
 import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.stream.BegunStreams;
 
@@ -32,6 +33,7 @@
  * @param limits what servers have said about the requests that they take
  * @param begun its streams that began lately, of services that serve several software versions
  * @param stateEra the era of the store revision; zero if the sender does not know eras
+ * @param cold the servers that it has lately found to be cold; null from hosts of an earlier build
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonPropertyOrder({
@@ -48,7 +50,8 @@
     "quarantined",
     "limits",
     "begun",
-    "stateEra"
+    "stateEra",
+    "cold"
 })
 public record HostHeartbeat(
         HostRecord host,
@@ -64,7 +67,8 @@
         List<QuarantinedPrompt> quarantined,
         List<NamedLimit> limits,
         List<BegunStreams> begun,
-        long stateEra) {
+        long stateEra,
+        List<ColdServer> cold) {
 
     /** Returns the tokens queued for a service that can still meet their target. */
     public long waitingTokens(ServiceId service) {
--- a/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
+++ b/core/src/main/java/org/fuchsiaford/registry/ServerRegistry.java
@@ -165,6 +165,11 @@
         return registered().stream().filter(server -> server.service().equals(service)).toList();
     }
 
+    /** Returns the server with the given ID that is registered or retained. */
+    public synchronized Optional<LiveServer> find(BackendServerId id) {
+        return Optional.ofNullable(mEntries.get(id)).map(Entry::server);
+    }
+
     /** Returns whether a run of a server is registered, whether or not it accepts requests. */
     public synchronized boolean isRegistered(ServerRun run) {
         Entry entry = mEntries.get(run.id());
--- a/core/src/main/java/org/fuchsiaford/selection/AvailableEngines.java
+++ b/core/src/main/java/org/fuchsiaford/selection/AvailableEngines.java
@@ -11,10 +11,10 @@
 
 /**
  * The engines of a pool that may be sent requests: those whose software version is recorded, as far
- * as the limits allow that they name for themselves.
+ * as their limits allow.
  *
- * <p>Invariant: an engine that names a limit counts as capacity only if all engines of its service
- * do. Thread-safe.
+ * <p>Invariant: an engine that is limited counts as capacity only if all engines of its service
+ * are. Thread-safe.
  */
 final class AvailableEngines {
     private static final double NANOS_PER_SECOND = 1e9;
@@ -34,6 +34,11 @@
         return mLimiter.availableNow(admitted(service, nowNanos), nowNanos);
     }
 
+    /** Returns those of the engines that are not cold. */
+    List<LiveServer> warm(List<LiveServer> engines, long nowNanos) {
+        return mLimiter.withoutStrictLimit(engines, nowNanos);
+    }
+
     private List<LiveServer> admitted(ServiceId service, long nowNanos) {
         return mVersions.admitted(service, mPool.usable(service, nowNanos));
     }
@@ -58,14 +63,15 @@
      */
     long kvCacheTokens(ServiceId service, Optional<SoftwareVersion> version, long nowNanos) {
         List<LiveServer> engines = decodeEngines(service, version, nowNanos);
-        long unlimited = engines.stream().filter(e -> !mLimiter.isLimited(e.run())).count();
+        long unlimited =
+                engines.stream().filter(e -> !mLimiter.isLimited(e.run(), nowNanos)).count();
         return (unlimited > 0 ? unlimited : engines.size())
                 * mPool.capacity(service).kvCacheTokens();
     }
 
     /**
-     * Returns the time until it is the turn of a request if all decode engines name limits, in
-     * nanoseconds; zero if one names none or there is none.
+     * Returns the time until it is the turn of a request if all decode engines are limited, in
+     * nanoseconds; zero if one is not or there is none.
      *
      * @param queuedRequests the requests ahead of it
      */
@@ -76,7 +82,7 @@
             long nowNanos) {
         double perSecond =
                 decodeEngines(service, version, nowNanos).stream()
-                        .mapToDouble(engine -> mLimiter.requestsPerSecond(engine.run()))
+                        .mapToDouble(engine -> mLimiter.requestsPerSecond(engine.run(), nowNanos))
                         .sum();
         return perSecond > 0 ? (long) ((queuedRequests + 1) / perSecond * NANOS_PER_SECOND) : 0;
     }
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -73,7 +73,7 @@
      *     target, by service
      * @param quarantine the prompts that must not be placed
      * @param versions the software versions that may be sent streams
-     * @param limiter permits requests to engines that name a limit
+     * @param limiter permits requests to engines that are limited
      * @param random a source of uniformly distributed random numbers from 0 to 1
      */
     public EngineScheduler(
@@ -410,9 +410,16 @@
 
     private Optional<EngineAnswer.Granted> tryGrant(EngineRequest request, long nowNanos) {
         EngineCapacity capacity = mPool.capacity(request.service());
-        List<LiveServer> engines = mEngines.availableNow(request.service(), nowNanos);
-        return mPlanner.plan(eligible(engines, request), request, capacity, nowNanos)
-                .map(plan -> grant(request, plan, nowNanos));
+        List<LiveServer> engines =
+                eligible(mEngines.availableNow(request.service(), nowNanos), request);
+        List<LiveServer> warm = mEngines.warm(engines, nowNanos);
+        Optional<EnginePlan> plan = mPlanner.plan(warm, request, capacity, nowNanos);
+        return plan.or(
+                        () ->
+                                warm.size() < engines.size()
+                                        ? mPlanner.plan(engines, request, capacity, nowNanos)
+                                        : Optional.empty())
+                .map(chosen -> grant(request, chosen, nowNanos));
     }
 
     /** Leaves the engines out whose room queued requests need that can go on nowhere else. */
--- a/core/src/main/java/org/fuchsiaford/serverlimit/DeniedPermits.java
+++ b/core/src/main/java/org/fuchsiaford/serverlimit/DeniedPermits.java
@@ -11,7 +11,8 @@
  * The permits that this host was denied, so that it does not ask again in vain.
  *
  * <p>Invariant: a denial ends at the time that it names, and at once if the server names another
- * limit than that under which it was given. Thread-safe.
+ * limit than that under which it was given. A denial for another reason than a named limit ends at
+ * its time only. Thread-safe.
  */
 public final class DeniedPermits {
     /** Shortest time for which a server is left out after a denial. */
@@ -59,9 +60,7 @@
     private long remainingNanos(ServerRun server, long nowNanos) {
         Denial denial = mDenials.get(server);
         boolean holds =
-                denial != null
-                        && mLimits.isLimited(server)
-                        && denial.requestsPerSecond() == mLimits.requestsPerSecond(server);
+                denial != null && denial.requestsPerSecond() == mLimits.requestsPerSecond(server);
         return holds ? Math.max(0, denial.untilNanos() - nowNanos) : 0;
     }
 }
--- a/core/src/main/java/org/fuchsiaford/serverlimit/ServerLimits.java
+++ b/core/src/main/java/org/fuchsiaford/serverlimit/ServerLimits.java
@@ -15,7 +15,7 @@
  * limit ends with a response that names none or with the run, never by the passing of time, since a
  * server that is sent nothing says nothing. Thread-safe.
  */
-public final class ServerLimits {
+public final class ServerLimits implements ServerRateSource {
     /** Time for which other hosts are told that a server names no limit any more. */
     private static final long LIFTED_MEMORY_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -67,7 +67,13 @@
         return statement == null ? Double.POSITIVE_INFINITY : statement.requestsPerSecond();
     }
 
+    @Override
+    public ServerRate rate(ServerRun server, long nowNanos) {
+        return new ServerRate(requestsPerSecond(server), Long.MAX_VALUE, false);
+    }
+
     /** Returns whether no server is known to name a limit, or to have named one lately. */
+    @Override
     public synchronized boolean isEmpty() {
         return mStatements.isEmpty();
     }
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
@@ -125,7 +125,8 @@
                                     List.of(),
                                     List.of(),
                                     List.of(),
-                                    0),
+                                    0,
+                                    List.of()),
                             mNowNanos);
         }
     }
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetViewTest.java
@@ -86,7 +86,8 @@
                         List.of(),
                         List.of(),
                         List.of(),
-                        0);
+                        0,
+                        List.of());
         mFleet.recordSummary(summary, 0);
         assertThat(mFleet.callerAddresses(HERE, false, SECOND)).containsExactly("10.0.0.2:80");
         assertThat(mFleet.callerAddresses(HERE, false, 2 * SECOND)).isEmpty();
--- a/core/src/test/java/org/fuchsiaford/fleet/TestHeartbeats.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/TestHeartbeats.java
@@ -10,6 +10,6 @@
     public static HostHeartbeat idle(HostRecord host, long ageMillis, boolean accepting) {
         return new HostHeartbeat(
                 host, ageMillis, accepting, 0, List.of(), List.of(), List.of(), List.of(),
-                List.of(), List.of(), List.of(), List.of(), List.of(), 0);
+                List.of(), List.of(), List.of(), List.of(), List.of(), 0, List.of());
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -199,6 +199,7 @@
         EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
         FailureDomainId domain = mSettings.failureDomain();
         ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
+        mState.cold().onCold(service -> serviceMetrics.countNotice(service, "cold"));
         ServerNotices notices = createNotices(backoff, serviceMetrics);
         ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
         ResponseMemory memory = createResponseMemory();
@@ -298,13 +299,19 @@
                 mTicker);
     }
 
-    /** Reports failed calls of engines, which the coordinator schedules. */
+    /** Reports failed calls to the coordinator, which schedules engines and limits servers. */
     private void reportFailure(LiveServer server, AttemptOutcome outcome) {
         CoordinatorCalls calls = mCoordination.calls();
         if (server.stage().isPresent()) {
             mEngineRuns.recordFailure(server, outcome);
-            calls.remoteCoordinator()
-                    .ifPresent(c -> calls.report(c, EngineEvent.called(server.id(), outcome, 0)));
+        }
+        Optional<HostRecord> coordinator = calls.remoteCoordinator();
+        if (coordinator.isEmpty() && outcome == AttemptOutcome.NOT_SENT) {
+            mState.cold().markUnreachable(server.id());
+        }
+        if (server.stage().isPresent() || mState.cold().servers().mayBeCold(server.service())) {
+            coordinator.ifPresent(
+                    c -> calls.report(c, EngineEvent.called(server.id(), outcome, 0)));
         }
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
@@ -16,6 +17,7 @@
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.quota.FleetQuota;
+import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.EnginePlanner;
 import org.fuchsiaford.selection.EngineQueues;
 import org.fuchsiaford.selection.EngineScheduler;
@@ -23,8 +25,10 @@
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.OutcomeTally;
 import org.fuchsiaford.selection.ServerHealth;
+import org.fuchsiaford.serverlimit.ColdServers;
 import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
+import org.fuchsiaford.serverlimit.UnseenServers;
 import org.fuchsiaford.store.Store;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
@@ -44,6 +48,7 @@
     private static final long COORDINATOR_WATCH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
 
     private final FleetView mFleet;
+    private final GatewayState mState;
     private final Ticker mTicker;
     private final HeldEngines mHeld = new HeldEngines();
     private final OutcomeTally mTally = new OutcomeTally();
@@ -81,18 +86,14 @@
             StateFollower follower,
             BooleanSupplier isAccepting) {
         mFleet = fleet;
+        mState = state;
         mTicker = ticker;
         long startNanos = ticker.nowNanos();
         EngineQueues queues = new EngineQueues();
         FleetQuota quota = new FleetQuota(limitWindowNanos, startNanos);
         CoordinatorTracker tracker = new CoordinatorTracker(fleet, startNanos);
         mCalls = new CoordinatorCalls(fleet.self(), tracker, peerClient, log, ticker);
-        ServerRateLimiter limiter =
-                new ServerRateLimiter(
-                        mLimits,
-                        () ->
-                                fleet.decidingShare(
-                                        mCalls.remoteCoordinator().isEmpty(), ticker.nowNanos()));
+        ServerRateLimiter limiter = createLimiter(state, follower, random);
         EngineScheduler scheduler = createScheduler(state, health, loads, queues, limiter, random);
         mDispatcher = new EngineDispatcher(scheduler, mQuarantine, health, log, ticker);
         mOrigins =
@@ -129,13 +130,36 @@
                         log,
                         ticker,
                         isAccepting);
-        Runnable updateShare = mHeartbeats::updateMissingShare;
-        mHandler =
-                new CoordinatorHandler(
-                        mDispatcher, mQuarantine, quota, mLimits, limiter, updateShare, ticker);
+        mHandler = createHandler(quota, limiter);
         mRequestQuarantine = new RequestQuarantine(mCalls, mQuarantine, mHandler, ticker);
-        mPermits = new ServerPermits(mCalls, mLimits, limiter, ticker);
-        mCharging = new LimitCharging(mCalls, quota, updateShare, ticker);
+        mPermits = new ServerPermits(mCalls, mLimits, state.cold().servers(), limiter, ticker);
+        mCharging = new LimitCharging(mCalls, quota, mHeartbeats::updateMissingShare, ticker);
+    }
+
+    private CoordinatorHandler createHandler(FleetQuota quota, ServerRateLimiter limiter) {
+        return new CoordinatorHandler(
+                mDispatcher,
+                mQuarantine,
+                quota,
+                mLimits,
+                mState.cold(),
+                limiter,
+                mHeartbeats::updateMissingShare,
+                mTicker);
+    }
+
+    private ServerRateLimiter createLimiter(
+            GatewayState state, StateFollower follower, DoubleSupplier random) {
+        ColdServers cold = state.cold().servers();
+        return new ServerRateLimiter(
+                mLimits,
+                List.of(
+                        cold,
+                        new UnseenServers(cold, () -> isCutOff(follower.isRegistryCurrent()))),
+                () ->
+                        mFleet.decidingShare(
+                                mCalls.remoteCoordinator().isEmpty(), mTicker.nowNanos()),
+                random);
     }
 
     private EngineScheduler createScheduler(
@@ -177,6 +201,15 @@
         return isRegistryCurrent && !mHeartbeats.isBehind();
     }
 
+    /** Nothing that other hosts or the store know of servers reaches this host. */
+    private boolean isCutOff(boolean isRegistryCurrent) {
+        long nowNanos = mTicker.nowNanos();
+        return !isRegistryCurrent
+                && mCalls.remoteCoordinator().isEmpty()
+                && mFleet.reachableCount(nowNanos) == 1
+                && mFleet.presentCount(nowNanos) > 1;
+    }
+
     /** Returns the tokens queued at other hosts that can still meet their target. */
     private long othersOnTimeTokens(ServiceId service) {
         return mFleet.latestHeartbeats(mTicker.nowNanos()).stream()
@@ -234,6 +267,12 @@
         return mHeartbeats;
     }
 
+    private void recordUnreachable(EngineEvent event) {
+        if (event.outcome() == AttemptOutcome.NOT_SENT) {
+            mState.cold().markUnreachable(event.server());
+        }
+    }
+
     /** Answers a message of another host; empty if it is of another kind. */
     public Optional<Mono<PeerMessage>> handle(PeerMessage message) {
         if (message instanceof PeerMessage.Heartbeat heartbeat) {
@@ -246,6 +285,7 @@
             return Optional.of(mHandler.handle(acquire));
         }
         if (message instanceof PeerMessage.ReportEngineEvents events) {
+            events.events().forEach(this::recordUnreachable);
             return Optional.of(Mono.just(mHandler.handle(events)));
         }
         if (message instanceof PeerMessage.ChargeLimit charge) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/CoordinatorHandler.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaford.entry.gateway.state.ColdServerRecorder;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.quota.FleetQuota;
@@ -26,6 +27,7 @@
     private final PromptQuarantine mQuarantine;
     private final FleetQuota mQuota;
     private final ServerLimits mLimits;
+    private final ColdServerRecorder mCold;
     private final ServerRateLimiter mLimiter;
     private final Runnable mUpdateShare;
     private final Ticker mTicker;
@@ -40,6 +42,7 @@
             PromptQuarantine quarantine,
             FleetQuota quota,
             ServerLimits limits,
+            ColdServerRecorder cold,
             ServerRateLimiter limiter,
             Runnable updateShare,
             Ticker ticker) {
@@ -47,6 +50,7 @@
         mQuarantine = quarantine;
         mQuota = quota;
         mLimits = limits;
+        mCold = cold;
         mLimiter = limiter;
         mUpdateShare = updateShare;
         mTicker = ticker;
@@ -124,10 +128,13 @@
                 waitNanos == 0 ? null : mQuota.describe(message.workspace(), mTicker.nowNanos()));
     }
 
-    /** Permits a request of another host to a server that names a limit. */
+    /** Permits a request of another host to a server that is limited or may be. */
     public PeerMessage.LimitResponse handle(PeerMessage.AcquirePermit message) {
         long nowNanos = mTicker.nowNanos();
         mLimits.merge(List.of(message.limit()), nowNanos);
+        if (message.cold() != null) {
+            mCold.merge(List.of(message.cold()), message.host().value());
+        }
         long waitNanos = mLimiter.acquire(message.limit().server(), nowNanos);
         return new PeerMessage.LimitResponse(waitNanos, null);
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -17,6 +17,7 @@
 import org.fuchsiaford.fleet.HostHeartbeat;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.fleet.ServerLoad;
+import org.fuchsiaford.fleet.ServerOutcomes;
 import org.fuchsiaford.host.HostId;
 import org.fuchsiaford.peer.PeerAddress;
 import org.fuchsiaford.peer.PeerClient;
@@ -67,7 +68,7 @@
     private static final long MAX_BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
     /**
-     * Age up to which a host reports what servers have said about their limits; several heartbeats,
+     * Age up to which a host reports what it knows of the limits of servers; several heartbeats,
      * since one may be lost.
      */
     private static final long RECENT_LIMIT_NANOS = 3 * HEARTBEAT_INTERVAL.toNanos();
@@ -175,10 +176,13 @@
         mTracker.retainKnown();
         removeSilentReporters(nowNanos);
         mLimiter.removeOld(mState.servers()::isRegistered, nowNanos);
+        mState.cold().servers().removeOld(mState.servers()::isRegistered, nowNanos);
         updateShare(nowNanos);
         logPrimary(nowNanos);
         if (mCalls.isCoordinator()) {
-            mFleetHealth.add(mTally.drain(), nowNanos);
+            List<ServerOutcomes> outcomes = mTally.drain();
+            mState.cold().recordOutcomes(outcomes);
+            mFleetHealth.add(outcomes, nowNanos);
             mHealth.replaceFleetRates(mFleetHealth.failing(nowNanos), nowNanos);
         }
         remoteCoordinators().forEach(peer -> exchange(peer).subscribe());
@@ -291,7 +295,8 @@
                 mQuarantine.list(nowNanos),
                 mLimits.list(RECENT_LIMIT_NANOS, nowNanos),
                 mOrigins.recent(),
-                lastChange().era());
+                lastChange().era(),
+                mState.cold().servers().listOwn(RECENT_LIMIT_NANOS, nowNanos));
     }
 
     private StoreRevision lastChange() {
@@ -309,6 +314,7 @@
         mergeQuarantine(summary.quarantined(), nowNanos);
         mState.markLeaving(summary.leaving(), coordinator.id().value());
         mergeLimits(summary.limits(), coordinator.id(), nowNanos);
+        mState.cold().merge(summary.cold(), coordinator.id().value());
         if (isPrimaryOrUnsettled(coordinator)) {
             mFleet.recordSummary(summary, nowNanos);
             mLoads.replaceFleetLoads(summary.loads(), ownLoads);
@@ -344,6 +350,8 @@
             mergeQuarantine(heartbeat.quarantined(), nowNanos);
             mState.markLeaving(heartbeat.leaving(), sender.value());
             mergeLimits(heartbeat.limits(), sender, nowNanos);
+            mState.cold().merge(heartbeat.cold(), sender.value());
+            mState.cold().recordOutcomes(heartbeat.outcomes());
             mOrigins.merge(heartbeat.begun());
             catchUp(
                     heartbeat.host(),
@@ -362,7 +370,8 @@
                         mLimits.list(
                                 request.wantsLoads() ? Long.MAX_VALUE : RECENT_LIMIT_NANOS,
                                 nowNanos),
-                        lastChange().era()));
+                        lastChange().era(),
+                        mState.cold().servers().list(nowNanos)));
     }
 
     private void mergeLimits(List<NamedLimit> reported, HostId source, long nowNanos) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.registry.LiveServer;
+import org.fuchsiaford.serverlimit.ColdServer;
+import org.fuchsiaford.serverlimit.ColdServers;
 import org.fuchsiaford.serverlimit.DeniedPermits;
 import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.serverlimit.ServerLimits;
@@ -12,9 +14,12 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Obtains permits for the requests of this host to plain servers that name a limit: from a
- * coordinator, or here if this host is the coordinator or reaches none. Servers without a limit
- * need no permit. The scheduler of engines obtains those for engines.
+ * Obtains permits for the requests of this host to plain servers that name a limit or may be cold:
+ * from a coordinator, or here if this host is the coordinator or reaches none. Other servers need
+ * no permit. The scheduler of engines obtains those for engines.
+ *
+ * <p>Where servers may be cold, a permit is asked for although this host takes the server for warm,
+ * since a coordinator learns of a cold server up to a second before it.
  *
  * <p>Invariant: after a permit was denied, none is asked for until the time that the denial names,
  * unless the server names another limit or none. Thread-safe.
@@ -25,15 +30,21 @@
 
     private final CoordinatorCalls mCalls;
     private final ServerLimits mLimits;
+    private final ColdServers mCold;
     private final ServerRateLimiter mLimiter;
     private final DeniedPermits mDenials;
     private final Ticker mTicker;
 
     /** Creates the permits of one host. */
     public ServerPermits(
-            CoordinatorCalls calls, ServerLimits limits, ServerRateLimiter limiter, Ticker ticker) {
+            CoordinatorCalls calls,
+            ServerLimits limits,
+            ColdServers cold,
+            ServerRateLimiter limiter,
+            Ticker ticker) {
         mCalls = calls;
         mLimits = limits;
+        mCold = cold;
         mDenials = new DeniedPermits(limits);
         mLimiter = limiter;
         mTicker = ticker;
@@ -41,15 +52,17 @@
 
     /** Obtains a permit for one request; emits false if it is denied. */
     public Mono<Boolean> acquire(LiveServer server) {
-        return mLimits.isLimited(server.run())
+        return mLimits.isLimited(server.run()) || mCold.mayBeCold(server.service())
                 ? acquireLimited(server).map(waitNanos -> isPermitted(server, waitNanos))
                 : Mono.just(true);
     }
 
     private Mono<Long> acquireLimited(LiveServer server) {
-        NamedLimit limit = mLimits.find(server.run(), mTicker.nowNanos());
+        long nowNanos = mTicker.nowNanos();
+        NamedLimit limit = mLimits.find(server.run(), nowNanos);
+        ColdServer cold = mCold.find(server.run(), nowNanos).orElse(null);
         return mCalls.ask(
-                        new PeerMessage.AcquirePermit(mCalls.self().id(), limit),
+                        new PeerMessage.AcquirePermit(mCalls.self().id(), limit, cold),
                         PeerMessage.LimitResponse.class,
                         CALL_TIMEOUT,
                         () -> acquireHere(server))
@@ -68,6 +81,11 @@
         return waitNanos == 0;
     }
 
+    /** Returns those of the servers that are not cold. */
+    public List<LiveServer> warm(List<LiveServer> servers, long nowNanos) {
+        return mLimiter.withoutStrictLimit(servers, nowNanos);
+    }
+
     /** Returns the servers for which there may be a permit now. */
     public List<LiveServer> availableNow(List<LiveServer> servers, long nowNanos) {
         return mDenials.availableNow(servers, nowNanos);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -153,13 +153,18 @@
                     "all backend servers are at the limits that they have named");
         }
         Set<BackendServerId> inProgress = context.attempts().serversInProgress();
+        Set<BackendServerId> tried = context.attempts().triedServers();
+        List<LiveServer> candidates =
+                mPermits.availableNow(accepting, nowNanos).stream()
+                        .filter(server -> !inProgress.contains(server.id()))
+                        .toList();
+        List<LiveServer> warm =
+                mPermits.warm(candidates, nowNanos).stream()
+                        .filter(server -> !tried.contains(server.id()))
+                        .toList();
         return mSelector
-                .pick(
-                        mPermits.availableNow(accepting, nowNanos).stream()
-                                .filter(server -> !inProgress.contains(server.id()))
-                                .toList(),
-                        context.attempts().triedServers(),
-                        nowNanos)
+                .pick(warm, tried, nowNanos)
+                .or(() -> mSelector.pick(candidates, tried, nowNanos))
                 .orElseThrow(() -> noServerRefusal(context, servers.isEmpty()));
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -207,6 +207,18 @@
         }
     }
 
+    /**
+     * A backend server counts as cold, so that all hosts together send it few requests for a while.
+     *
+     * @param source started, registered, unreachable, or evacuated if this host found it so; or the
+     *     host that reported it
+     * @param millis how long it is still cold
+     * @param requestsPerSecond what all hosts together may send it
+     */
+    record ServerCold(
+            String server, String service, String source, long millis, double requestsPerSecond)
+            implements Decision {}
+
     /**
      * A store entry could not be decoded. An earlier routing table stays in force; a backend server
      * is removed from the registry.
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/StateDecoder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/protocol/StateDecoder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.RoutingTable;
@@ -31,4 +32,14 @@
      * @throws UnreadableException if it does not describe a usable server
      */
     LiveServer readServer(BackendServerId id, byte[] value) throws UnreadableException;
+
+    /**
+     * Decodes how long a backend server is still cold according to its registration, in
+     * milliseconds.
+     *
+     * @return empty if the registration does not tell
+     */
+    default OptionalLong readColdRemainingMillis(byte[] value) {
+        return OptionalLong.empty();
+    }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -22,6 +22,7 @@
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.registry.SoftwareVersion;
+import org.fuchsiaford.routing.ColdStart;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.RoutingTable;
 import org.fuchsiaford.routing.ServiceDeclaration;
@@ -49,6 +50,7 @@
 
     private final StateDecoder mDecoder;
     private final ServerRegistry mServers;
+    private final ColdServerRecorder mCold;
     private final ServedVersions mVersions = new ServedVersions();
     private final FleetView mFleet;
     private final DecisionLog mLog;
@@ -81,6 +83,7 @@
         mLog = log;
         mTicker = ticker;
         mOnServerStarted = onServerStarted;
+        mCold = new ColdServerRecorder(this::coldStart, servers, log, ticker);
     }
 
     /** Returns the routing table in force, if any. */
@@ -127,6 +130,17 @@
         return mServers;
     }
 
+    /** Returns the record of the servers that are cold. */
+    public ColdServerRecorder cold() {
+        return mCold;
+    }
+
+    private ColdStart coldStart(ServiceId service) {
+        return mTable.flatMap(table -> table.service(service))
+                .map(ServiceDeclaration::coldStart)
+                .orElse(ColdStart.NONE);
+    }
+
     @Override
     public List<LiveServer> usable(ServiceId service, long nowNanos) {
         return mServers.usable(service, nowNanos);
@@ -290,6 +304,12 @@
             mServers.suspend(server.run(), mTicker.nowNanos());
         }
         LiveServer last = mLastServers.put(id, server);
+        boolean isNewRun =
+                !Optional.ofNullable(last)
+                        .or(() -> ended)
+                        .map(LiveServer::run)
+                        .equals(Optional.of(server.run()));
+        mCold.register(server, mDecoder.readColdRemainingMillis(entry.value()), isNewRun);
         if (isOfNewEra && last != null && last.draining() && last.run().equals(server.run())) {
             mServers.markLeaving(server.run());
         }
--- a/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
+++ b/peer/src/main/java/org/fuchsiaford/peer/message/PeerMessage.java
@@ -27,6 +27,7 @@
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.RequestAttributes;
+import org.fuchsiaford.serverlimit.ColdServer;
 import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.stream.StreamKey;
 import org.fuchsiaford.workspace.GrantId;
@@ -230,12 +231,13 @@
     record RefundLimit(HostId host, WorkspaceId workspace, long tokens) implements PeerMessage {}
 
     /**
-     * Asks a coordinator to permit a request to a server that names a limit; answered by {@link
-     * LimitResponse}.
+     * Asks a coordinator to permit a request to a server that is limited or may be; answered by
+     * {@link LimitResponse}.
      *
      * @param limit the server and its limit as known to the sender
+     * @param cold null if the server is not cold as far as the sender knows
      */
-    record AcquirePermit(HostId host, NamedLimit limit) implements PeerMessage {}
+    record AcquirePermit(HostId host, NamedLimit limit, ColdServer cold) implements PeerMessage {}
 
     /**
      * Asks a coordinator whether a plain request in quarantine may be sent again; answered by
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -54,6 +54,7 @@
 import org.fuchsiaford.routing.TokenQuota;
 import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.RequestAttributes;
+import org.fuchsiaford.serverlimit.ColdServer;
 import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.stream.BegunStreams;
 import org.fuchsiaford.stream.StreamKey;
@@ -217,7 +218,8 @@
         add(
                 "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[['w1',2,3]],[['e1',3,4,5]],"
                         + "['r1'],[['e1',8,2]],[['v1',6]],[['e1',9]],[[['p1'],1,8]],"
-                        + "[[['e1',9],1.5,200]],[['v1','b1',['k1','k2']]],2],'wantsLoads':true}]",
+                        + "[[['e1',9],1.5,200]],[['v1','b1',['k1','k2']]],2,"
+                        + "[[['e1',9],'v1',700]]],'wantsLoads':true}]",
                 new PeerMessage.Heartbeat(
                         new HostHeartbeat(
                                 record,
@@ -233,20 +235,13 @@
                                 quarantined,
                                 limits,
                                 begunStreams(),
-                                2),
+                                2,
+                                List.of(cold())),
                         true));
-        add(
-                "['v',{'pulse':[null,0,false,0,null,null,null,null,null,null,null,"
-                        + "null,null,0],"
-                        + "'wantsLoads':false}]",
-                new PeerMessage.Heartbeat(
-                        new HostHeartbeat(
-                                null, 0, false, 0, null, null, null, null, null, null, null, null,
-                                null, 0),
-                        false));
         add(
                 "['V',{'summary':[['h1','f1','c:2','p:1',1.5],9,['h1'],[['e1',3,4,5]],"
-                        + "[['e1',0.25]],[['e1',9]],[[['p1'],1,8]],[[['e1',9],1.5,200]],2]}]",
+                        + "[['e1',0.25]],[['e1',9]],[[['p1'],1,8]],[[['e1',9],1.5,200]],2,"
+                        + "[[['e1',9],'v1',700]]]}]",
                 new PeerMessage.FleetResponse(
                         new FleetSummary(
                                 record,
@@ -257,12 +252,31 @@
                                 leaving,
                                 quarantined,
                                 limits,
-                                2)));
+                                2,
+                                List.of(cold()))));
+        addEmptyHeartbeat();
         addCoordination();
         addOrigins();
         addStoreEntries();
     }
 
+    private void addEmptyHeartbeat() {
+        add(
+                "['v',{'pulse':[null,0,false,0,null,null,null,null,null,null,null,"
+                        + "null,null,0,null],"
+                        + "'wantsLoads':false}]",
+                new PeerMessage.Heartbeat(
+                        new HostHeartbeat(
+                                null, 0, false, 0, null, null, null, null, null, null, null, null,
+                                null, 0, null),
+                        false));
+    }
+
+    private static ColdServer cold() {
+        return new ColdServer(
+                new ServerRun(new BackendServerId("e1"), 9), new ServiceId("v1"), 700);
+    }
+
     private void addOrigins() {
         add(
                 "['o',{'host':'h1','service':'v1','stream':'k1'}]",
@@ -360,7 +374,11 @@
         add(
                 "['a',{'host':'h1','limit':[['e1',9],1.5,200]}]",
                 new PeerMessage.AcquirePermit(
-                        host(), new NamedLimit(new ServerRun(engine, 9), 1.5, 200)));
+                        host(), new NamedLimit(new ServerRun(engine, 9), 1.5, 200), null));
+        add(
+                "['a',{'host':'h1','limit':[['e1',9],1.5,200],'cold':[['e1',9],'v1',700]}]",
+                new PeerMessage.AcquirePermit(
+                        host(), new NamedLimit(new ServerRun(engine, 9), 1.5, 200), cold()));
     }
 
     private static SlotRecord slotRecord(SlotId slot, Incarnation incarnation) {
