--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -73,7 +73,7 @@
      *     target, by service
      * @param quarantine the prompts that must not be placed
      * @param versions the software versions that may be sent streams
-     * @param limiter permits requests to engines that name a limit
+     * @param limiter permits requests to engines that are limited
      * @param random a source of uniformly distributed random numbers from 0 to 1
      */
     public EngineScheduler(
@@ -454,7 +454,14 @@
 
     private Optional<EngineAnswer.Granted> tryGrant(
             EngineRequest request, List<LiveServer> engines, long nowNanos) {
-        return mPlanner.plan(engines, request, mPool.capacity(request.service()), nowNanos)
+        EngineCapacity capacity = mPool.capacity(request.service());
+        List<LiveServer> warm = mEngines.warm(engines, nowNanos);
+        return mPlanner.plan(warm, request, capacity, nowNanos)
+                .or(
+                        () ->
+                                warm.size() < engines.size()
+                                        ? mPlanner.plan(engines, request, capacity, nowNanos)
+                                        : Optional.empty())
                 .map(plan -> grant(request, plan, nowNanos));
     }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -181,18 +181,21 @@
         return new GatewayState(
                 mAdapter.stateDecoder(),
                 new ServerRegistry(
-                        new EvacuatedDomains(GatewayHost::evacuationEnds), mSettings.regions()),
+                        new EvacuatedDomains(this::evacuationEnds), mSettings.regions()),
                 mFleet,
                 mLog,
                 mTicker,
                 (server, before) -> serverStarted(health, server, before));
     }
 
-    /**
-     * Called before servers are used again whose failure domain was evacuated until now. They may
-     * be cold; nothing depends on that yet.
-     */
-    private static void evacuationEnds(FailureDomainId domain) {}
+    /** The servers of a failure domain that was evacuated until now have been idle. */
+    private void evacuationEnds(FailureDomainId domain) {
+        List<LiveServer> servers =
+                mState.servers().registered().stream()
+                        .filter(server -> server.failureDomain().equals(domain))
+                        .toList();
+        mState.cold().markCold(servers, "evacuation ended");
+    }
 
     private long watchIntervalNanos() {
         return mCoordination.watchIntervalNanos();
@@ -218,6 +221,7 @@
         EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
         FailureDomainId domain = mSettings.failureDomain();
         ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
+        mState.cold().onCold(service -> serviceMetrics.countNotice(service, "cold"));
         ServerNotices notices = createNotices(backoff, serviceMetrics);
         ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
         ResponseMemory memory = createResponseMemory();
@@ -317,13 +321,19 @@
                 mTicker);
     }
 
-    /** Reports failed calls of engines, which the coordinator schedules. */
+    /** Reports failed calls to the coordinator, which schedules engines and limits servers. */
     private void reportFailure(LiveServer server, AttemptOutcome outcome) {
         CoordinatorCalls calls = mCoordination.calls();
         if (server.stage().isPresent()) {
             mEngineRuns.recordFailure(server, outcome);
-            calls.remoteCoordinator()
-                    .ifPresent(c -> calls.report(c, EngineEvent.called(server.id(), outcome, 0)));
+        }
+        Optional<HostRecord> coordinator = calls.remoteCoordinator();
+        if (coordinator.isEmpty() && outcome == AttemptOutcome.NOT_SENT) {
+            mState.cold().markUnreachable(server.id());
+        }
+        if (server.stage().isPresent() || mState.cold().servers().mayBeCold(server.service())) {
+            coordinator.ifPresent(
+                    c -> calls.report(c, EngineEvent.called(server.id(), outcome, 0)));
         }
     }
 
