Bound what a host holds for its callers, and the bytes at one server

Cause: each body was joined up to maxBodyBytes with its copies, nothing bounded the sum, the heads, the open connections or the requests sent ahead; a crowd of 120 ended a host.

Change: heads, bodies, complete responses and responses not yet read are charged to one account. A body takes its memory at its head if its length is known, else as it grows; without room, stalled bodies give way (408) and the newcomer is refused (503, Retry-After), neither has run. Heads are charged from their first byte with a cost for each line. Connections are bounded below the descriptor limit, the longest idle are closed first; 8 requests at most are taken ahead on one. The bytes in progress at one server are bounded. The limits follow from the heap and the descriptors, or are the settings maxHeldBytes, maxCallerConnections and maxServerBytes. Gauges are written to the metrics page. The account replaces the shared limit of ResponseMemory, whose property test now holds the account's sum against the same responses.

--- a/core/src/main/java/org/fuchsiaford/hostmemory/MemoryAccount.java
+++ b/core/src/main/java/org/fuchsiaford/hostmemory/MemoryAccount.java
@@ -14,9 +14,10 @@
  * which incomplete body gives way.
  *
  * <p>Answers crowds of callers that send many heads or bodies of legal size at once and stop short
- * of their end. Large bodies may fill half of the account, other bodies and heads three quarters,
- * and what servers have answered all of it. So a small request finds room beside many large ones,
- * and new requests never displace a response.
+ * of their end, and servers that send large responses without end. Large bodies may fill half of
+ * the account, other bodies and heads three quarters, large responses seven eighths, and small ones
+ * all of it. So small requests and responses find room beside many large ones, and new requests
+ * never displace a response.
  *
  * <p>Where there is no room, incomplete bodies that have stalled give way, those first that have
  * received least. A request that may have been sent to a server never does.
@@ -96,11 +97,11 @@
     }
 
     private long limitBytes(MemoryDirection direction, long bytes) {
+        boolean large = bytes > SMALL_BYTES;
         if (!direction.isBeforeRun()) {
-            return mMaxBytes;
+            return large ? mMaxBytes / 8 * 7 : mMaxBytes;
         }
-        boolean large = direction == MemoryDirection.ARRIVING && bytes > SMALL_BYTES;
-        return large ? mMaxBytes / 2 : mMaxBytes / 4 * 3;
+        return large && direction == MemoryDirection.ARRIVING ? mMaxBytes / 2 : mMaxBytes / 4 * 3;
     }
 
     private void add(MemoryDirection direction, long bytes) {
@@ -192,8 +193,12 @@
             return nowNanos - mProgressNanos >= STALL_NANOS;
         }
 
-        /** Moves the bytes to another direction. A complete body gives way to nobody. */
-        public void moveTo(MemoryDirection direction) {
+        /**
+         * Moves the bytes to another direction. From then on this holding gives way to nobody.
+         *
+         * @return false if the holding is closed, as it is if it has given way
+         */
+        public boolean moveTo(MemoryDirection direction) {
             synchronized (MemoryAccount.this) {
                 if (!mClosed) {
                     mArriving.remove(this);
@@ -201,6 +206,7 @@
                     mDirection = direction;
                     add(mDirection, mBytes);
                 }
+                return !mClosed;
             }
         }
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -84,9 +84,6 @@
 
     private static final long MIN_EXIT_RESERVE_MILLIS = 500;
 
-    /** Part of the heap that large responses may use together; joining them takes twice as much. */
-    private static final int RESPONSE_HEAP_DIVISOR = 8;
-
     private static final Duration IDLE_POLL_INTERVAL = Duration.ofMillis(50);
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(200);
 
@@ -193,6 +190,7 @@
     }
 
     private GatewayServer createServer(ServerHealth health, LoadTracker loads) {
+        HostMemory hostMemory = HostMemory.create(mSettings, mMetrics.registry(), mLog, mTicker);
         RouteAdmission routeAdmission =
                 new RouteAdmission(mState, mCoordination.charging(), mShutdown);
         ServerBackoff backoff = new ServerBackoff();
@@ -200,15 +198,10 @@
         FailureDomainId domain = mSettings.failureDomain();
         ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
         ServerNotices notices = createNotices(backoff, serviceMetrics);
-        ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
-        ResponseMemory memory = createResponseMemory();
-        RetryBudgets budgets =
-                new RetryBudgets(
-                        mSettings.retryWindowMillis(),
-                        mSettings.retryRatio(),
-                        mSettings.retrySlack(),
-                        () -> mFleet.presentCount(mTicker.nowNanos()),
-                        mTicker);
+        ServerClient client =
+                new ServerClient(mAdapter.serverProtocol(), notices, hostMemory.serverBytes());
+        ResponseMemory memory = hostMemory.responses();
+        RetryBudgets budgets = createRetryBudgets();
         AttemptRecorder attempts = createAttemptRecorder(health, budgets, serviceMetrics);
         ServerSelector selector =
                 new ServerSelector(domain, loads, health, GatewayHost::randomFraction);
@@ -247,22 +240,27 @@
                         mLog,
                         mTicker),
                 mShutdown,
+                hostMemory.connections(),
+                hostMemory.requests(),
                 mMetrics,
                 mLog,
                 mTicker);
     }
 
+    private RetryBudgets createRetryBudgets() {
+        return new RetryBudgets(
+                mSettings.retryWindowMillis(),
+                mSettings.retryRatio(),
+                mSettings.retrySlack(),
+                () -> mFleet.presentCount(mTicker.nowNanos()),
+                mTicker);
+    }
+
     private StreamVersions createStreamVersions() {
         return new StreamVersions(
                 mState, mState, mCoordination.origins(), mEngineRuns, mLog, mTicker);
     }
 
-    private ResponseMemory createResponseMemory() {
-        return new ResponseMemory(
-                mSettings.maxResponseBytes(),
-                Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR);
-    }
-
     private AttemptRecorder createAttemptRecorder(
             ServerHealth health, RetryBudgets budgets, ServiceMetrics serviceMetrics) {
         return new AttemptRecorder(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -30,6 +30,7 @@
  * @param orderLeaseSeconds the duration of the lease for sending stage orders, in seconds
  * @param maxResponseBytes the maximum size of a response that is kept in memory until it is
  *     complete, in bytes
+ * @param memory what the host may hold for its callers
  */
 public record GatewaySettings(
         String adapter,
@@ -51,4 +52,5 @@
         double retrySlack,
         long limitWindowMillis,
         long orderLeaseSeconds,
-        int maxResponseBytes) {}
+        int maxResponseBytes,
+        MemorySettings memory) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -93,7 +93,9 @@
     /** Records a failed prefill call. It counts as a retry. */
     void recordPrefillFailure(
             RequestContext context, LiveServer server, BackendCallException failure) {
-        recordServerFailure(server, failure.outcome());
+        if (failure.isCalled()) {
+            recordServerFailure(server, failure.outcome());
+        }
         boolean counted = mBudgets.tryAcquireRetry(context.service());
         mLog.write(
                 new Decision.AttemptFailed(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -1,23 +1,16 @@
 package org.fuchsiaford.entry.gateway.forward;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.group.ChannelGroup;
-import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.util.concurrent.ImmediateEventExecutor;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.CallerProtocol;
 import org.fuchsiaford.entry.gateway.protocol.CallerRequest;
 import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
-import org.fuchsiaford.entry.http.RequestBody;
 import org.fuchsiaford.entry.metrics.EntryMetrics;
 import org.fuchsiaford.entry.metrics.EntryMetrics.Count;
 import org.fuchsiaford.entry.metrics.EntryMetrics.Timing;
@@ -48,16 +41,6 @@
     /** Longer than any idle timeout in a routing table, so that callers close connections first. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
-    private static final int MAX_LINE_BYTES = 8_192;
-
-    /** The largest header size limit that a routing table may set. */
-    private static final int MAX_HEADER_BYTES = 16_384;
-
-    private static final HttpDecoderConfig DECODER =
-            new HttpDecoderConfig()
-                    .setMaxInitialLineLength(MAX_LINE_BYTES)
-                    .setMaxHeaderSize(MAX_HEADER_BYTES);
-
     /** Time in which a caller that is refused sends the rest of its request. */
     private static final Duration DISCARD_TIMEOUT = Duration.ofMillis(500);
 
@@ -72,8 +55,8 @@
     private final EntryMetrics mMetrics;
     private final DecisionLog mLog;
     private final Ticker mTicker;
-    private final ChannelGroup mConnections =
-            new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
+    private final CallerConnections mConnections;
+    private final RequestMemory mMemory;
     private final AtomicInteger mInFlightRequests = new AtomicInteger();
 
     /** Creates a server; it listens once {@link #start} is called. */
@@ -84,6 +67,8 @@
             BufferedForwarder bufferedForwarder,
             StreamForwarder streamForwarder,
             HostShutdown shutdown,
+            CallerConnections connections,
+            RequestMemory memory,
             EntryMetrics metrics,
             DecisionLog log,
             Ticker ticker) {
@@ -93,6 +78,8 @@
         mBufferedForwarder = bufferedForwarder;
         mStreamForwarder = streamForwarder;
         mShutdown = shutdown;
+        mConnections = connections;
+        mMemory = memory;
         mMetrics = metrics;
         mLog = log;
         mTicker = ticker;
@@ -104,34 +91,14 @@
                 .host(mAddress.host())
                 .port(mAddress.port())
                 .idleTimeout(IDLE_TIMEOUT)
-                .channelGroup(mConnections)
+                .channelGroup(mConnections.all())
                 .doOnChannelInit(
-                        (observer, channel, address) -> {
-                            ConflictingLengthHandler.addTo(
-                                    channel.pipeline(), DECODER, this::logMalformed);
-                            HeaderTimeout.addTo(
-                                    channel.pipeline(),
-                                    mAdmission::headerTimeoutMillis,
-                                    this::logTooSlow);
-                        })
+                        (observer, channel, address) ->
+                                mConnections.add(channel, mAdmission::headerTimeoutMillis))
                 .handle(this::handle)
                 .bind();
     }
 
-    private void logMalformed(Channel channel, Throwable cause) {
-        logRejected(channel, RefusalReason.MALFORMED, String.valueOf(cause));
-    }
-
-    private void logTooSlow(Channel channel) {
-        logRejected(channel, RefusalReason.CALLER_TOO_SLOW, "the head was not received in time");
-    }
-
-    private void logRejected(Channel channel, RefusalReason reason, String detail) {
-        mLog.write(
-                new Decision.RequestRejected(
-                        String.valueOf(channel.remoteAddress()), reason.status(), detail));
-    }
-
     /**
      * Closes all connections. Those that are idle would else stay open while the process exits, and
      * a request that is sent then would wait for an answer until its end.
@@ -179,10 +146,10 @@
                 .doOnNext(authorized -> trace.recordBodyRequested())
                 .flatMap(
                         authorized ->
-                                RequestBody.read(
-                                                request, authorized.table().limits().maxBodyBytes())
-                                        .defaultIfEmpty(new byte[0])
-                                        .flatMap(body -> admit(caller, body, response, trace)));
+                                mMemory.withBody(
+                                        request,
+                                        authorized.table().limits().maxBodyBytes(),
+                                        body -> admit(caller, body, response, trace)));
     }
 
     /** A request that would not be sent any more is refused before its body arrives. */
@@ -298,7 +265,9 @@
                                     HttpHeaderNames.CONTENT_LENGTH,
                                     Integer.toString(complete.body().length));
                             recordHead(Timing.SERVICE_CALL, context, complete.head(), trace);
-                            return response.sendByteArray(Mono.just(complete.body())).then();
+                            return mMemory.whileSent(
+                                    complete.body().length,
+                                    response.sendByteArray(Mono.just(complete.body())).then());
                         })
                 .doOnSuccess(done -> recordAnswered(context, trace));
     }
@@ -372,7 +341,9 @@
         mProtocol.writeRefusal(response, refusal);
         response.header(HttpHeaderNames.CONTENT_LENGTH, "0");
         if (!mShutdown.isStopping()) {
-            return response.send().then();
+            return RequestMemory.endsConnection(refusal)
+                    ? RequestMemory.refuseAndDiscard(request, response, DISCARD_TIMEOUT)
+                    : response.send().then();
         }
         response.keepAlive(false);
         return response.sendHeaders().then().then(discardBody(request, trace));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ResponseMemory.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ResponseMemory.java
@@ -1,39 +1,36 @@
 package org.fuchsiaford.entry.gateway.forward;
 
-import java.io.ByteArrayOutputStream;
-import java.util.concurrent.atomic.AtomicLong;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.failure.RemoteName;
 import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.hostmemory.HeldBuffer;
+import org.fuchsiaford.hostmemory.MemoryAccount;
+import org.fuchsiaford.hostmemory.MemoryDirection;
 import org.fuchsiaford.store.http.BodyTooLargeException;
+import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /**
- * Collects responses of backend servers in memory, each up to a limit, and all together up to
- * another one, so that servers that send without end cannot exhaust the heap.
- *
- * <p>Invariant: small responses are always collected; only what exceeds {@link #UNSHARED_BYTES} of
- * a response draws on the common limit. Thread-safe.
+ * Collects responses of backend servers in memory, each up to a limit and all of them in the
+ * account of the host, so that servers that send without end cannot exhaust the heap. Thread-safe.
  */
 public final class ResponseMemory {
-    /** Size up to which a response does not count against the common limit, in bytes. */
-    private static final int UNSHARED_BYTES = 64 * 1024;
-
     private final int mMaxResponseBytes;
-    private final long mMaxSharedBytes;
-    private final AtomicLong mSharedBytes = new AtomicLong();
+    private final MemoryAccount mAccount;
+    private final Ticker mTicker;
 
     /**
      * Creates a memory.
      *
      * @param maxResponseBytes the maximum size of one response, in bytes
-     * @param maxSharedBytes the maximum size of the large parts of all responses, in bytes
+     * @param account the account that all responses draw on
      */
-    public ResponseMemory(int maxResponseBytes, long maxSharedBytes) {
+    public ResponseMemory(int maxResponseBytes, MemoryAccount account, Ticker ticker) {
         mMaxResponseBytes = maxResponseBytes;
-        mMaxSharedBytes = maxSharedBytes;
+        mAccount = account;
+        mTicker = ticker;
     }
 
     /**
@@ -53,9 +50,9 @@
     }
 
     private final class Buffer {
-        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private final MemoryAccount.Holding mHolding = mAccount.open(MemoryDirection.RESPONSES);
+        private final HeldBuffer mBody = new HeldBuffer(mHolding, mMaxResponseBytes);
         private ResponseHead mHead;
-        private long mOwnSharedBytes;
 
         void add(ResponsePart part) {
             if (part instanceof ResponsePart.Head head) {
@@ -70,13 +67,15 @@
             if (size > mMaxResponseBytes) {
                 throw new BodyTooLargeException(mMaxResponseBytes);
             }
-            long shared = Math.max(0, size - UNSHARED_BYTES);
-            long added = shared - mOwnSharedBytes;
-            mOwnSharedBytes = shared;
-            if (mSharedBytes.addAndGet(added) > mMaxSharedBytes) {
+            boolean appended =
+                    mBody.tryAppend(
+                            bytes.length,
+                            (target, offset) ->
+                                    System.arraycopy(bytes, 0, target, offset, bytes.length),
+                            mTicker.nowNanos());
+            if (!appended) {
                 throw new BodyTooLargeException(size);
             }
-            mBody.writeBytes(bytes);
         }
 
         CompleteResponse complete(Step step, RemoteName server) throws BackendCallException {
@@ -84,7 +83,11 @@
                 throw new BackendCallException(
                         step, server, AttemptOutcome.UNKNOWN, "the response is empty");
             }
-            return new CompleteResponse(mHead, mBody.toByteArray());
+            byte[] body = mBody.take(mTicker.nowNanos());
+            if (body == null) {
+                throw new BodyTooLargeException(mBody.size());
+            }
+            return new CompleteResponse(mHead, body);
         }
 
         BackendCallException tooLarge(Step step, RemoteName server, BodyTooLargeException cause) {
@@ -97,7 +100,7 @@
         }
 
         void release() {
-            mSharedBytes.addAndGet(-mOwnSharedBytes);
+            mHolding.close();
         }
     }
 }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
@@ -10,12 +10,14 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import org.fuchsiaford.attempt.AttemptOutcome;
+import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.entry.gateway.protocol.KvSource;
 import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.entry.gateway.protocol.ServerProtocol;
 import org.fuchsiaford.entry.gateway.protocol.ServerRequest;
 import org.fuchsiaford.failure.RemoteName;
 import org.fuchsiaford.failure.Step;
+import org.fuchsiaford.hostmemory.ServerByteLimit;
 import org.fuchsiaford.registry.ServerAddress;
 import org.fuchsiaford.store.http.CallConnection;
 import reactor.core.publisher.Flux;
@@ -43,9 +45,11 @@
     private final HttpClient mClient;
     private final ServerProtocol mProtocol;
     private final ServerNotices mNotices;
+    private final ServerByteLimit mBytes;
 
     /** Creates a client. */
-    public ServerClient(ServerProtocol protocol, ServerNotices notices) {
+    public ServerClient(ServerProtocol protocol, ServerNotices notices, ServerByteLimit bytes) {
+        mBytes = bytes;
         mProtocol = protocol;
         mNotices = notices;
         mClient =
@@ -63,6 +67,21 @@
      * @return the parts of the response; fails with {@link BackendCallException}
      */
     Flux<ResponsePart> exchange(ServerRequest request, byte[] body, Step step, Duration timeout) {
+        BackendServerId server = request.server().id();
+        return Flux.defer(
+                () ->
+                        mBytes.tryBegin(server, body.length)
+                                ? call(request, body, step, timeout)
+                                        .doFinally(signal -> mBytes.end(server, body.length))
+                                : Flux.error(
+                                        BackendCallException.notCalled(
+                                                step,
+                                                new RemoteName(server.value()),
+                                                "too many bytes in progress at the server")));
+    }
+
+    private Flux<ResponsePart> call(
+            ServerRequest request, byte[] body, Step step, Duration timeout) {
         return CallConnection.ownStream(
                 mClient,
                 client -> {
--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/PrometheusText.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/PrometheusText.java
@@ -1,7 +1,9 @@
 package org.fuchsiaford.entry.metrics;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
+import com.codahale.metrics.Metric;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import java.util.Map;
@@ -22,7 +24,11 @@
         Stream<String> counters = registry.getCounters().entrySet().stream().map(e -> counter(e));
         Stream<String> histograms =
                 registry.getHistograms().entrySet().stream().flatMap(PrometheusText::histogram);
-        return Stream.concat(counters, histograms).collect(Collectors.joining("\n", "", "\n"));
+        Stream<String> gauges =
+                registry.getMetrics().entrySet().stream().flatMap(PrometheusText::gauge);
+        return Stream.of(counters, gauges, histograms)
+                .flatMap(samples -> samples)
+                .collect(Collectors.joining("\n", "", "\n"));
     }
 
     private static String counter(Map.Entry<String, Counter> entry) {
@@ -32,6 +38,12 @@
         return sample + " " + entry.getValue().getCount();
     }
 
+    private static Stream<String> gauge(Map.Entry<String, Metric> entry) {
+        return entry.getValue() instanceof Gauge<?> gauge
+                ? Stream.of(entry.getKey() + " " + gauge.getValue())
+                : Stream.empty();
+    }
+
     private static Stream<String> histogram(Map.Entry<String, Histogram> entry) {
         String name = entry.getKey();
         int labels = name.indexOf('{');
--- a/entry/src/test/java/org/fuchsiaford/entry/ArchitectureTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/ArchitectureTest.java
@@ -17,6 +17,7 @@
         "org.fuchsiaford.fleet..",
         "org.fuchsiaford.hash..",
         "org.fuchsiaford.host..",
+        "org.fuchsiaford.hostmemory..",
         "org.fuchsiaford.json..",
         "org.fuchsiaford.order..",
         "org.fuchsiaford.placement..",
--- a/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.Example;
 import org.fuchsiaford.entry.gateway.GatewaySettings;
 import org.fuchsiaford.entry.gateway.GatewaySettingsReader;
+import org.fuchsiaford.entry.gateway.MemorySettings;
 
 /**
  * Tests the settings of a host that follows a live registry, as rendered from the template of the
@@ -58,6 +59,23 @@
                 .hasMessageContaining("maxResponseBytes");
     }
 
+    /** Guards against limits of memory that are misread, or that no host can work with. */
+    @Example
+    void theMemoryMayBeLimited() throws IOException, SettingsException {
+        GatewaySettingsReader reader = new GatewaySettingsReader();
+        assertThat(reader.read(renderedTemplate()).memory()).isEqualTo(MemorySettings.defaults());
+        String limits =
+                "\"orderLeaseSeconds\": 3, \"maxHeldBytes\": %d, \"maxCallerConnections\": %d,"
+                        + " \"maxServerBytes\": %d";
+        assertThat(reader.read(withOrderLease(limits.formatted(20_000_000, 300, 5_000))).memory())
+                .isEqualTo(new MemorySettings(20_000_000, 300, 5_000));
+        assertThatThrownBy(() -> reader.read(withOrderLease(limits.formatted(1_000, 0, 0))))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("maxHeldBytes")
+                .hasMessageContaining("maxCallerConnections")
+                .hasMessageContaining("maxServerBytes");
+    }
+
     private static String withOrderLease(String replacement) throws IOException {
         return renderedTemplate().replace("\"orderLeaseSeconds\": 3", replacement);
     }
