Tell an answer that a reset cuts off during the upload from a complete one

Cause: a response without length or chunks ends with its connection. If a server resets the connection while the request is still being written, the write may meet the reset before a read does; the codec then ends the response in order.

Change: such a response has failed if it ends before the request was written.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ServerClient.java
@@ -8,9 +8,11 @@
 import java.time.Duration;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.entry.gateway.protocol.BodyFraming;
 import org.fuchsiaford.entry.gateway.protocol.KvSource;
 import org.fuchsiaford.entry.gateway.protocol.ResponseHead;
 import org.fuchsiaford.entry.gateway.protocol.ServerProtocol;
@@ -126,9 +128,11 @@
             byte[] body,
             AtomicReference<SendState> state) {
         HttpMethod method = request.caller().method();
+        AtomicBoolean written = new AtomicBoolean();
         boolean hasBody = body.length > 0 || !method.equals(HttpMethod.GET);
         HttpClient.RequestSender sender =
                 client.doOnRequest((r, connection) -> beginSend(state))
+                        .doAfterRequest((r, connection) -> written.set(true))
                         .headers(
                                 headers -> {
                                     headers.set(mProtocol.headers(request));
@@ -146,7 +150,20 @@
                 (response, content) ->
                         Flux.concat(
                                 Mono.fromSupplier(() -> head(request, response)),
-                                content.asByteArray().map(ResponsePart.Body::new)));
+                                content.asByteArray().map(ResponsePart.Body::new),
+                                Flux.defer(() -> checkEnd(response, written.get()))));
+    }
+
+    /**
+     * Fails if a response that only the end of the connection delimits ends while the request is
+     * still being written. The connection was then reset, which the codec takes for its end if a
+     * write meets the reset before a read does.
+     */
+    private static Flux<ResponsePart> checkEnd(HttpClientResponse response, boolean written) {
+        return written || BodyFraming.of(response.responseHeaders()) != BodyFraming.CONNECTION_CLOSE
+                ? Flux.empty()
+                : Flux.error(
+                        new IOException("the connection ended before the request was written"));
     }
 
     private ResponsePart head(ServerRequest request, HttpClientResponse response) {
