--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/PrometheusText.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/PrometheusText.java
@@ -1,7 +1,9 @@
 package org.fuchsiaford.entry.metrics;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
+import com.codahale.metrics.Metric;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
 import java.util.Map;
@@ -23,16 +25,12 @@
         Stream<String> histograms =
                 registry.getHistograms().entrySet().stream().flatMap(PrometheusText::histogram);
         Stream<String> gauges =
-                registry.getGauges().keySet().stream().map(name -> gauge(registry, name));
-        return Stream.of(counters, histograms, gauges)
+                registry.getMetrics().entrySet().stream().flatMap(PrometheusText::gauge);
+        return Stream.of(counters, gauges, histograms)
                 .flatMap(samples -> samples)
                 .collect(Collectors.joining("\n", "", "\n"));
     }
 
-    private static String gauge(MetricRegistry registry, String name) {
-        return name + " " + registry.getGauges().get(name).getValue();
-    }
-
     private static String counter(Map.Entry<String, Counter> entry) {
         String name = entry.getKey();
         int labels = name.indexOf('{');
@@ -40,6 +38,12 @@
         return sample + " " + entry.getValue().getCount();
     }
 
+    private static Stream<String> gauge(Map.Entry<String, Metric> entry) {
+        return entry.getValue() instanceof Gauge<?> gauge
+                ? Stream.of(entry.getKey() + " " + gauge.getValue())
+                : Stream.empty();
+    }
+
     private static Stream<String> histogram(Map.Entry<String, Histogram> entry) {
         String name = entry.getKey();
         int labels = name.indexOf('{');
