--- a/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
@@ -17,7 +17,8 @@
 import org.fuchsiaford.routing.TokenCounts;
 
 /**
- * Queue of model requests that wait for capacity on a decode engine.
+ * Queue of requests that wait for capacity: of model requests for KV cache of decode engines, whose
+ * unit are tokens, or of plain requests for seats of servers ({@link SeatBook}).
  *
  * <p>Load pattern: bursts of a few seconds at twice the capacity of the engines. Requests that can
  * still meet their latency target go first, so that a burst does not delay every request beyond its
@@ -73,12 +74,28 @@
     private final FairQueue<Kind, Entry> mOnTime = new FairQueue<>(ORDER);
     private final FairQueue<Kind, Entry> mLate = new FairQueue<>(ORDER);
     private long mRankedNanos;
-    private double mMeanRunNanos = INITIAL_RUN_NANOS;
+    private double mMeanRunNanos;
     private double mNanosPerToken = INITIAL_NANOS_PER_TOKEN;
-    private double mMeanFirstEventNanos = INITIAL_FIRST_EVENT_NANOS;
+    private double mMeanFirstEventNanos;
     private double mFirstEventDeviationNanos;
     private double mNanosPerPromptToken = INITIAL_NANOS_PER_PROMPT_TOKEN;
 
+    /** Creates the queue of a service of engines. */
+    public EngineQueue() {
+        this(INITIAL_RUN_NANOS, INITIAL_FIRST_EVENT_NANOS);
+    }
+
+    /**
+     * Creates a queue.
+     *
+     * @param runNanos the duration of a run until one is observed
+     * @param firstEventNanos the time to the first event until one is observed
+     */
+    EngineQueue(long runNanos, long firstEventNanos) {
+        mMeanRunNanos = runNanos;
+        mMeanFirstEventNanos = firstEventNanos;
+    }
+
     /**
      * A queued request. Times are on the monotonic clock.
      *
@@ -338,8 +355,11 @@
 
     /** Returns the time left until a run must start for its first event to meet the deadline. */
     private double untilLatestStartNanos(long firstEventDeadlineNanos, long nowNanos) {
-        double firstEventNanos =
-                mMeanFirstEventNanos + FIRST_EVENT_DEVIATIONS * mFirstEventDeviationNanos;
-        return firstEventDeadlineNanos - nowNanos - firstEventNanos;
+        return firstEventDeadlineNanos - nowNanos - firstEventNanos();
+    }
+
+    /** Returns the time to the first event that most runs do not exceed. */
+    synchronized long firstEventNanos() {
+        return (long) (mMeanFirstEventNanos + FIRST_EVENT_DEVIATIONS * mFirstEventDeviationNanos);
     }
 }
