--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -19,6 +19,7 @@
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.request.RequestId;
+import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
 import org.fuchsiaford.stream.ServedVersions;
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -8,25 +8,13 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.entry.gateway.engine.EngineReportClient;
 import org.fuchsiaford.entry.gateway.engine.EngineRuns;
 import org.fuchsiaford.entry.gateway.fleet.Coordination;
 import org.fuchsiaford.entry.gateway.fleet.CoordinatorCalls;
-import org.fuchsiaford.entry.gateway.forward.AttemptRecorder;
-import org.fuchsiaford.entry.gateway.forward.BufferedForwarder;
-import org.fuchsiaford.entry.gateway.forward.EngineAdmission;
 import org.fuchsiaford.entry.gateway.forward.GatewayServer;
 import org.fuchsiaford.entry.gateway.forward.HostShutdown;
-import org.fuchsiaford.entry.gateway.forward.PrefillClient;
-import org.fuchsiaford.entry.gateway.forward.ResponseMemory;
-import org.fuchsiaford.entry.gateway.forward.RetryBudgets;
-import org.fuchsiaford.entry.gateway.forward.RouteAdmission;
-import org.fuchsiaford.entry.gateway.forward.ServerClient;
-import org.fuchsiaford.entry.gateway.forward.ServerNotices;
-import org.fuchsiaford.entry.gateway.forward.StreamForwarder;
-import org.fuchsiaford.entry.gateway.forward.StreamVersions;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.order.StageController;
@@ -38,7 +26,6 @@
 import org.fuchsiaford.entry.gateway.state.StateFollower;
 import org.fuchsiaford.entry.metrics.EntryMetrics;
 import org.fuchsiaford.entry.metrics.PrometheusText;
-import org.fuchsiaford.entry.metrics.ServiceMetrics;
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.host.HostId;
@@ -48,12 +35,9 @@
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.registry.EvacuatedDomains;
 import org.fuchsiaford.registry.LiveServer;
-import org.fuchsiaford.registry.ServerBackoff;
 import org.fuchsiaford.registry.ServerRegistry;
-import org.fuchsiaford.selection.EngineEvent;
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.ServerHealth;
-import org.fuchsiaford.selection.ServerSelector;
 import org.fuchsiaford.store.Store;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.publisher.Mono;
@@ -165,7 +149,20 @@
                         mTicker);
         mMetrics.registerGauge("evacuated_domains", mState.servers().evacuated()::size);
         mPeerServer = new PeerServer(settings.peerAddress(), this::handle);
-        mGatewayServer = createServer(health, loads);
+        mGatewayServer =
+                new GatewayServerFactory(
+                                settings,
+                                adapter,
+                                mFleet,
+                                mState,
+                                mCoordination,
+                                mEngineRuns,
+                                mShutdown,
+                                mMetrics,
+                                GatewayHost::randomFraction,
+                                mLog,
+                                mTicker)
+                        .create(health, loads);
     }
 
     private void serverStarted(
@@ -177,8 +174,7 @@
     private GatewayState createState(ServerHealth health) {
         return new GatewayState(
                 mAdapter.stateDecoder(),
-                new ServerRegistry(
-                        new EvacuatedDomains(this::evacuationEnds), mSettings.regions()),
+                new ServerRegistry(new EvacuatedDomains(this::evacuationEnds), mSettings.regions()),
                 mFleet,
                 mLog,
                 mTicker,
@@ -211,130 +207,6 @@
                 settings.cores());
     }
 
-    private GatewayServer createServer(ServerHealth health, LoadTracker loads) {
-        HostMemory hostMemory = HostMemory.create(mSettings, mMetrics.registry(), mLog, mTicker);
-        RouteAdmission routeAdmission =
-                new RouteAdmission(mState, mCoordination.charging(), mShutdown);
-        ServerBackoff backoff = new ServerBackoff();
-        EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
-        FailureDomainId domain = mSettings.failureDomain();
-        ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
-        mState.cold().onCold(service -> serviceMetrics.countNotice(service, "cold"));
-        ServerNotices notices = createNotices(backoff, serviceMetrics);
-        ServerClient client =
-                new ServerClient(mAdapter.serverProtocol(), notices, hostMemory.serverBytes());
-        ResponseMemory memory = hostMemory.responses();
-        RetryBudgets budgets = createRetryBudgets();
-        AttemptRecorder attempts = createAttemptRecorder(health, budgets, serviceMetrics);
-        ServerSelector selector =
-                new ServerSelector(domain, loads, health, GatewayHost::randomFraction);
-        PrefillClient prefill =
-                new PrefillClient(client, memory, mAdapter.serverProtocol(), attempts, mTicker);
-        return new GatewayServer(
-                mSettings.callerAddress(),
-                mAdapter.callerProtocol(),
-                routeAdmission,
-                new BufferedForwarder(
-                        mState,
-                        backoff,
-                        mCoordination.permits(),
-                        mCoordination.requestQuarantine(),
-                        routeAdmission,
-                        selector,
-                        loads,
-                        client,
-                        memory,
-                        attempts,
-                        GatewayHost::randomFraction,
-                        mLog,
-                        mTicker),
-                new StreamForwarder(
-                        mState,
-                        backoff,
-                        routeAdmission,
-                        engineAdmission,
-                        mState,
-                        loads,
-                        client,
-                        memory,
-                        prefill,
-                        createStreamVersions(),
-                        attempts,
-                        mLog,
-                        mTicker),
-                mShutdown,
-                hostMemory.connections(),
-                hostMemory.requests(),
-                mMetrics,
-                mLog,
-                mTicker);
-    }
-
-    private RetryBudgets createRetryBudgets() {
-        return new RetryBudgets(
-                mSettings.retryWindowMillis(),
-                mSettings.retryRatio(),
-                mSettings.retrySlack(),
-                () -> mFleet.presentCount(mTicker.nowNanos()),
-                mTicker);
-    }
-
-    private StreamVersions createStreamVersions() {
-        return new StreamVersions(
-                mState, mState, mCoordination.origins(), mEngineRuns, mLog, mTicker);
-    }
-
-    private AttemptRecorder createAttemptRecorder(
-            ServerHealth health, RetryBudgets budgets, ServiceMetrics serviceMetrics) {
-        return new AttemptRecorder(
-                health,
-                budgets,
-                mCoordination.tally(),
-                serviceMetrics,
-                this::reportFailure,
-                mLog,
-                mTicker);
-    }
-
-    private ServerNotices createNotices(ServerBackoff backoff, ServiceMetrics serviceMetrics) {
-        return new ServerNotices(
-                mState,
-                backoff,
-                mCoordination.serverLimits(),
-                () -> mCoordination.heartbeats().sendNow().subscribe(),
-                serviceMetrics,
-                mLog,
-                mTicker);
-    }
-
-    private EngineAdmission createEngineAdmission(ServerBackoff backoff, LoadTracker loads) {
-        return new EngineAdmission(
-                mState,
-                backoff,
-                mCoordination.calls(),
-                mCoordination.dispatcher(),
-                loads,
-                mCoordination.held(),
-                mLog,
-                mTicker);
-    }
-
-    /** Reports failed calls to the coordinator, which schedules engines and limits servers. */
-    private void reportFailure(LiveServer server, AttemptOutcome outcome) {
-        CoordinatorCalls calls = mCoordination.calls();
-        if (server.stage().isPresent()) {
-            mEngineRuns.recordFailure(server, outcome);
-        }
-        Optional<HostRecord> coordinator = calls.remoteCoordinator();
-        if (coordinator.isEmpty() && outcome == AttemptOutcome.NOT_SENT) {
-            mState.cold().markUnreachable(server.id());
-        }
-        if (server.stage().isPresent() || mState.cold().servers().mayBeCold(server.service())) {
-            coordinator.ifPresent(
-                    c -> calls.report(c, EngineEvent.called(server.id(), outcome, 0)));
-        }
-    }
-
     private static double randomFraction() {
         return ThreadLocalRandom.current().nextDouble();
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -36,6 +36,8 @@
  * @param maxResponseBytes the maximum size of a response that is kept in memory until it is
  *     complete, in bytes
  * @param memory what the host may hold for its callers
+ * @param sharedSeats whether the hosts share the seats of plain servers that are near full in the
+ *     book of a coordinator
  */
 public record GatewaySettings(
         String adapter,
@@ -60,4 +62,5 @@
         long limitWindowMillis,
         long orderLeaseSeconds,
         int maxResponseBytes,
-        MemorySettings memory) {}
+        MemorySettings memory,
+        boolean sharedSeats) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -98,7 +98,8 @@
                 root.has("maxResponseBytes")
                         ? (int) root.number("maxResponseBytes", 1, Integer.MAX_VALUE)
                         : DEFAULT_MAX_RESPONSE_BYTES,
-                MemorySettings.read(root));
+                MemorySettings.read(root),
+                root.flag("sharedSeats", false));
     }
 
     /** Reads the regions of the failure domains; that of the host itself need not be repeated. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -24,6 +24,7 @@
 import org.fuchsiaford.selection.HeldEngines;
 import org.fuchsiaford.selection.LoadTracker;
 import org.fuchsiaford.selection.OutcomeTally;
+import org.fuchsiaford.selection.SeatBook;
 import org.fuchsiaford.selection.ServerHealth;
 import org.fuchsiaford.serverlimit.ColdServers;
 import org.fuchsiaford.serverlimit.ServerLimits;
@@ -69,6 +70,7 @@
     private final ServerLimits mLimits = new ServerLimits();
     private final CoordinatorCalls mCalls;
     private final EngineDispatcher mDispatcher;
+    private final SeatDispatcher mSeats;
     private final CoordinatorHandler mHandler;
     private final LimitCharging mCharging;
     private final ServerPermits mPermits;
@@ -109,24 +111,16 @@
         ServerRateLimiter limiter = createLimiter(state, follower, random);
         EngineScheduler scheduler = createScheduler(state, health, loads, queues, limiter, random);
         mDispatcher = new EngineDispatcher(scheduler, mQuarantine, health, log, ticker);
-        mOrigins =
-                new OriginTracker(
-                        fleet,
-                        state,
-                        store,
-                        mCalls,
-                        () -> isStateCurrent(follower.isRegistryCurrent()),
-                        follower::registryCurrentNanos,
-                        this::sendHeartbeatsNow,
-                        random,
-                        log,
-                        ticker);
+        SeatBook seatBook = new SeatBook(fleet.self().id(), state, loads, health, random);
+        mSeats = new SeatDispatcher(seatBook, log, ticker);
+        mOrigins = createOrigins(state, store, follower, random, log);
         mHeartbeats =
                 new HeartbeatExchange(
                         fleet,
                         tracker,
                         mCalls,
                         mDispatcher,
+                        mSeats,
                         quota,
                         loads,
                         mHeld,
@@ -152,6 +146,7 @@
     private CoordinatorHandler createHandler(FleetQuota quota, ServerRateLimiter limiter) {
         return new CoordinatorHandler(
                 mDispatcher,
+                mSeats,
                 mQuarantine,
                 quota,
                 mLimits,
@@ -175,6 +170,25 @@
                 random);
     }
 
+    private OriginTracker createOrigins(
+            GatewayState state,
+            Store store,
+            StateFollower follower,
+            DoubleSupplier random,
+            DecisionLog log) {
+        return new OriginTracker(
+                mFleet,
+                state,
+                store,
+                mCalls,
+                () -> isStateCurrent(follower.isRegistryCurrent()),
+                follower::registryCurrentNanos,
+                this::sendHeartbeatsNow,
+                random,
+                log,
+                mTicker);
+    }
+
     private EngineScheduler createScheduler(
             GatewayState state,
             ServerHealth health,
@@ -251,6 +265,11 @@
         return mDispatcher;
     }
 
+    /** Returns the book of seats of this host. */
+    public SeatDispatcher seats() {
+        return mSeats;
+    }
+
     /** Returns the requests of this host that hold engines granted by coordinators. */
     public HeldEngines held() {
         return mHeld;
@@ -308,6 +327,9 @@
         if (message instanceof PeerMessage.AcquireEngines acquire) {
             return Optional.of(mHandler.handle(acquire));
         }
+        if (message instanceof PeerMessage.AcquireSeat acquire) {
+            return Optional.of(mHandler.handle(acquire));
+        }
         if (message instanceof PeerMessage.ReportEngineEvents events) {
             events.events().forEach(this::recordUnreachable);
             return Optional.of(Mono.just(mHandler.handle(events)));
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
@@ -77,6 +79,8 @@
     private final CoordinatorTracker mTracker;
     private final CoordinatorCalls mCalls;
     private final EngineDispatcher mDispatcher;
+    private final SeatDispatcher mSeats;
+    private final Set<HostId> mSeatGrantors = ConcurrentHashMap.newKeySet();
     private final FleetQuota mQuota;
     private final LoadTracker mLoads;
     private final HeldEngines mHeld;
@@ -108,6 +112,7 @@
             CoordinatorTracker tracker,
             CoordinatorCalls calls,
             EngineDispatcher dispatcher,
+            SeatDispatcher seats,
             FleetQuota quota,
             LoadTracker loads,
             HeldEngines held,
@@ -128,6 +133,7 @@
         mTracker = tracker;
         mCalls = calls;
         mDispatcher = dispatcher;
+        mSeats = seats;
         mQuota = quota;
         mLoads = loads;
         mHeld = held;
@@ -172,7 +178,12 @@
 
     private void runRound() {
         long nowNanos = mTicker.nowNanos();
-        mFleet.removeExpired(nowNanos).forEach(mQuota::removeHost);
+        mFleet.removeExpired(nowNanos)
+                .forEach(
+                        host -> {
+                            mQuota.removeHost(host);
+                            mSeatGrantors.remove(host);
+                        });
         mTracker.retainKnown();
         mState.endDueEvacuations();
         removeSilentReporters(nowNanos);
@@ -203,6 +214,7 @@
                         host -> {
                             mLoads.removeReport(host);
                             mDispatcher.removeHost(host);
+                            mSeats.removeHost(host);
                         });
     }
 
@@ -245,7 +257,7 @@
                         new PeerMessage.Heartbeat(localHeartbeat(peer.id(), isPrimary), isPrimary),
                         PeerMessage.FleetResponse.class,
                         CALL_TIMEOUT)
-                .doOnNext(response -> receive(response.summary(), ownLoads))
+                .doOnNext(response -> receive(response, ownLoads))
                 .then()
                 .onErrorResume(e -> Mono.fromRunnable(() -> recordFailure(peer, e)));
     }
@@ -259,7 +271,7 @@
                         new PeerMessage.Heartbeat(localHeartbeat(null, false), true),
                         PeerMessage.FleetResponse.class,
                         CALL_TIMEOUT)
-                .doOnNext(response -> receive(response.summary(), ownLoads))
+                .doOnNext(response -> receive(response, ownLoads))
                 .then()
                 .onErrorComplete();
     }
@@ -304,8 +316,17 @@
         return StoreRevision.ofOrdered(mState.lastChangeRevision());
     }
 
-    private void receive(FleetSummary summary, List<ServerLoad> ownLoads) {
+    /** Returns whether a coordinator has said that it grants seats of plain servers. */
+    public boolean grantsSeats(HostId coordinator) {
+        return mSeatGrantors.contains(coordinator);
+    }
+
+    private void receive(PeerMessage.FleetResponse response, List<ServerLoad> ownLoads) {
+        FleetSummary summary = response.summary();
         HostRecord coordinator = summary.coordinator();
+        if (response.grantsSeats()) {
+            mSeatGrantors.add(coordinator.id());
+        }
         if (coordinator.id().equals(mFleet.self().id())) {
             return;
         }
@@ -347,6 +368,7 @@
                     nowNanos);
             mLoads.replaceReport(sender, heartbeat.loads());
             mDispatcher.reconcile(sender, heartbeat.held());
+            mSeats.reconcile(sender, heartbeat.held());
             mFleetHealth.add(heartbeat.outcomes(), nowNanos);
             mergeQuarantine(heartbeat.quarantined(), nowNanos);
             mState.markLeaving(heartbeat.leaving(), sender.value());
@@ -372,7 +394,8 @@
                                 request.wantsLoads() ? Long.MAX_VALUE : RECENT_LIMIT_NANOS,
                                 nowNanos),
                         lastChange().era(),
-                        mState.cold().servers().list(nowNanos)));
+                        mState.cold().servers().list(nowNanos)),
+                true);
     }
 
     private void mergeLimits(List<NamedLimit> reported, HostId source, long nowNanos) {
