Charge what waits to be read by a caller, streams included

Cause: a complete response was charged while it was sent, a stream not at all.

Change: ConnectionMemory, before HeadMemory, charges the bytes that a connection has not written yet when it is flushed and when it becomes writable, for responses and streams alike.

--- a/core/src/main/java/org/fuchsiaford/hostmemory/MemoryDirection.java
+++ b/core/src/main/java/org/fuchsiaford/hostmemory/MemoryDirection.java
@@ -12,7 +12,7 @@
     WAITING,
     /** Responses of servers that are kept until they are complete. */
     RESPONSES,
-    /** Complete responses that their callers have not read. */
+    /** Bytes of responses, streams among them, that their callers have not read. */
     OUTBOUND;
 
     /** Returns the name in metrics and logs. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/CallerConnections.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/CallerConnections.java
@@ -69,7 +69,7 @@
                                 c,
                                 RefusalReason.CALLER_TOO_SLOW,
                                 "the head was not received in time"));
-        HeadMemory.addTo(
+        ConnectionMemory.addTo(
                 channel.pipeline(),
                 mAccount,
                 mLimit,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/HeadMemory.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/ConnectionMemory.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpRequest;
@@ -26,14 +27,15 @@
 import reactor.netty.NettyPipeline;
 
 /**
- * Charges the heads of the requests of one connection to the account of the host, from their first
- * byte until their response was written, and bounds the requests that are sent ahead.
+ * Charges to the account of the host what is held for one connection outside of bodies: the heads
+ * of requests, from their first byte until their response was written, and the bytes of responses
+ * that the caller has not read. Bounds the requests that are sent ahead.
  *
  * <p>A head without room is refused with 503 and the connection closed, if no other request is in
  * progress on it. Otherwise nothing more is read, and the connection is closed once the requests in
  * progress are answered; the others have not run. Confined to the event loop of one connection.
  */
-final class HeadMemory {
+final class ConnectionMemory {
     /** More than any HTTP client sends ahead of the responses. */
     private static final int MAX_REQUESTS_IN_PROGRESS = 8;
 
@@ -41,7 +43,8 @@
             "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n"
                     + "Connection: close\r\n\r\n";
 
-    private final MemoryAccount.Holding mHolding;
+    private final MemoryAccount.Holding mHeads;
+    private final MemoryAccount.Holding mOutbound;
     private final ConnectionLimit<Channel> mConnections;
     private final Consumer<Channel> mOnRefused;
     private final Ticker mTicker;
@@ -50,13 +53,15 @@
     private ChannelHandlerContext mByteContext;
     private boolean mHeadExpected = true;
     private boolean mStopped;
+    private long mOutboundBytes;
 
-    private HeadMemory(
+    private ConnectionMemory(
             MemoryAccount account,
             ConnectionLimit<Channel> connections,
             Consumer<Channel> onRefused,
             Ticker ticker) {
-        mHolding = account.open(MemoryDirection.HEADS);
+        mHeads = account.open(MemoryDirection.HEADS);
+        mOutbound = account.open(MemoryDirection.OUTBOUND);
         mConnections = connections;
         mOnRefused = onRefused;
         mTicker = ticker;
@@ -73,14 +78,14 @@
             ConnectionLimit<Channel> connections,
             Consumer<Channel> onRefused,
             Ticker ticker) {
-        HeadMemory memory = new HeadMemory(account, connections, onRefused, ticker);
+        ConnectionMemory memory = new ConnectionMemory(account, connections, onRefused, ticker);
         pipeline.addFirst(memory.new ByteHandler());
         pipeline.addAfter(NettyPipeline.HttpCodec, null, memory.new MessageHandler());
     }
 
     private boolean tryCharge() {
         long bytes = mRequestBytes.stream().mapToLong(Long::longValue).sum();
-        return mHolding.tryResize(bytes + mPartialHead.bytes(), mTicker.nowNanos());
+        return mHeads.tryResize(bytes + mPartialHead.bytes(), mTicker.nowNanos());
     }
 
     private void stop() {
@@ -123,9 +128,31 @@
             }
         }
 
+        @Override
+        public void flush(ChannelHandlerContext context) {
+            context.flush();
+            chargeOutbound(context.channel());
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            chargeOutbound(context.channel());
+            context.fireChannelWritabilityChanged();
+        }
+
+        /** What has no room is not charged: servers have sent it, and it is delivered. */
+        private void chargeOutbound(Channel channel) {
+            ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+            long bytes = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+            if (bytes != mOutboundBytes && mOutbound.tryResize(bytes, mTicker.nowNanos())) {
+                mOutboundBytes = bytes;
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            mHolding.close();
+            mHeads.close();
+            mOutbound.close();
             mConnections.remove(context.channel());
             context.fireChannelInactive();
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -265,9 +265,7 @@
                                     HttpHeaderNames.CONTENT_LENGTH,
                                     Integer.toString(complete.body().length));
                             recordHead(Timing.SERVICE_CALL, context, complete.head(), trace);
-                            return mMemory.whileSent(
-                                    complete.body().length,
-                                    response.sendByteArray(Mono.just(complete.body())).then());
+                            return response.sendByteArray(Mono.just(complete.body())).then();
                         })
                 .doOnSuccess(done -> recordAnswered(context, trace));
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestMemory.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestMemory.java
@@ -14,8 +14,7 @@
 import reactor.netty.http.server.HttpServerResponse;
 
 /**
- * Charges the bodies of requests and the complete responses that callers have not read to the
- * account of the host.
+ * Charges the bodies of requests to the account of the host.
  *
  * <p>Invariant: a body that gives way is refused as not run; from the moment it is complete, and so
  * before it may be sent to a server, it no longer gives way. Thread-safe.
@@ -60,19 +59,6 @@
                         mTicker.nowNanos(), () -> mEvicted.tryEmitError(RequestBody.tooSlow()));
     }
 
-    /** Charges a complete response until it was written to the connection of its caller. */
-    Mono<Void> whileSent(int bytes, Mono<Void> sent) {
-        return Mono.using(
-                () -> {
-                    MemoryAccount.Holding holding = mAccount.open(MemoryDirection.OUTBOUND);
-                    // The response has just returned as many bytes; it is sent in any case.
-                    holding.tryResize(bytes, mTicker.nowNanos());
-                    return holding;
-                },
-                holding -> sent,
-                MemoryAccount.Holding::close);
-    }
-
     /**
      * Sends a refusal without a body and closes the connection. Reads on before, until the body
      * ends, its caller pauses or the timeout is over: a connection that is closed before its bytes
