Name hosts of the caller's region, and none that waited messages speak for

Change: callerAddresses prefers the failure domain, then the region, which the query states or the settings know, and names others only if the region has no host. A summary counts from when it was asked for; heartbeats read within 1 s after a suspension name no host.

--- a/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
+++ b/core/src/main/java/org/fuchsiaford/fleet/FleetView.java
@@ -1,16 +1,19 @@
 package org.fuchsiaford.fleet;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.registry.RegionMap;
 
 /**
  * The other entry hosts, as known from registrations in the store, from the heartbeats that this
@@ -18,12 +21,20 @@
  *
  * <p>Invariant: a host is reachable only while its latest heartbeat is no older than {@link
  * #HEARTBEAT_TIMEOUT_NANOS}, and present while it is registered or reachable. A host whose address
- * refuses connections has stopped and is neither. Thread-safe.
+ * refuses connections has stopped and is neither. A host is named to callers only if what says that
+ * it accepts them is no older than {@link #HEARTBEAT_TIMEOUT_NANOS}, also if this process has been
+ * suspended in between. Thread-safe.
  */
 public final class FleetView {
     /** Three heartbeat intervals: longer than a slow exchange, shorter than callers' timeouts. */
     public static final long HEARTBEAT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+    /**
+     * Time after a suspension of this process in which heartbeats are read that were sent before or
+     * during it; two heartbeat intervals.
+     */
+    private static final long BACKLOG_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
     /** With at least this many hosts in a caller's own failure domain, it gets only those. */
     private static final int MIN_LOCAL_HOSTS = 2;
 
@@ -32,6 +43,8 @@
     private Set<HostId> mAvailable = Set.of();
     private long mSummaryNanos;
     private boolean mHasSummary;
+    private OptionalLong mObservedNanos = OptionalLong.empty();
+    private OptionalLong mBacklogUntilNanos = OptionalLong.empty();
 
     private static final class Peer {
         private final HostRecord mRecord;
@@ -89,6 +102,7 @@
 
     /** Records a heartbeat. Returns whether the host was unreachable before. */
     public synchronized boolean recordHeartbeat(HostHeartbeat heartbeat, long nowNanos) {
+        observe(nowNanos);
         Peer peer = findOrAddPeer(heartbeat.host());
         boolean wasUnreachable = !peer.isReachable(nowNanos);
         peer.mHeartbeat = heartbeat;
@@ -97,6 +111,21 @@
         return wasUnreachable;
     }
 
+    /** Called several times a second; a longer gap means that this process was suspended. */
+    private void observe(long nowNanos) {
+        if (mObservedNanos.isPresent()
+                && nowNanos - mObservedNanos.getAsLong() > HEARTBEAT_TIMEOUT_NANOS) {
+            mBacklogUntilNanos = OptionalLong.of(nowNanos + BACKLOG_NANOS);
+        }
+        mObservedNanos = OptionalLong.of(nowNanos);
+    }
+
+    /** Returns whether the latest heartbeat of a host may have waited for this process. */
+    private boolean isBacklog(Peer peer) {
+        return mBacklogUntilNanos.isPresent()
+                && peer.mReceivedNanos - mBacklogUntilNanos.getAsLong() < 0;
+    }
+
     /** Records whether a host that has sent a heartbeat asks this one as its coordinator. */
     public synchronized void recordAsking(HostId id, boolean asksThisHost) {
         Optional.ofNullable(mPeers.get(id)).ifPresent(peer -> peer.mAsksThisHost = asksThisHost);
@@ -110,19 +139,24 @@
         peer.mStopped = false;
     }
 
-    /** Records which hosts accept callers according to a coordinator. */
-    public synchronized void recordSummary(FleetSummary summary, long nowNanos) {
+    /**
+     * Records which hosts accept callers according to a coordinator.
+     *
+     * @param askedNanos when the coordinator was asked; its response may have waited to be read
+     */
+    public synchronized void recordSummary(FleetSummary summary, long askedNanos) {
         mAvailable = Set.copyOf(summary.available());
-        mSummaryNanos = nowNanos;
+        mSummaryNanos = askedNanos;
         mHasSummary = true;
     }
 
     /** Returns the hosts that accept new callers, as far as this host hears from them. */
     public synchronized List<HostId> availableHosts(boolean accepting, long nowNanos) {
         Stream<HostId> others =
-                latestHeartbeats(nowNanos).stream()
-                        .filter(HostHeartbeat::accepting)
-                        .map(heartbeat -> heartbeat.host().id());
+                mPeers.values().stream()
+                        .filter(peer -> peer.isReachable(nowNanos) && !isBacklog(peer))
+                        .filter(peer -> peer.mHeartbeat.accepting())
+                        .map(peer -> peer.mRecord.id());
         return Stream.concat(accepting ? Stream.of(mSelf.id()) : Stream.of(), others).toList();
     }
 
@@ -131,7 +165,7 @@
      * otherwise by the latest summary.
      */
     private boolean isAvailable(Peer peer, long nowNanos) {
-        if (peer.isReachable(nowNanos)) {
+        if (peer.isReachable(nowNanos) && !isBacklog(peer)) {
             return peer.mHeartbeat.accepting();
         }
         return mHasSummary
@@ -173,6 +207,7 @@
      * Returns their IDs.
      */
     public synchronized List<HostId> removeExpired(long nowNanos) {
+        observe(nowNanos);
         List<HostId> expired =
                 mPeers.entrySet().stream()
                         .filter(e -> e.getValue().isExpired(nowNanos))
@@ -219,25 +254,44 @@
     }
 
     /**
-     * Returns the addresses that a caller should use, sorted: those in its own failure domain if
-     * there are enough of them, otherwise all.
+     * Returns the addresses that a caller should use: those in its own failure domain if there are
+     * enough of them, otherwise those in its region, in its failure domain first, and all only if
+     * there is none.
      *
+     * @param region the region of the caller; if empty, that of its failure domain counts
      * @param accepting whether this host accepts new callers
      */
     public synchronized List<String> callerAddresses(
-            FailureDomainId domain, boolean accepting, long nowNanos) {
-        List<HostRecord> ready = new ArrayList<>();
-        if (accepting) {
-            ready.add(mSelf);
-        }
-        mPeers.values().stream()
-                .filter(peer -> isAvailable(peer, nowNanos))
-                .map(peer -> peer.mRecord)
-                .forEach(ready::add);
-        List<HostRecord> local =
-                ready.stream().filter(host -> host.failureDomain().equals(domain)).toList();
-        Stream<HostRecord> chosen =
-                local.size() >= MIN_LOCAL_HOSTS ? local.stream() : ready.stream();
-        return chosen.map(HostRecord::callerAddress).sorted(Comparator.naturalOrder()).toList();
+            FailureDomainId domain,
+            Optional<RegionId> region,
+            RegionMap regions,
+            boolean accepting,
+            long nowNanos) {
+        Optional<RegionId> domainRegion = regions.regionOf(domain);
+        Optional<RegionId> callerRegion = region.or(() -> domainRegion);
+        List<HostRecord> ready =
+                Stream.concat(
+                                accepting ? Stream.of(mSelf) : Stream.of(),
+                                mPeers.values().stream()
+                                        .filter(peer -> isAvailable(peer, nowNanos))
+                                        .map(peer -> peer.mRecord))
+                        .toList();
+        boolean isDomainOfRegion = domainRegion.isEmpty() || domainRegion.equals(callerRegion);
+        Predicate<HostRecord> isLocal =
+                host -> isDomainOfRegion && host.failureDomain().equals(domain);
+        List<HostRecord> local = ready.stream().filter(isLocal).toList();
+        List<HostRecord> regional =
+                ready.stream()
+                        .filter(host -> callerRegion.isPresent())
+                        .filter(h -> regions.regionOf(h.failureDomain()).equals(callerRegion))
+                        .toList();
+        List<HostRecord> chosen =
+                local.size() >= MIN_LOCAL_HOSTS ? local : regional.isEmpty() ? ready : regional;
+        return chosen.stream()
+                .sorted(
+                        Comparator.comparing((HostRecord host) -> !isLocal.test(host))
+                                .thenComparing(HostRecord::callerAddress))
+                .map(HostRecord::callerAddress)
+                .toList();
     }
 }
--- a/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
+++ b/core/src/test/java/org/fuchsiaford/fleet/FleetSimulation.java
@@ -10,6 +10,7 @@
 import java.util.stream.IntStream;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.registry.RegionMap;
 
 /**
  * Hosts that exchange heartbeats with their coordinators in virtual time, as {@code
@@ -156,7 +157,12 @@
                 .filter(
                         host ->
                                 host.view()
-                                        .callerAddresses(record.failureDomain(), true, mNowNanos)
+                                        .callerAddresses(
+                                                record.failureDomain(),
+                                                Optional.empty(),
+                                                RegionMap.NONE,
+                                                true,
+                                                mNowNanos)
                                         .contains(record.callerAddress()))
                 .count();
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.bundle.FailureDomainId;
+import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.entry.gateway.engine.EngineReportClient;
 import org.fuchsiaford.entry.gateway.engine.EngineRuns;
 import org.fuchsiaford.entry.gateway.fleet.Coordination;
@@ -336,8 +337,9 @@
     }
 
     @Override
-    public List<String> callerAddresses(FailureDomainId domain) {
-        return mFleet.callerAddresses(domain, isReady(), mTicker.nowNanos());
+    public List<String> callerAddresses(FailureDomainId domain, Optional<RegionId> region) {
+        return mFleet.callerAddresses(
+                domain, region, mSettings.regions(), isReady(), mTicker.nowNanos());
     }
 
     /**
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -234,6 +234,7 @@
 
     private Mono<Void> exchange(HostRecord peer) {
         List<ServerLoad> ownLoads = mLoads.localLoads();
+        long askedNanos = mTicker.nowNanos();
         boolean isPrimary = isPrimaryOrUnsettled(peer);
         return mPeerClient
                 .call(
@@ -241,13 +242,14 @@
                         new PeerMessage.Heartbeat(localHeartbeat(peer.id(), isPrimary), isPrimary),
                         PeerMessage.FleetResponse.class,
                         CALL_TIMEOUT)
-                .doOnNext(response -> receive(response.summary(), ownLoads))
+                .doOnNext(response -> receive(response.summary(), ownLoads, askedNanos))
                 .then()
                 .onErrorResume(e -> Mono.fromRunnable(() -> recordFailure(peer, e)));
     }
 
     private Mono<Void> exchangeWithSeed(PeerAddress seed) {
         List<ServerLoad> ownLoads = mLoads.localLoads();
+        long askedNanos = mTicker.nowNanos();
         // A seed may be out of date; only a response counts.
         return mPeerClient
                 .call(
@@ -255,7 +257,7 @@
                         new PeerMessage.Heartbeat(localHeartbeat(null, false), true),
                         PeerMessage.FleetResponse.class,
                         CALL_TIMEOUT)
-                .doOnNext(response -> receive(response.summary(), ownLoads))
+                .doOnNext(response -> receive(response.summary(), ownLoads, askedNanos))
                 .then()
                 .onErrorComplete();
     }
@@ -299,7 +301,7 @@
         return StoreRevision.ofOrdered(mState.lastChangeRevision());
     }
 
-    private void receive(FleetSummary summary, List<ServerLoad> ownLoads) {
+    private void receive(FleetSummary summary, List<ServerLoad> ownLoads, long askedNanos) {
         HostRecord coordinator = summary.coordinator();
         if (coordinator.id().equals(mFleet.self().id())) {
             return;
@@ -311,7 +313,7 @@
         mState.markLeaving(summary.leaving(), coordinator.id().value());
         mergeLimits(summary.limits(), coordinator.id(), nowNanos);
         if (isPrimaryOrUnsettled(coordinator)) {
-            mFleet.recordSummary(summary, nowNanos);
+            mFleet.recordSummary(summary, askedNanos);
             mLoads.replaceFleetLoads(summary.loads(), ownLoads);
             mHealth.replaceFleetRates(summary.failing(), nowNanos);
         }
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGateway.java
@@ -122,6 +122,16 @@
         return mAddress;
     }
 
+    /** Returns the addresses that callers in a failure domain are given. */
+    List<String> callerAddresses(FailureDomainId domain) {
+        return mView.callerAddresses(
+                domain,
+                FakeGatewayFleet.REGIONS.regionOf(domain),
+                FakeGatewayFleet.REGIONS,
+                true,
+                mFleet.time().nowNanos());
+    }
+
     GatewayState state() {
         return mState;
     }
--- a/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGatewayFleet.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/fleet/FakeGatewayFleet.java
@@ -108,12 +108,15 @@
     void start(String address) {
         mNetwork.setDown(address, false);
         mStarted++;
-        FailureDomainId domain = new FailureDomainId("d" + mAddresses.indexOf(address) % DOMAINS);
-        FakeGateway host = new FakeGateway(this, address, "host-" + mStarted, domain);
+        FakeGateway host = new FakeGateway(this, address, "host-" + mStarted, domainOf(address));
         mHosts.put(address, host);
         host.start();
     }
 
+    FailureDomainId domainOf(String address) {
+        return new FailureDomainId("d" + mAddresses.indexOf(address) % DOMAINS);
+    }
+
     /** Kills a host; it no longer sends or receives anything, and its memory is lost. */
     void kill(String address) {
         mNetwork.setDown(address, true);
