--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -250,6 +250,7 @@
 
     private Mono<Void> exchange(HostRecord peer) {
         List<ServerLoad> ownLoads = mLoads.localLoads();
+        long askedNanos = mTicker.nowNanos();
         boolean isPrimary = isPrimaryOrUnsettled(peer);
         return mPeerClient
                 .call(
@@ -257,13 +258,14 @@
                         new PeerMessage.Heartbeat(localHeartbeat(peer.id(), isPrimary), isPrimary),
                         PeerMessage.FleetResponse.class,
                         CALL_TIMEOUT)
-                .doOnNext(response -> receive(response, ownLoads))
+                .doOnNext(response -> receive(response, ownLoads, askedNanos))
                 .then()
                 .onErrorResume(e -> Mono.fromRunnable(() -> recordFailure(peer, e)));
     }
 
     private Mono<Void> exchangeWithSeed(PeerAddress seed) {
         List<ServerLoad> ownLoads = mLoads.localLoads();
+        long askedNanos = mTicker.nowNanos();
         // A seed may be out of date; only a response counts.
         return mPeerClient
                 .call(
@@ -271,7 +273,7 @@
                         new PeerMessage.Heartbeat(localHeartbeat(null, false), true),
                         PeerMessage.FleetResponse.class,
                         CALL_TIMEOUT)
-                .doOnNext(response -> receive(response, ownLoads))
+                .doOnNext(response -> receive(response, ownLoads, askedNanos))
                 .then()
                 .onErrorComplete();
     }
@@ -321,7 +323,8 @@
         return mSeatGrantors.contains(coordinator);
     }
 
-    private void receive(PeerMessage.FleetResponse response, List<ServerLoad> ownLoads) {
+    private void receive(
+            PeerMessage.FleetResponse response, List<ServerLoad> ownLoads, long askedNanos) {
         FleetSummary summary = response.summary();
         HostRecord coordinator = summary.coordinator();
         if (response.grantsSeats()) {
@@ -338,7 +341,7 @@
         mergeLimits(summary.limits(), coordinator.id(), nowNanos);
         mState.cold().merge(summary.cold(), coordinator.id().value());
         if (isPrimaryOrUnsettled(coordinator)) {
-            mFleet.recordSummary(summary, nowNanos);
+            mFleet.recordSummary(summary, askedNanos);
             mLoads.replaceFleetLoads(summary.loads(), ownLoads);
             mHealth.replaceFleetRates(summary.failing(), nowNanos);
         }
