Measure pauses only where a whole event waited, and count a stream's own

The bound that chunks set was measured too low, from streams that saw only a part of a prompt's reading; and streams read apart began at decode engines that were still reading another prompt.

Change: a stream's longest pause counts for the bound only if it ran when the prompt was granted its engine and the pause is under half of the time of the reading, so that a whole event lay inside it. A plan counts its own stream as late if the decode engine still reads when it begins.

--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -109,7 +109,7 @@
     }
 
     /** Returns the prefill speed of a service in prompt tokens per millisecond. */
-    public synchronized double tokensPerMilli(ServiceId service) {
+    synchronized double tokensPerMilli(ServiceId service) {
         return mTokensPerMilli.getOrDefault(service, INITIAL_TOKENS_PER_MILLI);
     }
 
@@ -157,9 +157,31 @@
                 pauseNanos(decode, request, capacity));
     }
 
+    private int lateStreams(EnginePlan plan, EngineRequest request, EngineCapacity capacity) {
+        if (plan.prefill().isEmpty()) {
+            return lateStreams(plan.decode(), request, capacity);
+        }
+        return isPausedAtStart(plan.decode(), request, capacity) ? 1 : 0;
+    }
+
+    /**
+     * Returns whether a stream is late because of the prompts that its decode engine still reads
+     * when its own prompt has been read at a prefill engine.
+     */
+    private boolean isPausedAtStart(
+            LiveServer decode, EngineRequest request, EngineCapacity capacity) {
+        long tokens =
+                mLoads.total(decode.id()).unreadTokens()
+                        - (long) (request.tokens().promptTokens() / DECODE_PREFILL_SLOWDOWN);
+        double readNanos = decodeReadNanos(request.service(), Math.max(0, tokens));
+        return mPauses.makesLate(request, capacity, readNanos);
+    }
+
     /** Records that the engines of a plan were granted, before their load is counted. */
-    void recordGrant(EngineRequest request, EnginePlan plan, EngineCapacity capacity) {
-        mPauses.add(request, plan, pauseNanos(plan.decode(), request, capacity));
+    void recordGrant(
+            EngineRequest request, EnginePlan plan, EngineCapacity capacity, long nowNanos) {
+        double pauseNanos = pauseNanos(plan.decode(), request, capacity);
+        mPauses.add(request, plan, pauseNanos, nowNanos);
     }
 
     /** Records how the events of a complete stream followed each other. */
@@ -203,8 +225,7 @@
         int fewest = Integer.MAX_VALUE;
         while (fewest > 0 && plans.hasNext()) {
             EnginePlan plan = plans.next();
-            int late =
-                    plan.prefill().isPresent() ? 0 : lateStreams(plan.decode(), request, capacity);
+            int late = lateStreams(plan, request, capacity);
             if (late < fewest) {
                 fewest = late;
                 best = Optional.of(plan);
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -447,7 +447,7 @@
                 plan.prefill()
                         .map(engine -> mLoads.total(engine.id()).requests() <= 0)
                         .orElse(false);
-        mPlanner.recordGrant(request, plan, mPool.capacity(request.service()));
+        mPlanner.recordGrant(request, plan, mPool.capacity(request.service()), nowNanos);
         LoadSink loads = request.host().equals(mSelf) ? mLoads : mLoads.grantedToOthers();
         EngineReservation reservation = new EngineReservation(loads, plan, request.tokens());
         EngineAnswer.Granted grant = new EngineAnswer.Granted(request, plan, nowNanos);
--- a/core/src/main/java/org/fuchsiaford/selection/StreamPauses.java
+++ b/core/src/main/java/org/fuchsiaford/selection/StreamPauses.java
@@ -32,10 +32,10 @@
     private static final double SMOOTHING_FACTOR = 0.1;
 
     /**
-     * Largest pause, as a fraction of the time that a prompt takes to read, that proves that the
-     * chunks of one event and not the prompt limited the pause.
+     * A stream whose longest pause is shorter than this fraction of the time that a prompt takes to
+     * read had at least one event all of whose steps waited for a chunk of the prompt.
      */
-    private static final double LIMITED_PAUSE_FRACTION = 0.8;
+    private static final double LIMITED_PAUSE_FRACTION = 0.5;
 
     /** Mean deviations above the mean that cover most pauses. */
     private static final int PAUSE_DEVIATIONS = 2;
@@ -48,6 +48,7 @@
         private final ServiceId mService;
         private final long mPromptTokens;
         private final long mTargetNanos;
+        private final long mGrantedNanos;
         private boolean mReadAtDecode;
         private boolean mBegun;
         private boolean mLate;
@@ -55,11 +56,17 @@
         private long mReadTokens;
         private long mLargestReadTokens;
 
-        RunningStream(EngineRequest request, boolean readAtDecode) {
+        RunningStream(EngineRequest request, boolean readAtDecode, long nowNanos) {
             mService = request.service();
             mPromptTokens = request.tokens().promptTokens();
             mTargetNanos = gapTargetNanos(request);
             mReadAtDecode = readAtDecode;
+            mGrantedNanos = nowNanos;
+        }
+
+        /** Returns whether the prompt of another stream was read while this one ran. */
+        boolean hasRunSinceGrantOf(RunningStream other) {
+            return mBegun && mBeganNanos - other.mGrantedNanos <= 0;
         }
 
         boolean isMadeLateBy(double pauseNanos) {
@@ -136,7 +143,8 @@
      *
      * @param pauseNanos the pause that it adds to the other streams of its decode engine
      */
-    synchronized void add(EngineRequest request, EnginePlan plan, double pauseNanos) {
+    synchronized void add(
+            EngineRequest request, EnginePlan plan, double pauseNanos, long nowNanos) {
         BackendServerId engine = plan.decode().id();
         boolean readAtDecode = plan.prefill().isEmpty();
         Map<RequestId, RunningStream> streams =
@@ -146,7 +154,7 @@
                     .filter(stream -> stream.isMadeLateBy(pauseNanos))
                     .forEach(stream -> stream.mLate = true);
         }
-        streams.put(request.request(), new RunningStream(request, readAtDecode));
+        streams.put(request.request(), new RunningStream(request, readAtDecode, nowNanos));
         mEngines.put(request.request(), engine);
     }
 
@@ -173,7 +181,7 @@
         begun.mBeganNanos = nowNanos;
         if (begun.mReadAtDecode) {
             mStreams.get(mEngines.get(request)).values().stream()
-                    .filter(stream -> stream != begun && stream.mBegun)
+                    .filter(stream -> stream != begun && stream.hasRunSinceGrantOf(begun))
                     .forEach(
                             stream -> {
                                 stream.mReadTokens += begun.mPromptTokens;
@@ -203,7 +211,7 @@
         }
         double pauseNanos = pace.longestGapNanos() - measured.mGapNanos;
         double largestNanos = stream.mLargestReadTokens / decodeTokensPerNano;
-        if (pauseNanos > 0 && pauseNanos < largestNanos * LIMITED_PAUSE_FRACTION) {
+        if (pauseNanos > 0 && pace.longestGapNanos() < largestNanos * LIMITED_PAUSE_FRACTION) {
             measured.observePause(pauseNanos);
         }
     }
--- a/core/src/test/java/org/fuchsiaford/selection/StreamPausesTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/StreamPausesTest.java
@@ -72,7 +72,7 @@
     private EngineRequest place(long promptTokens, long gapTargetMillis, LiveServer decode) {
         EngineRequest request = request(promptTokens, gapTargetMillis);
         EnginePlan plan = new EnginePlan(decode, Optional.empty());
-        mPlanner.recordGrant(request, plan, CAPACITY);
+        mPlanner.recordGrant(request, plan, CAPACITY, SECOND);
         mLoads.add(new ServerLoad(decode.id(), 1, promptTokens, promptTokens));
         return request;
     }
@@ -173,6 +173,26 @@
         assertThat(plan(longPrompt, mDecode, mPrefill).prefill()).isEmpty();
     }
 
+    /** An event may have waited for a part of the chunks only, if the prompt was not long. */
+    @Example
+    void pausesOfPromptsThatAreSoonReadDoNotTellHowLongPausesBecome() {
+        EngineRequest stream = run(GAP_TARGET_MILLIS, mDecode);
+        begin(place(6_000, 0, mDecode), mDecode);
+        mPlanner.observePace(stream, new StreamPace(40 * MILLI, 170 * MILLI), 4 * SECOND);
+        run(GAP_TARGET_MILLIS, mDecode);
+        EngineRequest longPrompt = request(9_000, GAP_TARGET_MILLIS);
+        assertThat(plan(longPrompt, mDecode, mPrefill).prefill()).contains(mPrefill);
+    }
+
+    /** The stream would begin before the other prompt has been read, and make a pause. */
+    @Example
+    void aStreamAvoidsADecodeEngineThatStillReadsALongPromptWhenItBegins() {
+        place(20_000, 0, mDecode);
+        mLoads.add(new ServerLoad(mOtherDecode.id(), 1, 45_000, 0));
+        EngineRequest request = request(2_000, GAP_TARGET_MILLIS);
+        assertThat(plan(request, mDecode, mOtherDecode, mPrefill).decode()).isEqualTo(mOtherDecode);
+    }
+
     @Example
     void aPromptIsReadInTheFailureDomainOfItsDecodeEngineUnlessPromptsWaitThere() {
         run(GAP_TARGET_MILLIS, mDecode);
