Choose the number of prefill engines from the measured load

Cause: one prefill engine of six serves neither long nor short prompts on purpose, and was ordered before any traffic, which took three of four away.

Change: EngineDemand measures at the scheduler what requests ask. StageSplit in the log has the inputs; fuchsiaford_stage_orders counts accepted orders. It is used if the setting measuredStageSplit is true (default false) and the declaration has the time of a change; all else keeps the fixed share.

--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -52,6 +52,7 @@
     private final PromptQuarantine mQuarantine;
     private final AvailableEngines mEngines;
     private final EngineWaits mWaits;
+    private final EngineDemand mDemand = new EngineDemand();
     private final Map<RequestId, Queued> mQueued = new HashMap<>();
     private final Map<RequestId, HeldGrant> mHeld = new HashMap<>();
 
@@ -124,6 +125,10 @@
             return new EngineAnswer.Refused(
                     request, leftMillis, "no engine can read the prompt in time");
         }
+        mDemand.recordArrival(
+                request,
+                mPlanner.mustReadApart(request, mPool.capacity(request.service())),
+                nowNanos);
         long quarantineNanos = mQuarantine.admit(request.promptParts(), nowNanos);
         if (quarantineNanos > 0) {
             return refuseQuarantined(request, quarantineNanos);
@@ -249,6 +254,16 @@
                 "no engine had free capacity in time");
     }
 
+    /** Returns what was measured of the load. */
+    public EngineDemand demand() {
+        return mDemand;
+    }
+
+    /** Returns the measured speed of a prefill engine, in prompt tokens per millisecond. */
+    public double prefillTokensPerMilli(ServiceId service) {
+        return mPlanner.tokensPerMilli(service);
+    }
+
     /** Returns whether no request is queued. */
     public synchronized boolean isIdle() {
         return mQueued.isEmpty();
@@ -301,6 +316,10 @@
             held.reservation().endPrefillBacklog();
             held.recordFirstEvent(nowNanos);
             mPlanner.pauses().begin(request, nowNanos);
+            if (held.grant().plan().prefill().isEmpty()) {
+                mDemand.recordDecodeRead(
+                        held.request().service(), held.request().tokens().promptTokens(), nowNanos);
+            }
             mWaits.queue(held.request()).observeTimeToFirstEvent(durationNanos);
         }
     }
@@ -323,6 +342,7 @@
         if (held != null) {
             EngineRequest granted = held.request();
             mWaits.queue(granted).observeRunDuration(granted.tokens(), durationNanos);
+            mDemand.recordRun(granted.service(), nowNanos - held.beganNanos(), nowNanos);
             mQuarantine.recordSurvival(held.prompt(), held.beganNanos(), nowNanos);
         }
         release(request);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -41,7 +41,6 @@
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.host.HostId;
-import org.fuchsiaford.order.PendingOrders;
 import org.fuchsiaford.peer.PeerServer;
 import org.fuchsiaford.peer.TcpPeerClient;
 import org.fuchsiaford.peer.message.PeerMessage;
@@ -98,6 +97,7 @@
     private final Ticker mTicker = Ticker.SYSTEM;
     private final HostShutdown mShutdown = new HostShutdown(mTicker);
     private final EntryMetrics mMetrics = new EntryMetrics();
+    private final ServiceMetrics mServiceMetrics = new ServiceMetrics(mMetrics.registry());
     private final DecisionLog mLog;
     private final FleetView mFleet;
     private final GatewayState mState;
@@ -158,17 +158,17 @@
                         mState.servers()::isRegistered,
                         mLog,
                         mTicker);
-        CoordinatorCalls calls = mCoordination.calls();
         mStageController =
-                StageControllerFactory.create(
-                        mState,
-                        store,
-                        adapter.orderProtocol(),
-                        calls,
-                        settings.orderLeaseSeconds(),
-                        new PendingOrders(loads, mCoordination.dispatcher()::dispatch),
-                        mLog,
-                        mTicker);
+                new StageControllerFactory(
+                                mState,
+                                store,
+                                adapter.orderProtocol(),
+                                mCoordination,
+                                loads,
+                                mServiceMetrics,
+                                mLog,
+                                mTicker)
+                        .create(settings.orderLeaseSeconds(), settings.measuredStageSplit());
         mPeerServer = new PeerServer(settings.peerAddress(), this::handle);
         mGatewayServer = createServer(health, loads);
     }
@@ -198,8 +198,7 @@
         ServerBackoff backoff = new ServerBackoff();
         EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
         FailureDomainId domain = mSettings.failureDomain();
-        ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
-        ServerNotices notices = createNotices(backoff, serviceMetrics);
+        ServerNotices notices = createNotices(backoff);
         ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
         ResponseMemory memory = createResponseMemory();
         RetryBudgets budgets =
@@ -209,7 +208,7 @@
                         mSettings.retrySlack(),
                         () -> mFleet.presentCount(mTicker.nowNanos()),
                         mTicker);
-        AttemptRecorder attempts = createAttemptRecorder(health, budgets, serviceMetrics);
+        AttemptRecorder attempts = createAttemptRecorder(health, budgets);
         ServerSelector selector =
                 new ServerSelector(domain, loads, health, GatewayHost::randomFraction);
         PrefillClient prefill =
@@ -263,25 +262,24 @@
                 Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR);
     }
 
-    private AttemptRecorder createAttemptRecorder(
-            ServerHealth health, RetryBudgets budgets, ServiceMetrics serviceMetrics) {
+    private AttemptRecorder createAttemptRecorder(ServerHealth health, RetryBudgets budgets) {
         return new AttemptRecorder(
                 health,
                 budgets,
                 mCoordination.tally(),
-                serviceMetrics,
+                mServiceMetrics,
                 this::reportFailure,
                 mLog,
                 mTicker);
     }
 
-    private ServerNotices createNotices(ServerBackoff backoff, ServiceMetrics serviceMetrics) {
+    private ServerNotices createNotices(ServerBackoff backoff) {
         return new ServerNotices(
                 mState,
                 backoff,
                 mCoordination.serverLimits(),
                 () -> mCoordination.heartbeats().sendNow().subscribe(),
-                serviceMetrics,
+                mServiceMetrics,
                 mLog,
                 mTicker);
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -28,6 +28,8 @@
  * @param limitWindowMillis the length of the window in which rate limits are counted, in
  *     milliseconds
  * @param orderLeaseSeconds the duration of the lease for sending stage orders, in seconds
+ * @param measuredStageSplit whether the number of prefill engines follows the measured load where
+ *     the declaration tells how long a change of stage takes
  * @param maxResponseBytes the maximum size of a response that is kept in memory until it is
  *     complete, in bytes
  */
@@ -51,4 +53,5 @@
         double retrySlack,
         long limitWindowMillis,
         long orderLeaseSeconds,
+        boolean measuredStageSplit,
         int maxResponseBytes) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -83,6 +83,7 @@
                         ? millis(root, "limitWindowSeconds")
                         : DEFAULT_LIMIT_WINDOW_MILLIS,
                 root.number("orderLeaseSeconds", 1, MAX_SECONDS),
+                root.flag("measuredStageSplit", false),
                 root.has("maxResponseBytes")
                         ? (int) root.number("maxResponseBytes", 1, Integer.MAX_VALUE)
                         : DEFAULT_MAX_RESPONSE_BYTES);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -50,6 +50,7 @@
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final ServerLimits mLimits = new ServerLimits();
     private final CoordinatorCalls mCalls;
+    private final EngineScheduler mScheduler;
     private final EngineDispatcher mDispatcher;
     private final CoordinatorHandler mHandler;
     private final LimitCharging mCharging;
@@ -93,8 +94,8 @@
                         () ->
                                 fleet.decidingShare(
                                         mCalls.remoteCoordinator().isEmpty(), ticker.nowNanos()));
-        EngineScheduler scheduler = createScheduler(state, health, loads, queues, limiter, random);
-        mDispatcher = new EngineDispatcher(scheduler, mQuarantine, health, log, ticker);
+        mScheduler = createScheduler(state, health, loads, queues, limiter, random);
+        mDispatcher = new EngineDispatcher(mScheduler, mQuarantine, health, log, ticker);
         mOrigins =
                 new OriginTracker(
                         fleet,
@@ -189,11 +190,16 @@
         return mCalls;
     }
 
-    /** Returns the scheduler of this host. */
+    /** Returns what runs the scheduler of this host. */
     public EngineDispatcher dispatcher() {
         return mDispatcher;
     }
 
+    /** Returns the scheduler of this host, to read what it has measured. */
+    public EngineScheduler scheduler() {
+        return mScheduler;
+    }
+
     /** Returns the requests of this host that hold engines granted by coordinators. */
     public HeldEngines held() {
         return mHeld;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -43,6 +43,37 @@
     /** A stage order was sent to an engine. */
     record Ordered(String server, String stage, long fence, String outcome) implements Decision {}
 
+    /**
+     * The measured load calls for another number of prefill engines.
+     *
+     * @param server the engine that is to change next
+     * @param stage the stage that it is to change to
+     * @param wantedPrefillEngines the number that serves most
+     * @param servedPerSecond the streams that start each second by the load, as it is now
+     * @param wantedServedPerSecond the same after the change
+     * @param apartFraction the fraction of the prompt tokens that must not be read beside running
+     *     streams
+     * @param kvTokens the mean KV cache planned for a request
+     * @param runMillis the mean time from the first event of a stream to its end
+     * @param prefillTokensPerMilli the speed of a prefill engine
+     */
+    record StageSplit(
+            String service,
+            String server,
+            String stage,
+            int prefillEngines,
+            int decodeEngines,
+            int wantedPrefillEngines,
+            double servedPerSecond,
+            double wantedServedPerSecond,
+            double arrivalsPerSecond,
+            long promptTokens,
+            double apartFraction,
+            long kvTokens,
+            long runMillis,
+            double prefillTokensPerMilli)
+            implements Decision {}
+
     /** This host acquired or released the order lease, or a check for needed orders failed. */
     record OrderHolder(String state, long fence, String reason) implements Decision {}
 
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageController.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageController.java
@@ -11,10 +11,10 @@
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.EngineReport;
 import org.fuchsiaford.entry.gateway.state.GatewayState;
+import org.fuchsiaford.entry.metrics.ServiceMetrics;
 import org.fuchsiaford.order.OrderLeaseTerm;
 import org.fuchsiaford.order.PendingOrders;
 import org.fuchsiaford.order.StageOrder;
-import org.fuchsiaford.order.StagePolicy;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.RoutingTable;
@@ -26,7 +26,7 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Orders engines to switch to the stage that {@link StagePolicy} assigns them, while this host is
+ * Orders engines to switch to the stage that {@link StageChooser} assigns them, while this host is
  * the coordinator and no other host holds the order lease.
  *
  * <p>Invariant: an order is sent only within this host's term, names the run of the server and is
@@ -37,7 +37,10 @@
     private static final int ACCEPTED = 202;
     private static final Duration INTERVAL = Duration.ofMillis(1_000);
 
-    /** Time in which an order without a response may still be carried out. */
+    /**
+     * Time in which an order without a response may still be carried out; the time that a change of
+     * stage is declared to take comes on top.
+     */
     private static final long PENDING_NANOS = TimeUnit.SECONDS.toNanos(15);
 
     /**
@@ -53,19 +56,23 @@
     private final DecisionLog mLog;
     private final Ticker mTicker;
     private final PendingOrders mPending;
+    private final StageChooser mChooser;
     private final BooleanSupplier mIsCoordinator;
+    private final ServiceMetrics mMetrics;
     private final Disposable.Swap mRounds = Disposables.swap();
     private Optional<StageOrder> mNextOrder = Optional.empty();
     private long mNextOrderSinceNanos;
 
     /** Creates a controller; it is inactive until {@link #start} is called. */
-    public StageController(
+    StageController(
             GatewayState state,
             OrderLease lease,
             EngineReportClient reports,
             OrderClient client,
             PendingOrders pending,
+            StageChooser chooser,
             BooleanSupplier isCoordinator,
+            ServiceMetrics metrics,
             DecisionLog log,
             Ticker ticker) {
         mState = state;
@@ -73,7 +80,9 @@
         mReports = reports;
         mClient = client;
         mPending = pending;
+        mChooser = chooser;
         mIsCoordinator = isCoordinator;
+        mMetrics = metrics;
         mLog = log;
         mTicker = ticker;
     }
@@ -100,6 +109,7 @@
 
     private Mono<Void> runRound() {
         long nowNanos = mTicker.nowNanos();
+        mChooser.resetUnlessCoordinator();
         mPending.refresh(
                 engineServices().flatMap(s -> engines(s, nowNanos).stream()).toList(), nowNanos);
         Optional<StageOrder> order = nextOrder(nowNanos);
@@ -140,16 +150,19 @@
         return nowNanos - mNextOrderSinceNanos >= STABLE_NANOS;
     }
 
+    /** Every service is looked at in each round, since its load is judged over time. */
     private Optional<StageOrder> nextOrder(long nowNanos) {
-        return engineServices()
-                .map(service -> nextOrder(engines(service, nowNanos), service.engine().get()))
-                .flatMap(Optional::stream)
-                .findFirst();
-    }
-
-    private Optional<StageOrder> nextOrder(List<LiveServer> engines, EngineCapacity capacity) {
-        double usedMemoryFraction = mPending.usedKvCacheFraction(engines, capacity);
-        return StagePolicy.next(engines, mPending.engines(), usedMemoryFraction);
+        List<Optional<StageOrder>> orders =
+                engineServices()
+                        .map(
+                                service ->
+                                        mChooser.next(
+                                                service.id(),
+                                                engines(service, nowNanos),
+                                                service.engine().get(),
+                                                nowNanos))
+                        .toList();
+        return orders.stream().flatMap(Optional::stream).findFirst();
     }
 
     private Stream<ServiceDeclaration> engineServices() {
@@ -191,15 +204,24 @@
     }
 
     private void addPending(StageOrder order) {
-        mPending.add(order, mTicker.nowNanos() + PENDING_NANOS);
+        long changeNanos =
+                capacity(order)
+                        .map(EngineCapacity::reconfigureMillis)
+                        .map(TimeUnit.MILLISECONDS::toNanos)
+                        .orElse(0L);
+        mPending.add(order, mTicker.nowNanos() + PENDING_NANOS + changeNanos);
     }
 
     private void markAccepted(StageOrder order) {
-        engineServices()
+        capacity(order).ifPresent(capacity -> mPending.recordAccepted(order, capacity));
+        mMetrics.countStageOrder(order.engine().service(), order.stage());
+    }
+
+    private Optional<EngineCapacity> capacity(StageOrder order) {
+        return engineServices()
                 .filter(service -> service.id().equals(order.engine().service()))
                 .findAny()
-                .flatMap(ServiceDeclaration::engine)
-                .ifPresent(capacity -> mPending.recordAccepted(order, capacity));
+                .flatMap(ServiceDeclaration::engine);
     }
 
     private void logOrder(StageOrder order, OrderLeaseTerm term, String outcome) {
--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/ServiceMetrics.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/ServiceMetrics.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.registry.EngineStage;
 
 /**
  * The metrics of a host by service of backend servers: attempts by outcome, and the time until a
@@ -50,6 +51,17 @@
         mRegistry.counter("fuchsiaford_server_notices" + labels).inc();
     }
 
+    /** Counts an order to change its stage that an engine has accepted. */
+    public void countStageOrder(ServiceId service, EngineStage stage) {
+        String labels =
+                "{service=\""
+                        + label(service)
+                        + "\",stage=\""
+                        + stage.name().toLowerCase(Locale.ROOT)
+                        + "\"}";
+        mRegistry.counter("fuchsiaford_stage_orders" + labels).inc();
+    }
+
     /** Counts a stream with events further apart than the target of its route. */
     public void countLongGap(ServiceId service) {
         String labels = "{service=\"" + label(service) + "\"}";
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -105,6 +105,13 @@
     }
 
     private void addBeliefs() {
+        add(
+                "'StageSplit','service':'v','server':'s','stage':'g','prefillEngines':1,"
+                        + "'decodeEngines':2,'wantedPrefillEngines':3,'servedPerSecond':4.5,"
+                        + "'wantedServedPerSecond':5.5,'arrivalsPerSecond':6.5,'promptTokens':7,"
+                        + "'apartFraction':0.5,'kvTokens':8,'runMillis':9,"
+                        + "'prefillTokensPerMilli':10.5",
+                new Decision.StageSplit("v", "s", "g", 1, 2, 3, 4.5, 5.5, 6.5, 7, 0.5, 8, 9, 10.5));
         add(
                 "'ServerNoticed','server':'s','notice':'n','source':'r','millis':1",
                 new Decision.ServerNoticed("s", "n", "r", 1, null));
--- a/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
@@ -58,6 +58,18 @@
                 .hasMessageContaining("maxResponseBytes");
     }
 
+    /** Guards against deployments that get another split of their engines without asking for it. */
+    @Example
+    void theMeasuredStageSplitIsOffUnlessStated() throws IOException, SettingsException {
+        GatewaySettingsReader reader = new GatewaySettingsReader();
+        assertThat(reader.read(renderedTemplate()).measuredStageSplit()).isFalse();
+        String split = "\"orderLeaseSeconds\": 3, \"measuredStageSplit\": ";
+        assertThat(reader.read(withOrderLease(split + "true")).measuredStageSplit()).isTrue();
+        assertThatThrownBy(() -> reader.read(withOrderLease(split + "1")))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("measuredStageSplit");
+    }
+
     private static String withOrderLease(String replacement) throws IOException {
         return renderedTemplate().replace("\"orderLeaseSeconds\": 3", replacement);
     }
