--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -13,7 +13,6 @@
 import org.fuchsiaford.entry.gateway.engine.EngineReportClient;
 import org.fuchsiaford.entry.gateway.engine.EngineRuns;
 import org.fuchsiaford.entry.gateway.fleet.Coordination;
-import org.fuchsiaford.entry.gateway.fleet.CoordinatorCalls;
 import org.fuchsiaford.entry.gateway.forward.GatewayServer;
 import org.fuchsiaford.entry.gateway.forward.HostShutdown;
 import org.fuchsiaford.entry.gateway.log.Decision;
@@ -27,10 +26,10 @@
 import org.fuchsiaford.entry.gateway.state.StateFollower;
 import org.fuchsiaford.entry.metrics.EntryMetrics;
 import org.fuchsiaford.entry.metrics.PrometheusText;
+import org.fuchsiaford.entry.metrics.ServiceMetrics;
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.host.HostId;
-import org.fuchsiaford.order.PendingOrders;
 import org.fuchsiaford.peer.PeerServer;
 import org.fuchsiaford.peer.TcpPeerClient;
 import org.fuchsiaford.peer.message.PeerMessage;
@@ -82,6 +81,7 @@
     private final Ticker mTicker = Ticker.SYSTEM;
     private final HostShutdown mShutdown = new HostShutdown(mTicker);
     private final EntryMetrics mMetrics = new EntryMetrics();
+    private final ServiceMetrics mServiceMetrics = new ServiceMetrics(mMetrics.registry());
     private final DecisionLog mLog;
     private final FleetView mFleet;
     private final GatewayState mState;
@@ -137,17 +137,17 @@
                         mState.servers()::isRegistered,
                         mLog,
                         mTicker);
-        CoordinatorCalls calls = mCoordination.calls();
         mStageController =
-                StageControllerFactory.create(
-                        mState,
-                        store,
-                        adapter.orderProtocol(),
-                        calls,
-                        settings.orderLeaseSeconds(),
-                        new PendingOrders(loads, mCoordination.dispatcher()::dispatch),
-                        mLog,
-                        mTicker);
+                new StageControllerFactory(
+                                mState,
+                                store,
+                                adapter.orderProtocol(),
+                                mCoordination,
+                                loads,
+                                mServiceMetrics,
+                                mLog,
+                                mTicker)
+                        .create(settings.orderLeaseSeconds(), settings.measuredStageSplit());
         mMetrics.registerGauge("evacuated_domains", mState.servers().evacuated()::size);
         mPeerServer = new PeerServer(settings.peerAddress(), this::handle);
         mGatewayServer =
@@ -160,6 +160,7 @@
                                 mEngineRuns,
                                 mShutdown,
                                 mMetrics,
+                                mServiceMetrics,
                                 GatewayHost::randomFraction,
                                 mLog,
                                 mTicker)
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayServerFactory.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayServerFactory.java
@@ -48,6 +48,7 @@
     private final EngineRuns mEngineRuns;
     private final HostShutdown mShutdown;
     private final EntryMetrics mMetrics;
+    private final ServiceMetrics mServiceMetrics;
     private final DoubleSupplier mRandom;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -61,6 +62,7 @@
             EngineRuns engineRuns,
             HostShutdown shutdown,
             EntryMetrics metrics,
+            ServiceMetrics serviceMetrics,
             DoubleSupplier random,
             DecisionLog log,
             Ticker ticker) {
@@ -72,6 +74,7 @@
         mEngineRuns = engineRuns;
         mShutdown = shutdown;
         mMetrics = metrics;
+        mServiceMetrics = serviceMetrics;
         mRandom = random;
         mLog = log;
         mTicker = ticker;
@@ -89,13 +92,12 @@
                 new RouteAdmission(mState, mCoordination.charging(), mShutdown);
         ServerBackoff backoff = new ServerBackoff();
         EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
-        ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
-        mState.cold().onCold(service -> serviceMetrics.countNotice(service, "cold"));
-        ServerNotices notices = createNotices(backoff, serviceMetrics);
+        mState.cold().onCold(service -> mServiceMetrics.countNotice(service, "cold"));
+        ServerNotices notices = createNotices(backoff);
         ServerClient client =
                 new ServerClient(mAdapter.serverProtocol(), notices, hostMemory.serverBytes());
         ResponseMemory memory = hostMemory.responses();
-        AttemptRecorder attempts = createAttemptRecorder(health, serviceMetrics);
+        AttemptRecorder attempts = createAttemptRecorder(health);
         ServerSelector selector =
                 new ServerSelector(mSettings.failureDomain(), loads, health, mRandom);
         PrefillClient prefill =
@@ -147,8 +149,7 @@
                 mState, mState, mCoordination.origins(), mEngineRuns, mLog, mTicker);
     }
 
-    private AttemptRecorder createAttemptRecorder(
-            ServerHealth health, ServiceMetrics serviceMetrics) {
+    private AttemptRecorder createAttemptRecorder(ServerHealth health) {
         RetryBudgets budgets =
                 new RetryBudgets(
                         mSettings.retryWindowMillis(),
@@ -160,19 +161,19 @@
                 health,
                 budgets,
                 mCoordination.tally(),
-                serviceMetrics,
+                mServiceMetrics,
                 this::reportFailure,
                 mLog,
                 mTicker);
     }
 
-    private ServerNotices createNotices(ServerBackoff backoff, ServiceMetrics serviceMetrics) {
+    private ServerNotices createNotices(ServerBackoff backoff) {
         return new ServerNotices(
                 mState,
                 backoff,
                 mCoordination.serverLimits(),
                 () -> mCoordination.heartbeats().sendNow().subscribe(),
-                serviceMetrics,
+                mServiceMetrics,
                 mLog,
                 mTicker);
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -33,6 +33,8 @@
  * @param limitWindowMillis the length of the window in which rate limits are counted, in
  *     milliseconds
  * @param orderLeaseSeconds the duration of the lease for sending stage orders, in seconds
+ * @param measuredStageSplit whether the number of prefill engines follows the measured load where
+ *     the declaration tells how long a change of stage takes
  * @param maxResponseBytes the maximum size of a response that is kept in memory until it is
  *     complete, in bytes
  * @param memory what the host may hold for its callers
@@ -61,6 +63,7 @@
         double retrySlack,
         long limitWindowMillis,
         long orderLeaseSeconds,
+        boolean measuredStageSplit,
         int maxResponseBytes,
         MemorySettings memory,
         boolean sharedSeats) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -69,6 +69,7 @@
     private final PromptQuarantine mQuarantine = new PromptQuarantine();
     private final ServerLimits mLimits = new ServerLimits();
     private final CoordinatorCalls mCalls;
+    private final EngineScheduler mScheduler;
     private final EngineDispatcher mDispatcher;
     private final SeatDispatcher mSeats;
     private final CoordinatorHandler mHandler;
@@ -109,8 +110,8 @@
         CoordinatorTracker tracker = new CoordinatorTracker(fleet, startNanos);
         mCalls = new CoordinatorCalls(fleet.self(), tracker, peerClient, log, ticker);
         ServerRateLimiter limiter = createLimiter(state, follower, random);
-        EngineScheduler scheduler = createScheduler(state, health, loads, queues, limiter, random);
-        mDispatcher = new EngineDispatcher(scheduler, mQuarantine, health, log, ticker);
+        mScheduler = createScheduler(state, health, loads, queues, limiter, random);
+        mDispatcher = new EngineDispatcher(mScheduler, mQuarantine, health, log, ticker);
         SeatBook seatBook = new SeatBook(fleet.self().id(), state, loads, health, random);
         mSeats = new SeatDispatcher(seatBook, log, ticker);
         mOrigins = createOrigins(state, store, follower, random, log);
@@ -260,7 +261,7 @@
         return mCalls;
     }
 
-    /** Returns the scheduler of this host. */
+    /** Returns what runs the scheduler of this host. */
     public EngineDispatcher dispatcher() {
         return mDispatcher;
     }
@@ -270,6 +271,11 @@
         return mSeats;
     }
 
+    /** Returns the scheduler of this host, to read what it has measured. */
+    public EngineScheduler scheduler() {
+        return mScheduler;
+    }
+
     /** Returns the requests of this host that hold engines granted by coordinators. */
     public HeldEngines held() {
         return mHeld;
