Split the scheduler of engines and the test of the wire form

Change: HeldGrants has the grants whose requests hold engines; messages of other builds are tested in PeerWireCompatibilityTest.

--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -1,7 +1,6 @@
 package org.fuchsiaford.selection;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,7 +13,6 @@
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.bundle.RegionId;
 import org.fuchsiaford.host.HostId;
-import org.fuchsiaford.prompt.PromptPartId;
 import org.fuchsiaford.prompt.PromptQuarantine;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.registry.SoftwareVersion;
@@ -39,12 +37,6 @@
     /** Time without a poll after which the host of a queued request has given it up. */
     private static final long POLL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    /**
-     * Time in which the host of a granted request must have reported that it holds the grant;
-     * longer than two heartbeat intervals.
-     */
-    private static final long REPORT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_250);
-
     private final HostId mSelf;
     private final EnginePool mPool;
     private final LoadTracker mLoads;
@@ -55,7 +47,7 @@
     private final EngineWaits mWaits;
     private final EngineDemand mDemand = new EngineDemand();
     private final Map<RequestId, Queued> mQueued = new HashMap<>();
-    private final Map<RequestId, HeldGrant> mHeld = new HashMap<>();
+    private final HeldGrants mHeld;
 
     private static final class Queued {
         private final EngineRequest mRequest;
@@ -97,6 +89,7 @@
         mQuarantine = quarantine;
         mEngines = new AvailableEngines(pool, versions, limiter);
         mWaits = new EngineWaits(queues, mEngines, othersOnTimeTokens, random);
+        mHeld = new HeldGrants(planner, mWaits, mDemand, quarantine);
     }
 
     /**
@@ -111,7 +104,7 @@
         if (earlier.isPresent()) {
             return earlier.get();
         }
-        if (mQueued.containsKey(request.request()) || mHeld.containsKey(request.request())) {
+        if (mQueued.containsKey(request.request()) || mHeld.find(request.request()).isPresent()) {
             return new EngineAnswer.Refused(
                     request,
                     EngineWaits.MIN_RETRY_MILLIS,
@@ -159,9 +152,12 @@
      * it; empty if the request is not known.
      */
     public synchronized Optional<EngineAnswer> poll(HostId host, RequestId request, long nowNanos) {
-        HeldGrant held = mHeld.get(request);
-        if (held != null && held.request().host().equals(host)) {
-            return Optional.of(held.grant());
+        Optional<EngineAnswer.Granted> granted =
+                mHeld.find(request)
+                        .map(HeldGrant::grant)
+                        .filter(grant -> grant.request().host().equals(host));
+        if (granted.isPresent()) {
+            return Optional.of(granted.get());
         }
         Queued queued = mQueued.get(request);
         if (queued == null || !queued.mRequest.host().equals(host)) {
@@ -307,33 +303,17 @@
      * @param durationNanos the duration of the call
      */
     public synchronized void recordPrefill(RequestId request, long durationNanos) {
-        HeldGrant held = mHeld.get(request);
-        if (held == null) {
-            return;
-        }
-        held.reservation().endPrefill();
-        if (held.prefillWasIdle()) {
-            mPlanner.observePrefill(
-                    held.request().service(),
-                    held.request().tokens().promptTokens(),
-                    durationNanos);
-        }
+        mHeld.recordPrefill(request, durationNanos);
     }
 
     /** Records that the prefill engine is not needed, since the prompt has been read before. */
     public synchronized void recordPrefillNotNeeded(RequestId request) {
-        reservation(request)
-                .ifPresent(
-                        reservation -> {
-                            reservation.endPrefill();
-                            reservation.endPrefillBacklog();
-                        });
+        mHeld.recordPrefillNotNeeded(request);
     }
 
     /** Records that the decode engine has to prefill the prompt of a request itself. */
     public synchronized void recordPrefillFailure(RequestId request) {
-        reservation(request).ifPresent(EngineReservation::leavePromptToDecode);
-        mPlanner.pauses().leavePromptToDecode(request);
+        mHeld.recordPrefillFailure(request);
     }
 
     /**
@@ -343,26 +323,12 @@
      */
     public synchronized void recordFirstEvent(
             RequestId request, long durationNanos, long nowNanos) {
-        HeldGrant held = mHeld.get(request);
-        if (held != null) {
-            held.reservation().endPrefillBacklog();
-            held.recordFirstEvent(nowNanos);
-            mPlanner.pauses().begin(request, nowNanos);
-            if (held.grant().plan().prefill().isEmpty()) {
-                mDemand.recordDecodeRead(
-                        held.request().service(), held.request().tokens().promptTokens(), nowNanos);
-            }
-            mWaits.queue(held.request())
-                    .observeTimeToFirstEvent(held.request().tokens().promptTokens(), durationNanos);
-        }
+        mHeld.recordFirstEvent(request, durationNanos, nowNanos);
     }
 
     /** Records how the events of a complete stream followed each other, before its release. */
     public synchronized void recordPace(RequestId request, StreamPace pace, long nowNanos) {
-        HeldGrant held = mHeld.get(request);
-        if (held != null) {
-            mPlanner.observePace(held.request(), pace, nowNanos);
-        }
+        mHeld.recordPace(request, pace, nowNanos);
     }
 
     /**
@@ -371,50 +337,17 @@
      * @param durationNanos the time since the capacity was granted
      */
     public synchronized void complete(RequestId request, long durationNanos, long nowNanos) {
-        HeldGrant held = mHeld.get(request);
-        if (held != null) {
-            EngineRequest granted = held.request();
-            mWaits.queue(granted).observeRunDuration(granted.tokens(), durationNanos);
-            mDemand.recordRun(granted.service(), nowNanos - held.beganNanos(), nowNanos);
-            mQuarantine.recordSurvival(held.prompt(), held.beganNanos(), nowNanos);
-        }
-        release(request);
+        mHeld.complete(request, durationNanos, nowNanos);
     }
 
     /** Releases the capacity of a request whose stream its decode engine has broken off. */
     public synchronized void breakOff(RequestId request, long nowNanos) {
-        HeldGrant held = mHeld.get(request);
-        if (held != null) {
-            recordSurvivors(held.prompt(), nowNanos);
-            if (!held.hasSurvived(nowNanos)) {
-                mQuarantine.recordBrokenStream(held.decodeEngine(), held.prompt(), nowNanos);
-            }
-        }
-        release(request);
-    }
-
-    /** Records the running requests that share parts with a prompt and have survived. */
-    private void recordSurvivors(List<PromptPartId> prompt, long nowNanos) {
-        mHeld.values().stream()
-                .filter(held -> held.hasSurvived(nowNanos))
-                .filter(held -> !Collections.disjoint(held.prompt(), prompt))
-                .forEach(
-                        held ->
-                                mQuarantine.recordSurvival(
-                                        held.prompt(), held.beganNanos(), nowNanos));
+        mHeld.breakOff(request, nowNanos);
     }
 
     /** Releases the capacity of a request. Later calls have no effect. */
     public synchronized void release(RequestId request) {
-        HeldGrant held = mHeld.remove(request);
-        if (held != null) {
-            held.reservation().release();
-            mPlanner.pauses().remove(request);
-        }
-    }
-
-    private Optional<EngineReservation> reservation(RequestId request) {
-        return Optional.ofNullable(mHeld.get(request)).map(HeldGrant::reservation);
+        mHeld.release(request);
     }
 
     /**
@@ -422,25 +355,12 @@
      * lost. Grants that the host cannot have reported yet are kept.
      */
     public synchronized void reconcile(HostId host, List<RequestId> held, long nowNanos) {
-        Set<RequestId> reported = new HashSet<>(held);
-        mHeld.values().stream()
-                .map(HeldGrant::grant)
-                .filter(grant -> grant.request().host().equals(host))
-                .filter(grant -> nowNanos - grant.grantedNanos() > REPORT_TIMEOUT_NANOS)
-                .map(grant -> grant.request().request())
-                .filter(request -> !reported.contains(request))
-                .toList()
-                .forEach(this::release);
+        mHeld.reconcile(host, held, nowNanos);
     }
 
     /** Releases all grants to a host that no longer reports, and removes its queued requests. */
     public synchronized void removeHost(HostId host) {
-        mHeld.values().stream()
-                .map(HeldGrant::request)
-                .filter(request -> request.host().equals(host))
-                .map(EngineRequest::request)
-                .toList()
-                .forEach(this::release);
+        mHeld.releaseAll(host);
         mQueued.values().stream()
                 .map(queued -> queued.mRequest)
                 .filter(request -> request.host().equals(host))
@@ -511,7 +431,7 @@
         mEngines.acquire(plan, nowNanos);
         mQuarantine.recordPlaced(nowNanos);
         mWaits.queue(request).recordServed(mWaits.claim(request), nowNanos);
-        mHeld.put(request.request(), new HeldGrant(grant, reservation, prefillWasIdle));
+        mHeld.add(new HeldGrant(grant, reservation, prefillWasIdle));
         return grant;
     }
 }
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -2,10 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import java.io.IOException;
@@ -74,20 +72,7 @@
     private static final String DIGEST_A = "a".repeat(64);
     private static final String DIGEST_B = "b".repeat(64);
 
-    private record Form(String json, PeerMessage message) {
-        /** Returns the frame in MessagePack, in which byte arrays are binary and not base 64. */
-        byte[] bytes() throws IOException {
-            var tree = JSON.readTree("[7,true," + json + "]");
-            for (String field : List.of("bytes", "value")) {
-                for (JsonNode parent : tree.findParents(field)) {
-                    ((ObjectNode) parent).put(field, parent.path(field).binaryValue());
-                }
-            }
-            return MESSAGE_PACK.writeValueAsBytes(tree);
-        }
-    }
-
-    private final List<Form> mForms = new ArrayList<>();
+    private final List<WireForm> mForms = new ArrayList<>();
 
     PeerWireFormTest() {
         addMembership();
@@ -410,15 +395,15 @@
     }
 
     private void add(String json, PeerMessage message) {
-        mForms.add(new Form(json.replace('\'', '"'), message));
+        mForms.add(new WireForm(json.replace('\'', '"'), message));
     }
 
     @Example
     void eachMessageIsWrittenInItsWireForm() throws IOException {
-        for (Form form : mForms) {
+        for (WireForm form : mForms) {
             var bytes =
-                    ByteBufUtil.getBytes(PeerCodec.encode(new PeerFrame(7, true, form.message)));
-            assertThat(MESSAGE_PACK.readTree(bytes)).hasToString("[7,true," + form.json + "]");
+                    ByteBufUtil.getBytes(PeerCodec.encode(new PeerFrame(7, true, form.message())));
+            assertThat(MESSAGE_PACK.readTree(bytes)).hasToString("[7,true," + form.json() + "]");
             assertThat(bytes).isEqualTo(form.bytes());
         }
         var request = PeerCodec.encode(new PeerFrame(8, false, null));
@@ -428,59 +413,22 @@
 
     @Example
     void eachWireFormIsReadAsItsMessage() throws IOException {
-        for (Form form : mForms) {
+        for (WireForm form : mForms) {
             assertThat(PeerCodec.decode(Unpooled.wrappedBuffer(form.bytes())))
-                    .as(form.json)
+                    .as(form.json())
                     .usingRecursiveComparison()
                     .withStrictTypeChecking()
-                    .isEqualTo(new PeerFrame(7, true, form.message));
+                    .isEqualTo(new PeerFrame(7, true, form.message()));
         }
     }
 
-    /** Hosts of the release before eras of the store leave them out. */
-    @Example
-    void messagesWithoutEraAreRead() throws IOException {
-        var heartbeat =
-                "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[],[],[],[],[],[],[],[],[]],"
-                        + "'wantsLoads':true}]";
-        assertThat(read(heartbeat, PeerMessage.Heartbeat.class).pulse().stateEra()).isZero();
-        var summary = "['V',{'summary':[['h1','f1','c:2','p:1',1.5],9,[],[],[],[],[],[]]}]";
-        assertThat(read(summary, PeerMessage.FleetResponse.class).summary().stateEra()).isZero();
-        assertThat(read(summary, PeerMessage.FleetResponse.class).grantsSeats()).isFalse();
-        var copy = "['E',{'revision':4,'entries':[{'key':'k','revision':3}]}]";
-        var entries = read(copy, PeerMessage.StoreEntriesResponse.class);
-        assertThat(entries.era()).isZero();
-        assertThat(entries.entries().get(0).era()).isZero();
-    }
-
-    /** The build before has no paces of streams; one after this may have further elements. */
-    @Example
-    void engineEventsWithoutPaceOrWithMoreAreRead() throws IOException {
-        var form = "['n',{'host':'h1','events':[['COMPLETED','r1',null,null,6%s]]}]";
-        var without = read(form.formatted(""), PeerMessage.ReportEngineEvents.class);
-        assertThat(without.events().get(0).pace()).isEqualTo(StreamPace.UNKNOWN);
-        var more = read(form.formatted(",7,8,9"), PeerMessage.ReportEngineEvents.class);
-        assertThat(more.events().get(0).pace()).isEqualTo(new StreamPace(7, 8));
-    }
-
-    private static <T extends PeerMessage> T read(String json, Class<T> type) throws IOException {
-        var bytes = new Form(json.replace('\'', '"'), null).bytes();
-        return type.cast(PeerCodec.decode(Unpooled.wrappedBuffer(bytes)).message());
-    }
-
-    @Example
-    void anUnknownFieldIsIgnored() throws IOException {
-        var bytes = MESSAGE_PACK.writeValueAsBytes(JSON.readTree("[7,true,[\"D\",{\"new\":1}]]"));
-        assertThat(PeerCodec.decode(Unpooled.wrappedBuffer(bytes)).message())
-                .isEqualTo(new PeerMessage.Success());
-    }
-
     @Example
     void everyKindOfMessageHasItsTag() {
-        var held = mForms.stream().map(form -> form.message.getClass()).collect(Collectors.toSet());
+        var held =
+                mForms.stream().map(form -> form.message().getClass()).collect(Collectors.toSet());
         assertThat(PeerMessage.class.getPermittedSubclasses())
                 .containsExactlyInAnyOrderElementsOf(held);
-        assertThat(mForms.stream().map(form -> form.json.substring(2, 3)).distinct().sorted())
+        assertThat(mForms.stream().map(form -> form.json().substring(2, 3)).distinct().sorted())
                 .containsExactly("ACDEGHILOPQSTVXabcdefghijklnopqrstuvwyz".split(""));
     }
 
