Read on after a refusal at a stopping host, so that it can be read

Cause: a refusal with Connection: close ended the response, and the HTTP server closed the connection with it, while the body still came. The connection was reset and the refusal lost. The 0.5 s for which the host meant to read on began after the close.

Change: LingeringClose holds the close back while the request arrives, and discards what comes: until its end, for at most 10 s and maxBodyBytes, or until the process ends. Connections that linger count as in flight.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -58,9 +58,6 @@
                     .setMaxInitialLineLength(MAX_LINE_BYTES)
                     .setMaxHeaderSize(MAX_HEADER_BYTES);
 
-    /** Time in which a caller that is refused sends the rest of its request. */
-    private static final Duration DISCARD_TIMEOUT = Duration.ofMillis(500);
-
     private static final WorkspaceId NO_WORKSPACE = new WorkspaceId("none");
 
     private final PeerAddress mAddress;
@@ -75,6 +72,8 @@
     private final ChannelGroup mConnections =
             new DefaultChannelGroup(ImmediateEventExecutor.INSTANCE);
     private final AtomicInteger mInFlightRequests = new AtomicInteger();
+    private final AtomicInteger mLingering = new AtomicInteger();
+    private volatile boolean mClosed;
 
     /** Creates a server; it listens once {@link #start} is called. */
     public GatewayServer(
@@ -113,6 +112,11 @@
                                     channel.pipeline(),
                                     mAdmission::headerTimeoutMillis,
                                     this::logTooSlow);
+                            LingeringClose.addTo(
+                                    channel.pipeline(),
+                                    () -> mShutdown.isStopping() && !mClosed,
+                                    mAdmission::maxBodyBytes,
+                                    mLingering);
                         })
                 .handle(this::handle)
                 .bind();
@@ -137,12 +141,13 @@
      * a request that is sent then would wait for an answer until its end.
      */
     public void closeConnections() {
+        mClosed = true;
         mConnections.close();
     }
 
-    /** Returns the number of requests whose response is not complete. */
+    /** Returns the number of requests that are not answered or, if refused, not read. */
     public int inFlightRequests() {
-        return mInFlightRequests.get();
+        return mInFlightRequests.get() + mLingering.get();
     }
 
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
@@ -154,7 +159,7 @@
         return Mono.fromCallable(() -> read(request, trace))
                 .flatMap(caller -> serve(caller, request, response, trace))
                 .takeUntilOther(mShutdown.endedBefore(trace))
-                .onErrorResume(e -> handleError(e, request, response, trace))
+                .onErrorResume(e -> handleError(e, response, trace))
                 .doFinally(signal -> end(trace));
     }
 
@@ -176,7 +181,6 @@
             RequestTrace trace) {
         trace.recordRequest(caller.id().value());
         return Mono.fromCallable(() -> authorizeInTime(caller, trace))
-                .doOnNext(authorized -> trace.recordBodyRequested())
                 .flatMap(
                         authorized ->
                                 RequestBody.read(
@@ -357,10 +361,7 @@
     }
 
     private Mono<Void> handleError(
-            Throwable error,
-            HttpServerRequest request,
-            HttpServerResponse response,
-            RequestTrace trace) {
+            Throwable error, HttpServerResponse response, RequestTrace trace) {
         if (!trace.claimForHost()) {
             trace.recordFailure(error);
             response.withConnection(connection -> connection.channel().close());
@@ -371,18 +372,8 @@
         mMetrics.countRefusal(refusal.reason(), NO_WORKSPACE);
         mProtocol.writeRefusal(response, refusal);
         response.header(HttpHeaderNames.CONTENT_LENGTH, "0");
-        if (!mShutdown.isStopping()) {
-            return response.send().then();
-        }
-        response.keepAlive(false);
-        return response.sendHeaders().then().then(discardBody(request, trace));
-    }
-
-    /** A connection that is closed before its bytes are read is reset, and the refusal with it. */
-    private static Mono<Void> discardBody(HttpServerRequest request, RequestTrace trace) {
-        return trace.isBodyRequested()
-                ? Mono.empty()
-                : request.receive().then().timeout(DISCARD_TIMEOUT).onErrorComplete();
+        response.keepAlive(!mShutdown.isStopping());
+        return response.send().then();
     }
 
     private static RefusalException toRefusal(Throwable error) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RequestTrace.java
@@ -39,7 +39,6 @@
     private long mTableVersion;
     private long mFirstByteNanos = NO_FIRST_BYTE;
     private Long mAfterStopMillis;
-    private boolean mBodyRequested;
     private volatile RequestContext mContext;
     private final AtomicReference<Responder> mResponder = new AtomicReference<>(Responder.NONE);
 
@@ -109,15 +108,6 @@
         mReason = String.valueOf(cause);
     }
 
-    /** Records that the body of the request is read by now, at least in part. */
-    void recordBodyRequested() {
-        mBodyRequested = true;
-    }
-
-    boolean isBodyRequested() {
-        return mBodyRequested;
-    }
-
     /** Prevents all attempts; returns false, without effect, if one may have run. */
     boolean closeIfNotRun() {
         RequestContext context = mContext;
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/RouteAdmission.java
@@ -62,10 +62,16 @@
 
     /** Returns the timeout for the head of a request, in milliseconds. */
     long headerTimeoutMillis() {
-        return mState.table()
-                .map(RoutingTable::limits)
-                .orElse(RequestLimits.DEFAULT)
-                .headerTimeoutMillis();
+        return limits().headerTimeoutMillis();
+    }
+
+    /** Returns the maximum size of the body of a request, in bytes. */
+    int maxBodyBytes() {
+        return limits().maxBodyBytes();
+    }
+
+    private RequestLimits limits() {
+        return mState.table().map(RoutingTable::limits).orElse(RequestLimits.DEFAULT);
     }
 
     /**
