--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/GatewayServer.java
@@ -58,6 +58,8 @@
     private final CallerConnections mConnections;
     private final RequestMemory mMemory;
     private final AtomicInteger mInFlightRequests = new AtomicInteger();
+    private final AtomicInteger mLingering = new AtomicInteger();
+    private volatile boolean mClosed;
 
     /** Creates a server; it listens once {@link #start} is called. */
     public GatewayServer(
@@ -93,8 +95,14 @@
                 .idleTimeout(IDLE_TIMEOUT)
                 .channelGroup(mConnections.all())
                 .doOnChannelInit(
-                        (observer, channel, address) ->
-                                mConnections.add(channel, mAdmission::headerTimeoutMillis))
+                        (observer, channel, address) -> {
+                            mConnections.add(channel, mAdmission::headerTimeoutMillis);
+                            LingeringClose.addTo(
+                                    channel.pipeline(),
+                                    () -> mShutdown.isStopping() && !mClosed,
+                                    mAdmission::maxBodyBytes,
+                                    mLingering);
+                        })
                 .handle(this::handle)
                 .bind();
     }
@@ -104,12 +112,13 @@
      * a request that is sent then would wait for an answer until its end.
      */
     public void closeConnections() {
+        mClosed = true;
         mConnections.close();
     }
 
-    /** Returns the number of requests whose response is not complete. */
+    /** Returns the number of requests that are not answered or, if refused, not read. */
     public int inFlightRequests() {
-        return mInFlightRequests.get();
+        return mInFlightRequests.get() + mLingering.get();
     }
 
     private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
@@ -143,7 +152,6 @@
             RequestTrace trace) {
         trace.recordRequest(caller.id().value());
         return Mono.fromCallable(() -> authorizeInTime(caller, trace))
-                .doOnNext(authorized -> trace.recordBodyRequested())
                 .flatMap(
                         authorized ->
                                 mMemory.withBody(
@@ -338,20 +346,11 @@
         mMetrics.countRefusal(refusal.reason(), NO_WORKSPACE);
         mProtocol.writeRefusal(response, refusal);
         response.header(HttpHeaderNames.CONTENT_LENGTH, "0");
-        if (!mShutdown.isStopping()) {
-            return RequestMemory.endsConnection(refusal)
-                    ? RequestMemory.refuseAndDiscard(request, response, DISCARD_TIMEOUT)
-                    : response.send().then();
+        if (!mShutdown.isStopping() && RequestMemory.endsConnection(refusal)) {
+            return RequestMemory.refuseAndDiscard(request, response, DISCARD_TIMEOUT);
         }
-        response.keepAlive(false);
-        return response.sendHeaders().then().then(discardBody(request, trace));
-    }
-
-    /** A connection that is closed before its bytes are read is reset, and the refusal with it. */
-    private static Mono<Void> discardBody(HttpServerRequest request, RequestTrace trace) {
-        return trace.isBodyRequested()
-                ? Mono.empty()
-                : request.receive().then().timeout(DISCARD_TIMEOUT).onErrorComplete();
+        response.keepAlive(!mShutdown.isStopping());
+        return response.send().then();
     }
 
     private static RefusalException toRefusal(Throwable error) {
