Keep prompts of requests without a gap target from making others late

Cause: the pauses that a prompt adds were counted only if its own route has a gap target. Requests of hosts of the build before, which state none, could still be read beside streams that have one.

Change: where the tokens of an event are declared, the targets of the running streams count for every request.

--- a/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EnginePlanner.java
@@ -147,7 +147,7 @@
 
     /** Returns how many streams are late if a decode engine reads the prompt of a request. */
     private int lateStreams(LiveServer decode, EngineRequest request, EngineCapacity capacity) {
-        if (!StreamPauses.areLimited(request, capacity)) {
+        if (capacity.eventTokens() <= 0) {
             return 0;
         }
         return mPauses.lateStreams(
@@ -213,7 +213,7 @@
                                                         servers, request, decode, capacity,
                                                         nowNanos)))
                         .filter(plan -> backlogMillis(plan) <= maxBacklogMillis);
-        return StreamPauses.areLimited(request, capacity)
+        return capacity.eventTokens() > 0
                 ? withFewestLate(plans.iterator(), request, capacity)
                 : plans.findFirst();
     }
--- a/core/src/main/java/org/fuchsiaford/selection/StreamPauses.java
+++ b/core/src/main/java/org/fuchsiaford/selection/StreamPauses.java
@@ -105,7 +105,7 @@
         return TimeUnit.MILLISECONDS.toNanos(request.attributes().targetGapMillis());
     }
 
-    /** Returns whether the pauses of the streams of a request's service matter and are known. */
+    /** Returns whether the pauses of the stream of a request matter and can be estimated. */
     static boolean areLimited(EngineRequest request, EngineCapacity capacity) {
         return capacity.eventTokens() > 0 && request.attributes().targetGapMillis() > 0;
     }
@@ -134,7 +134,8 @@
             BackendServerId engine, int requests, EngineRequest request, double pauseNanos) {
         Collection<RunningStream> streams = mStreams.getOrDefault(engine, Map.of()).values();
         int late = (int) streams.stream().filter(s -> s.isMadeLateBy(pauseNanos)).count();
-        boolean likeOwn = pauseNanos > gapTargetNanos(request);
+        long ownTargetNanos = gapTargetNanos(request);
+        boolean likeOwn = ownTargetNanos > 0 && pauseNanos > ownTargetNanos;
         return late + (likeOwn ? Math.max(0, requests - streams.size()) : 0);
     }
 
