--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -220,7 +220,11 @@
                         routeAdmission,
                         selector,
                         SeatAdmission.create(
-                                mSettings.sharedSeats(), mCoordination, loads, mTicker),
+                                mSettings.sharedSeats(),
+                                mCoordination,
+                                loads,
+                                serviceMetrics,
+                                mTicker),
                         loads,
                         client,
                         memory,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/SeatAdmission.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/SeatAdmission.java
@@ -12,6 +12,7 @@
 import org.fuchsiaford.entry.gateway.fleet.Coordination;
 import org.fuchsiaford.entry.gateway.fleet.CoordinatorCalls;
 import org.fuchsiaford.entry.gateway.fleet.SeatDispatcher;
+import org.fuchsiaford.entry.metrics.ServiceMetrics;
 import org.fuchsiaford.failure.RefusalException;
 import org.fuchsiaford.fairness.Kind;
 import org.fuchsiaford.fleet.HostRecord;
@@ -50,12 +51,17 @@
     private final LoadTracker mLoads;
     private final SeatDemand mDemand;
     private final HeldEngines mHeld;
+    private final ServiceMetrics mMetrics;
     private final Ticker mTicker;
     private final AtomicLong mCount = new AtomicLong();
 
     /** Creates the admission of a host that acts together with others. */
     public static SeatAdmission create(
-            boolean isEnabled, Coordination coordination, LoadTracker loads, Ticker ticker) {
+            boolean isEnabled,
+            Coordination coordination,
+            LoadTracker loads,
+            ServiceMetrics metrics,
+            Ticker ticker) {
         return new SeatAdmission(
                 isEnabled,
                 coordination.calls(),
@@ -63,6 +69,7 @@
                 coordination.heartbeats()::grantsSeats,
                 loads,
                 coordination.held(),
+                metrics,
                 ticker);
     }
 
@@ -79,6 +86,7 @@
             Predicate<HostId> grantsSeats,
             LoadTracker loads,
             HeldEngines held,
+            ServiceMetrics metrics,
             Ticker ticker) {
         mIsEnabled = isEnabled;
         mCalls = calls;
@@ -87,6 +95,7 @@
         mLoads = loads;
         mDemand = new SeatDemand(loads);
         mHeld = held;
+        mMetrics = metrics;
         mTicker = ticker;
     }
 
@@ -112,13 +121,20 @@
     Mono<Optional<Seat>> acquire(
             RequestContext context, List<LiveServer> servers, List<LiveServer> eligible) {
         SeatRequest request = toRequest(context, servers, eligible);
-        return mCalls.remoteCoordinator()
-                .map(coordinator -> acquireFrom(coordinator, context, request, eligible))
-                .orElseGet(
-                        () ->
-                                mCalls.isCoordinator()
-                                        ? acquireHere(context, request)
-                                        : Mono.just(Optional.empty()));
+        Mono<Optional<Seat>> seat =
+                mCalls.remoteCoordinator()
+                        .map(coordinator -> acquireFrom(coordinator, context, request, eligible))
+                        .orElseGet(
+                                () ->
+                                        mCalls.isCoordinator()
+                                                ? acquireHere(context, request)
+                                                : Mono.just(Optional.empty()));
+        return seat.doOnNext(granted -> count(context, granted.isPresent() ? "granted" : "none"))
+                .doOnError(RefusalException.class, e -> count(context, "refused"));
+    }
+
+    private void count(RequestContext context, String outcome) {
+        mMetrics.countSeat(context.service(), outcome);
     }
 
     private SeatRequest toRequest(
--- a/entry/src/main/java/org/fuchsiaford/entry/metrics/ServiceMetrics.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/metrics/ServiceMetrics.java
@@ -40,6 +40,16 @@
         mRegistry.counter("fuchsiaford_attempts" + labels).inc();
     }
 
+    /**
+     * Counts what became of requests for seats.
+     *
+     * @param outcome a constant name of the outcome
+     */
+    public void countSeat(ServiceId service, String outcome) {
+        String labels = "{service=\"" + label(service) + "\",outcome=\"" + outcome + "\"}";
+        mRegistry.counter("fuchsiaford_seats" + labels).inc();
+    }
+
     /**
      * Counts what servers say of themselves.
      *
