--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayServerFactory.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayServerFactory.java
@@ -114,7 +114,11 @@
                         routeAdmission,
                         selector,
                         SeatAdmission.create(
-                                mSettings.sharedSeats(), mCoordination, loads, mTicker),
+                                mSettings.sharedSeats(),
+                                mCoordination,
+                                loads,
+                                mServiceMetrics,
+                                mTicker),
                         loads,
                         client,
                         memory,
