Split the creation of the components of a host

Change: the stage controller, the server for callers and the forwarder of streams are created in methods of their own.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -137,34 +137,40 @@
                         mState.servers()::isRegistered,
                         mLog,
                         mTicker);
-        mStageController =
-                new StageControllerFactory(
-                                mState,
-                                store,
-                                adapter.orderProtocol(),
-                                mCoordination,
-                                loads,
-                                mServiceMetrics,
-                                mLog,
-                                mTicker)
-                        .create(settings.orderLeaseSeconds(), settings.measuredStageSplit());
+        mStageController = createStageController(store, loads);
         mMetrics.registerGauge("evacuated_domains", mState.servers().evacuated()::size);
         mPeerServer = new PeerServer(settings.peerAddress(), this::handle);
-        mGatewayServer =
-                new GatewayServerFactory(
-                                settings,
-                                adapter,
-                                mFleet,
-                                mState,
-                                mCoordination,
-                                mEngineRuns,
-                                mShutdown,
-                                mMetrics,
-                                mServiceMetrics,
-                                GatewayHost::randomFraction,
-                                mLog,
-                                mTicker)
-                        .create(health, loads);
+        mGatewayServer = createServer(health, loads);
+    }
+
+    private StageController createStageController(Store store, LoadTracker loads) {
+        return new StageControllerFactory(
+                        mState,
+                        store,
+                        mAdapter.orderProtocol(),
+                        mCoordination,
+                        loads,
+                        mServiceMetrics,
+                        mLog,
+                        mTicker)
+                .create(mSettings.orderLeaseSeconds(), mSettings.measuredStageSplit());
+    }
+
+    private GatewayServer createServer(ServerHealth health, LoadTracker loads) {
+        return new GatewayServerFactory(
+                        mSettings,
+                        mAdapter,
+                        mFleet,
+                        mState,
+                        mCoordination,
+                        mEngineRuns,
+                        mShutdown,
+                        mMetrics,
+                        mServiceMetrics,
+                        GatewayHost::randomFraction,
+                        mLog,
+                        mTicker)
+                .create(health, loads);
     }
 
     private void serverStarted(
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayServerFactory.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayServerFactory.java
@@ -91,7 +91,6 @@
         RouteAdmission routeAdmission =
                 new RouteAdmission(mState, mCoordination.charging(), mShutdown);
         ServerBackoff backoff = new ServerBackoff();
-        EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
         mState.cold().onCold(service -> mServiceMetrics.countNotice(service, "cold"));
         ServerNotices notices = createNotices(backoff);
         ServerClient client =
@@ -100,8 +99,6 @@
         AttemptRecorder attempts = createAttemptRecorder(health);
         ServerSelector selector =
                 new ServerSelector(mSettings.failureDomain(), loads, health, mRandom);
-        PrefillClient prefill =
-                new PrefillClient(client, memory, mAdapter.serverProtocol(), attempts, mTicker);
         return new GatewayServer(
                 mSettings.callerAddress(),
                 mAdapter.callerProtocol(),
@@ -126,20 +123,7 @@
                         mRandom,
                         mLog,
                         mTicker),
-                new StreamForwarder(
-                        mState,
-                        backoff,
-                        routeAdmission,
-                        engineAdmission,
-                        mState,
-                        loads,
-                        client,
-                        memory,
-                        prefill,
-                        createStreamVersions(),
-                        attempts,
-                        mLog,
-                        mTicker),
+                createStreamForwarder(backoff, routeAdmission, loads, client, memory, attempts),
                 mShutdown,
                 hostMemory.connections(),
                 hostMemory.requests(),
@@ -148,6 +132,29 @@
                 mTicker);
     }
 
+    private StreamForwarder createStreamForwarder(
+            ServerBackoff backoff,
+            RouteAdmission routeAdmission,
+            LoadTracker loads,
+            ServerClient client,
+            ResponseMemory memory,
+            AttemptRecorder attempts) {
+        return new StreamForwarder(
+                mState,
+                backoff,
+                routeAdmission,
+                createEngineAdmission(backoff, loads),
+                mState,
+                loads,
+                client,
+                memory,
+                new PrefillClient(client, memory, mAdapter.serverProtocol(), attempts, mTicker),
+                createStreamVersions(),
+                attempts,
+                mLog,
+                mTicker);
+    }
+
     private StreamVersions createStreamVersions() {
         return new StreamVersions(
                 mState, mState, mCoordination.origins(), mEngineRuns, mLog, mTicker);
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -125,6 +125,10 @@
         add(
                 "'ServerNoticed','server':'s','notice':'limit-ended','source':'r','millis':0",
                 Decision.ServerNoticed.limit("s", "r", Double.POSITIVE_INFINITY));
+        addPeersAndStore();
+    }
+
+    private void addPeersAndStore() {
         add(
                 "'PromptQuarantined','state':'s','promptParts':['p'],'strikes':1,'millis':2",
                 new Decision.PromptQuarantined("s", List.of(new PromptPartId("p")), 1, 2));
