Estimate each split once in a round

Cause: the coordinator estimates the streams in time of several splits each second; the split climbed from was estimated again at each step, and all lower rates although all arrivals were served.

Change: the best estimate is kept, and lower rates are tried only if under 19 of 20 arrivals start in time. The estimates are the same.

Result: StageSplitPolicyTest takes 0.4 s, 2.3 s before; StageSplitReplayTest passes.

--- a/core/src/main/java/org/fuchsiaford/order/StageCapacity.java
+++ b/core/src/main/java/org/fuchsiaford/order/StageCapacity.java
@@ -90,6 +90,10 @@
     }
 
     private double served(double arrivals, int prefillEngines, int decodeEngines) {
+        double allInTime = arrivals * inTime(arrivals, prefillEngines, decodeEngines);
+        if (allInTime >= arrivals * (RATE_STEPS - 1) / RATE_STEPS) {
+            return allInTime;
+        }
         return IntStream.rangeClosed(1, RATE_STEPS)
                 .mapToDouble(i -> arrivals * i / RATE_STEPS)
                 .map(rate -> rate * inTime(rate, prefillEngines, decodeEngines))
--- a/core/src/main/java/org/fuchsiaford/order/StageSplitPolicy.java
+++ b/core/src/main/java/org/fuchsiaford/order/StageSplitPolicy.java
@@ -180,14 +180,15 @@
     /** Climbs from a number of prefill engines as long as more streams start. */
     static int best(StageCapacity starts, int prefill, int all) {
         int best = prefill;
+        double bestServed = starts.servedPerSecond(prefill, all - prefill);
         for (int direction : new int[] {1, -1}) {
-            int next = best + direction;
-            while (next >= 1
-                    && next < all
-                    && starts.servedPerSecond(next, all - next)
-                            > starts.servedPerSecond(best, all - best)) {
-                best = next;
-                next += direction;
+            boolean climbs = true;
+            while (climbs && best + direction >= 1 && best + direction < all) {
+                int next = best + direction;
+                double served = starts.servedPerSecond(next, all - next);
+                climbs = served > bestServed;
+                best = climbs ? next : best;
+                bestServed = Math.max(bestServed, served);
             }
         }
         return best;
