Check the form of the line ServerCold, and count the hosts less often

Cause: adds the decision ServerCold without its form, so DecisionFormTest failed on it. A host that is cut off counted the hosts of the fleet for each server and choice. The refusal for want of permits spoke of limits that servers have named, which cold servers have not.

Change: the form is checked; UnseenServers keeps the answer for 100 ms; the refusal says that all servers are at their limits.

--- a/core/src/main/java/org/fuchsiaford/serverlimit/UnseenServers.java
+++ b/core/src/main/java/org/fuchsiaford/serverlimit/UnseenServers.java
@@ -10,11 +10,14 @@
  * Thread-safe.
  */
 public final class UnseenServers implements ServerRateSource {
-    /** Contact is checked again after this time. */
-    private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    /** Contact is checked again after this time; the check counts the hosts of the fleet. */
+    private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final ColdServers mCold;
     private final BooleanSupplier mIsCutOff;
+    private boolean mWasCutOff;
+    private boolean mIsChecked;
+    private long mCheckedNanos;
 
     /**
      * Creates a source.
@@ -28,9 +31,16 @@
 
     @Override
     public ServerRate rate(ServerRun server, long nowNanos) {
-        return mIsCutOff.getAsBoolean()
-                ? mCold.rateIfCold(server, CHECK_NANOS)
-                : ServerRate.UNLIMITED;
+        return isCutOff(nowNanos) ? mCold.rateIfCold(server, CHECK_NANOS) : ServerRate.UNLIMITED;
+    }
+
+    private synchronized boolean isCutOff(long nowNanos) {
+        if (!mIsChecked || nowNanos - mCheckedNanos >= CHECK_NANOS) {
+            mWasCutOff = mIsCutOff.getAsBoolean();
+            mIsChecked = true;
+            mCheckedNanos = nowNanos;
+        }
+        return mWasCutOff;
     }
 
     @Override
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/BufferedForwarder.java
@@ -149,8 +149,7 @@
         if (permitMillis > 0) {
             long spreadMillis = (long) (mRandom.getAsDouble() * LIMITED_RETRY_SPREAD_MILLIS);
             throw context.placementRefusal(
-                    permitMillis + spreadMillis,
-                    "all backend servers are at the limits that they have named");
+                    permitMillis + spreadMillis, "all backend servers are at their limits");
         }
         Set<BackendServerId> inProgress = context.attempts().serversInProgress();
         Set<BackendServerId> tried = context.attempts().triedServers();
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -113,6 +113,10 @@
         add(
                 "'ServerNoticed','server':'s','notice':'limit-ended','source':'r','millis':0",
                 Decision.ServerNoticed.limit("s", "r", Double.POSITIVE_INFINITY));
+        add(
+                "'ServerCold','server':'s','service':'v','source':'r','millis':1,"
+                        + "'requestsPerSecond':1.5",
+                new Decision.ServerCold("s", "v", "r", 1, 1.5));
         add(
                 "'PromptQuarantined','state':'s','promptParts':['p'],'strikes':1,'millis':2",
                 new Decision.PromptQuarantined("s", List.of(new PromptPartId("p")), 1, 2));
