Find the pace of servers that return from their answers

Cause: a server that was not reached pauses for 0.7 s and then gets its full share at once; a new one gets it at once. If it still fails, a good part of the requests is lost; a longer pause would leave it idle.

Change: with the setting serverPace (off unless stated, on in deploy/host.jsonc), ServerPace is a further source of ServerRateLimiter. The coordinator learns answers, failures and the time of answers from heartbeats (ServerOutcomes has it as its last field) and failed calls at once. A pace begins at a quarter of what a peer gets, rises with answers, halves at failures and slow answers, and ends at what a peer gets or 20 s after the last failure. Without peers that answer and have no pace, nothing is limited. Line ServerPaced, counter of notices "paced". The signed-bundle path keeps its ramp of 2 s.

PlatformServerPaceTest, ServerPaceTest and the module core (216 tests) pass.

--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -199,7 +199,7 @@
         EngineAdmission engineAdmission = createEngineAdmission(backoff, loads);
         FailureDomainId domain = mSettings.failureDomain();
         ServiceMetrics serviceMetrics = new ServiceMetrics(mMetrics.registry());
-        mState.cold().onCold(service -> serviceMetrics.countNotice(service, "cold"));
+        connectServerRates(serviceMetrics);
         ServerNotices notices = createNotices(backoff, serviceMetrics);
         ServerClient client = new ServerClient(mAdapter.serverProtocol(), notices);
         ResponseMemory memory = createResponseMemory();
@@ -253,6 +253,13 @@
                 mTicker);
     }
 
+    private void connectServerRates(ServiceMetrics metrics) {
+        mState.cold().onCold(service -> metrics.countNotice(service, "cold"));
+        if (mSettings.serverPace()) {
+            mState.pace().enable(service -> metrics.countNotice(service, "paced"));
+        }
+    }
+
     private StreamVersions createStreamVersions() {
         return new StreamVersions(
                 mState, mState, mCoordination.origins(), mEngineRuns, mLog, mTicker);
@@ -306,10 +313,15 @@
             mEngineRuns.recordFailure(server, outcome);
         }
         Optional<HostRecord> coordinator = calls.remoteCoordinator();
-        if (coordinator.isEmpty() && outcome == AttemptOutcome.NOT_SENT) {
-            mState.cold().markUnreachable(server.id());
+        if (coordinator.isEmpty()) {
+            mState.pace().recordFailure(server.id(), outcome);
+            if (outcome == AttemptOutcome.NOT_SENT) {
+                mState.cold().markUnreachable(server.id());
+            }
         }
-        if (server.stage().isPresent() || mState.cold().servers().mayBeCold(server.service())) {
+        if (server.stage().isPresent()
+                || mState.pace().isEnabled()
+                || mState.cold().servers().mayBeCold(server.service())) {
             coordinator.ifPresent(
                     c -> calls.report(c, EngineEvent.called(server.id(), outcome, 0)));
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -30,6 +30,8 @@
  * @param orderLeaseSeconds the duration of the lease for sending stage orders, in seconds
  * @param maxResponseBytes the maximum size of a response that is kept in memory until it is
  *     complete, in bytes
+ * @param serverPace whether servers that have started or recovered are sent requests at a pace that
+ *     is found from their answers
  */
 public record GatewaySettings(
         String adapter,
@@ -51,4 +53,5 @@
         double retrySlack,
         long limitWindowMillis,
         long orderLeaseSeconds,
-        int maxResponseBytes) {}
+        int maxResponseBytes,
+        boolean serverPace) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -85,7 +85,8 @@
                 root.number("orderLeaseSeconds", 1, MAX_SECONDS),
                 root.has("maxResponseBytes")
                         ? (int) root.number("maxResponseBytes", 1, Integer.MAX_VALUE)
-                        : DEFAULT_MAX_RESPONSE_BYTES);
+                        : DEFAULT_MAX_RESPONSE_BYTES,
+                root.flag("serverPace", false));
     }
 
     private static double cores(JsonObjectReader root) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -132,7 +132,7 @@
                         isAccepting);
         mHandler = createHandler(quota, limiter);
         mRequestQuarantine = new RequestQuarantine(mCalls, mQuarantine, mHandler, ticker);
-        mPermits = new ServerPermits(mCalls, mLimits, state.cold().servers(), limiter, ticker);
+        mPermits = new ServerPermits(mCalls, mLimits, state, limiter, ticker);
         mCharging = new LimitCharging(mCalls, quota, mHeartbeats::updateMissingShare, ticker);
     }
 
@@ -155,7 +155,8 @@
                 mLimits,
                 List.of(
                         cold,
-                        new UnseenServers(cold, () -> isCutOff(follower.isRegistryCurrent()))),
+                        new UnseenServers(cold, () -> isCutOff(follower.isRegistryCurrent())),
+                        state.pace().pace()),
                 () ->
                         mFleet.decidingShare(
                                 mCalls.remoteCoordinator().isEmpty(), mTicker.nowNanos()),
@@ -267,10 +268,13 @@
         return mHeartbeats;
     }
 
-    private void recordUnreachable(EngineEvent event) {
+    private void recordFailure(EngineEvent event) {
         if (event.outcome() == AttemptOutcome.NOT_SENT) {
             mState.cold().markUnreachable(event.server());
         }
+        if (event.kind() == EngineEvent.Kind.CALLED) {
+            mState.pace().recordFailure(event.server(), event.outcome());
+        }
     }
 
     /** Answers a message of another host; empty if it is of another kind. */
@@ -285,7 +289,7 @@
             return Optional.of(mHandler.handle(acquire));
         }
         if (message instanceof PeerMessage.ReportEngineEvents events) {
-            events.events().forEach(this::recordUnreachable);
+            events.events().forEach(this::recordFailure);
             return Optional.of(Mono.just(mHandler.handle(events)));
         }
         if (message instanceof PeerMessage.ChargeLimit charge) {
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -176,12 +176,14 @@
         mTracker.retainKnown();
         removeSilentReporters(nowNanos);
         mLimiter.removeOld(mState.servers()::isRegistered, nowNanos);
+        mState.pace().removeOld(mState.servers()::isRegistered);
         mState.cold().servers().removeOld(mState.servers()::isRegistered, nowNanos);
         updateShare(nowNanos);
         logPrimary(nowNanos);
         if (mCalls.isCoordinator()) {
             List<ServerOutcomes> outcomes = mTally.drain();
             mState.cold().recordOutcomes(outcomes);
+            mState.pace().recordOutcomes(outcomes);
             mFleetHealth.add(outcomes, nowNanos);
             mHealth.replaceFleetRates(mFleetHealth.failing(nowNanos), nowNanos);
         }
@@ -352,6 +354,7 @@
             mergeLimits(heartbeat.limits(), sender, nowNanos);
             mState.cold().merge(heartbeat.cold(), sender.value());
             mState.cold().recordOutcomes(heartbeat.outcomes());
+            mState.pace().recordOutcomes(heartbeat.outcomes());
             mOrigins.merge(heartbeat.begun());
             catchUp(
                     heartbeat.host(),
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/ServerPermits.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.fuchsiaford.entry.gateway.state.GatewayState;
+import org.fuchsiaford.entry.gateway.state.ServerPaceRecorder;
 import org.fuchsiaford.peer.message.PeerMessage;
 import org.fuchsiaford.registry.LiveServer;
 import org.fuchsiaford.serverlimit.ColdServer;
@@ -14,9 +16,9 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Obtains permits for the requests of this host to plain servers that name a limit or may be cold:
- * from a coordinator, or here if this host is the coordinator or reaches none. Other servers need
- * no permit. The scheduler of engines obtains those for engines.
+ * Obtains permits for the requests of this host to plain servers that name a limit, may be cold or
+ * have started lately: from a coordinator, or here if this host is the coordinator or reaches none.
+ * Other servers need no permit. The scheduler of engines obtains those for engines.
  *
  * <p>Where servers may be cold, a permit is asked for although this host takes the server for warm,
  * since a coordinator learns of a cold server up to a second before it.
@@ -31,6 +33,7 @@
     private final CoordinatorCalls mCalls;
     private final ServerLimits mLimits;
     private final ColdServers mCold;
+    private final ServerPaceRecorder mPace;
     private final ServerRateLimiter mLimiter;
     private final DeniedPermits mDenials;
     private final Ticker mTicker;
@@ -39,12 +42,13 @@
     public ServerPermits(
             CoordinatorCalls calls,
             ServerLimits limits,
-            ColdServers cold,
+            GatewayState state,
             ServerRateLimiter limiter,
             Ticker ticker) {
         mCalls = calls;
         mLimits = limits;
-        mCold = cold;
+        mCold = state.cold().servers();
+        mPace = state.pace();
         mDenials = new DeniedPermits(limits);
         mLimiter = limiter;
         mTicker = ticker;
@@ -52,11 +56,17 @@
 
     /** Obtains a permit for one request; emits false if it is denied. */
     public Mono<Boolean> acquire(LiveServer server) {
-        return mLimits.isLimited(server.run()) || mCold.mayBeCold(server.service())
+        return needsPermit(server)
                 ? acquireLimited(server).map(waitNanos -> isPermitted(server, waitNanos))
                 : Mono.just(true);
     }
 
+    private boolean needsPermit(LiveServer server) {
+        return mLimits.isLimited(server.run())
+                || mCold.mayBeCold(server.service())
+                || mPace.mayBePaced(server.run());
+    }
+
     private Mono<Long> acquireLimited(LiveServer server) {
         long nowNanos = mTicker.nowNanos();
         NamedLimit limit = mLimits.find(server.run(), nowNanos);
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/forward/AttemptRecorder.java
@@ -78,7 +78,7 @@
     void recordSuccess(LiveServer server, long sentNanos) {
         long nowNanos = mTicker.nowNanos();
         mHealth.recordSuccess(server.id(), nowNanos - sentNanos, nowNanos);
-        mTally.record(server.id(), AttemptOutcome.ANSWERED);
+        mTally.recordAnswer(server.id(), nowNanos - sentNanos);
         mMetrics.count(server.service(), AttemptOutcome.ANSWERED);
         mMetrics.record(server.service(), nowNanos - sentNanos);
     }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/log/Decision.java
@@ -219,6 +219,14 @@
             String server, String service, String source, long millis, double requestsPerSecond)
             implements Decision {}
 
+    /**
+     * The pace at which a server that has started or recovered is sent requests is being found, as
+     * a coordinator decides, or is no longer.
+     *
+     * @param state started or ended
+     */
+    record ServerPaced(String server, String service, String state) implements Decision {}
+
     /**
      * A store entry could not be decoded. An earlier routing table stays in force; a backend server
      * is removed from the registry.
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -51,6 +51,7 @@
     private final StateDecoder mDecoder;
     private final ServerRegistry mServers;
     private final ColdServerRecorder mCold;
+    private final ServerPaceRecorder mPace;
     private final ServedVersions mVersions = new ServedVersions();
     private final FleetView mFleet;
     private final DecisionLog mLog;
@@ -83,6 +84,7 @@
         mLog = log;
         mTicker = ticker;
         mOnServerStarted = onServerStarted;
+        mPace = new ServerPaceRecorder(servers, log, ticker);
         mCold = new ColdServerRecorder(this::coldStart, servers, log, ticker);
     }
 
@@ -135,6 +137,11 @@
         return mCold;
     }
 
+    /** Returns the record of the pace of servers. */
+    public ServerPaceRecorder pace() {
+        return mPace;
+    }
+
     private ColdStart coldStart(ServiceId service) {
         return mTable.flatMap(table -> table.service(service))
                 .map(ServiceDeclaration::coldStart)
@@ -310,6 +317,9 @@
                         .map(LiveServer::run)
                         .equals(Optional.of(server.run()));
         mCold.register(server, mDecoder.readColdRemainingMillis(entry.value()), isNewRun);
+        if (isNewRun) {
+            mPace.recordStart(server);
+        }
         if (isOfNewEra && last != null && last.draining() && last.run().equals(server.run())) {
             mServers.markLeaving(server.run());
         }
--- a/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/gateway/log/DecisionFormTest.java
@@ -117,6 +117,9 @@
                 "'ServerCold','server':'s','service':'v','source':'r','millis':1,"
                         + "'requestsPerSecond':1.5",
                 new Decision.ServerCold("s", "v", "r", 1, 1.5));
+        add(
+                "'ServerPaced','server':'s','service':'v','state':'t'",
+                new Decision.ServerPaced("s", "v", "t"));
         add(
                 "'PromptQuarantined','state':'s','promptParts':['p'],'strikes':1,'millis':2",
                 new Decision.PromptQuarantined("s", List.of(new PromptPartId("p")), 1, 2));
--- a/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
@@ -58,6 +58,19 @@
                 .hasMessageContaining("maxResponseBytes");
     }
 
+    @Example
+    void theTemplateAsksForThePaceOfServersAndItIsOffWhereNoneIsStated()
+            throws IOException, SettingsException {
+        GatewaySettingsReader reader = new GatewaySettingsReader();
+        String pace = "\"serverPace\": true";
+        assertThat(reader.read(renderedTemplate()).serverPace()).isTrue();
+        String unstated = renderedTemplate().replace(pace, "\"maxResponseBytes\": 65536");
+        assertThat(reader.read(unstated).serverPace()).isFalse();
+        assertThatThrownBy(() -> reader.read(renderedTemplate().replace(pace, "\"serverPace\": 1")))
+                .isInstanceOf(SettingsException.class)
+                .hasMessageContaining("serverPace");
+    }
+
     private static String withOrderLease(String replacement) throws IOException {
         return renderedTemplate().replace("\"orderLeaseSeconds\": 3", replacement);
     }
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -210,14 +210,14 @@
         var waiting = List.of(new QueuedWork(new ServiceId("v1"), 6));
         var record = new HostRecord(host(), new FailureDomainId("f1"), "c:2", "p:1", 1.5);
         var held = List.of(new RequestId("r1"));
-        var outcomes = List.of(new ServerOutcomes(new BackendServerId("e1"), 8, 2));
+        var outcomes = List.of(new ServerOutcomes(new BackendServerId("e1"), 8, 2, 600));
         var quarantined = List.of(new QuarantinedPrompt(Set.of(new PromptPartId("p1")), 1, 8));
         var leaving = List.of(new ServerRun(new BackendServerId("e1"), 9));
         var limits = List.of(new NamedLimit(leaving.get(0), 1.5, 200));
         var failing = List.of(new FailureRate(new BackendServerId("e1"), 0.25));
         add(
                 "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[['w1',2,3]],[['e1',3,4,5]],"
-                        + "['r1'],[['e1',8,2]],[['v1',6]],[['e1',9]],[[['p1'],1,8]],"
+                        + "['r1'],[['e1',8,2,600]],[['v1',6]],[['e1',9]],[[['p1'],1,8]],"
                         + "[[['e1',9],1.5,200]],[['v1','b1',['k1','k2']]],2,"
                         + "[[['e1',9],'v1',700]]],'wantsLoads':true}]",
                 new PeerMessage.Heartbeat(
@@ -439,6 +439,22 @@
         return type.cast(PeerCodec.decode(Unpooled.wrappedBuffer(bytes)).message());
     }
 
+    /** Guards against hosts that do not understand those of the build before, and the reverse. */
+    @Example
+    void messagesOfTheBuildBeforeAreReadAndLongerOnesAsWell() throws IOException {
+        var fields = "[['h1','f1','c:2','p:1',1.5],7,true,9,[],[],[],[['e1',8,2]],[],[],[],[],[],2";
+        var before = readHeartbeat(fields + "]");
+        assertThat(before.cold()).isNull();
+        assertThat(before.outcomes().get(0).answerMicros()).isZero();
+        var longer = readHeartbeat(fields + ",[[['e1',9],'v1',700]],'new']");
+        assertThat(longer.cold()).containsExactly(cold());
+    }
+
+    private static HostHeartbeat readHeartbeat(String fields) throws IOException {
+        var json = "['v',{'pulse':" + fields + ",'wantsLoads':true}]";
+        return read(json, PeerMessage.Heartbeat.class).pulse();
+    }
+
     @Example
     void anUnknownFieldIsIgnored() throws IOException {
         var bytes = MESSAGE_PACK.writeValueAsBytes(JSON.readTree("[7,true,[\"D\",{\"new\":1}]]"));
