--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayServerFactory.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayServerFactory.java
@@ -91,7 +91,7 @@
         RouteAdmission routeAdmission =
                 new RouteAdmission(mState, mCoordination.charging(), mShutdown);
         ServerBackoff backoff = new ServerBackoff();
-        mState.cold().onCold(service -> mServiceMetrics.countNotice(service, "cold"));
+        connectServerRates();
         ServerNotices notices = createNotices(backoff);
         ServerClient client =
                 new ServerClient(mAdapter.serverProtocol(), notices, hostMemory.serverBytes());
@@ -132,6 +132,13 @@
                 mTicker);
     }
 
+    private void connectServerRates() {
+        mState.cold().onCold(service -> mServiceMetrics.countNotice(service, "cold"));
+        if (mSettings.serverPace()) {
+            mState.pace().enable(service -> mServiceMetrics.countNotice(service, "paced"));
+        }
+    }
+
     private StreamForwarder createStreamForwarder(
             ServerBackoff backoff,
             RouteAdmission routeAdmission,
@@ -208,10 +215,15 @@
             mEngineRuns.recordFailure(server, outcome);
         }
         Optional<HostRecord> coordinator = calls.remoteCoordinator();
-        if (coordinator.isEmpty() && outcome == AttemptOutcome.NOT_SENT) {
-            mState.cold().markUnreachable(server.id());
+        if (coordinator.isEmpty()) {
+            mState.pace().recordFailure(server.id(), outcome);
+            if (outcome == AttemptOutcome.NOT_SENT) {
+                mState.cold().markUnreachable(server.id());
+            }
         }
-        if (server.stage().isPresent() || mState.cold().servers().mayBeCold(server.service())) {
+        if (server.stage().isPresent()
+                || mState.pace().isEnabled()
+                || mState.cold().servers().mayBeCold(server.service())) {
             coordinator.ifPresent(
                     c -> calls.report(c, EngineEvent.called(server.id(), outcome, 0)));
         }
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -40,6 +40,8 @@
  * @param memory what the host may hold for its callers
  * @param sharedSeats whether the hosts share the seats of plain servers that are near full in the
  *     book of a coordinator
+ * @param serverPace whether servers that have started or recovered are sent requests at a pace that
+ *     is found from their answers
  */
 public record GatewaySettings(
         String adapter,
@@ -66,4 +68,5 @@
         boolean measuredStageSplit,
         int maxResponseBytes,
         MemorySettings memory,
-        boolean sharedSeats) {}
+        boolean sharedSeats,
+        boolean serverPace) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -100,7 +100,8 @@
                         ? (int) root.number("maxResponseBytes", 1, Integer.MAX_VALUE)
                         : DEFAULT_MAX_RESPONSE_BYTES,
                 MemorySettings.read(root),
-                root.flag("sharedSeats", false));
+                root.flag("sharedSeats", false),
+                root.flag("serverPace", false));
     }
 
     /** Reads the regions of the failure domains; that of the host itself need not be repeated. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/HeartbeatExchange.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.fuchsiaford.entry.gateway.log.Decision;
@@ -36,8 +35,6 @@
 import org.fuchsiaford.serverlimit.NamedLimit;
 import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
-import org.fuchsiaford.store.StoreEntry;
-import org.fuchsiaford.store.StoreKey;
 import org.fuchsiaford.store.StoreRevision;
 import org.fuchsiaford.time.Ticker;
 import reactor.core.Disposable;
@@ -61,13 +58,6 @@
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
 
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(600);
-    private static final Duration COPY_TIMEOUT = Duration.ofMillis(1_000);
-
-    /**
-     * Time for which another host must have a later store revision before its entries are copied; a
-     * working watch of the store catches up within milliseconds.
-     */
-    private static final long MAX_BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
     /**
      * Age up to which a host reports what it knows of the limits of servers; several heartbeats,
@@ -94,16 +84,13 @@
     private final OriginTracker mOrigins;
     private final GatewayState mState;
     private final PeerClient mPeerClient;
+    private final StateCatchUp mCatchUp;
     private final List<PeerAddress> mSeeds;
     private final DecisionLog mLog;
     private final Ticker mTicker;
     private final BooleanSupplier mIsAccepting;
-    private final AtomicBoolean mCopyInProgress = new AtomicBoolean();
     private final Disposable.Swap mRounds = Disposables.swap();
     private Optional<HostId> mLastPrimary = Optional.empty();
-    private long mBehindSinceNanos;
-    private long mBehindRevision;
-    private boolean mIsBehind;
     private double mLastShare;
 
     /** Creates an exchange; it is inactive until {@link #start} is called. */
@@ -146,6 +133,7 @@
         mOrigins = origins;
         mState = state;
         mPeerClient = peerClient;
+        mCatchUp = new StateCatchUp(state, peerClient, log);
         mSeeds = List.copyOf(seeds);
         mLog = log;
         mTicker = ticker;
@@ -188,12 +176,14 @@
         mState.endDueEvacuations();
         removeSilentReporters(nowNanos);
         mLimiter.removeOld(mState.servers()::isRegistered, nowNanos);
+        mState.pace().removeOld(mState.servers()::isRegistered);
         mState.cold().servers().removeOld(mState.servers()::isRegistered, nowNanos);
         updateShare(nowNanos);
         logPrimary(nowNanos);
         if (mCalls.isCoordinator()) {
             List<ServerOutcomes> outcomes = mTally.drain();
             mState.cold().recordOutcomes(outcomes);
+            mState.pace().recordOutcomes(outcomes);
             mFleetHealth.add(outcomes, nowNanos);
             mHealth.replaceFleetRates(mFleetHealth.failing(nowNanos), nowNanos);
         }
@@ -345,7 +335,7 @@
             mLoads.replaceFleetLoads(summary.loads(), ownLoads);
             mHealth.replaceFleetRates(summary.failing(), nowNanos);
         }
-        catchUp(
+        mCatchUp.catchUp(
                 coordinator,
                 new StoreRevision(summary.stateEra(), summary.stateRevision()),
                 nowNanos);
@@ -378,8 +368,9 @@
             mergeLimits(heartbeat.limits(), sender, nowNanos);
             mState.cold().merge(heartbeat.cold(), sender.value());
             mState.cold().recordOutcomes(heartbeat.outcomes());
+            mState.pace().recordOutcomes(heartbeat.outcomes());
             mOrigins.merge(heartbeat.begun());
-            catchUp(
+            mCatchUp.catchUp(
                     heartbeat.host(),
                     new StoreRevision(heartbeat.stateEra(), heartbeat.stateRevision()),
                     nowNanos);
@@ -420,81 +411,12 @@
     }
 
     /** Returns whether a coordinator or reporting host is known to have a later state. */
-    synchronized boolean isBehind() {
-        return mIsBehind;
-    }
-
-    private void catchUp(HostRecord peer, StoreRevision revision, long nowNanos) {
-        if (isBehind(revision.ordered(), nowNanos) && mCopyInProgress.compareAndSet(false, true)) {
-            copyFrom(peer);
-        }
-    }
-
-    private synchronized boolean isBehind(long revision, long nowNanos) {
-        // Another host that is behind as well must not restart the time.
-        mIsBehind &= mState.revision() < mBehindRevision;
-        if (revision <= mState.revision()) {
-            return false;
-        }
-        if (!mIsBehind) {
-            mIsBehind = true;
-            mBehindRevision = revision;
-            mBehindSinceNanos = nowNanos;
-        }
-        return mState.table().isEmpty() || nowNanos - mBehindSinceNanos >= MAX_BEHIND_NANOS;
-    }
-
-    private void copyFrom(HostRecord peer) {
-        long fromRevision = mState.revision();
-        mPeerClient
-                .call(
-                        PeerAddress.parse(peer.peerAddress()),
-                        new PeerMessage.FetchStoreEntries(),
-                        PeerMessage.StoreEntriesResponse.class,
-                        COPY_TIMEOUT)
-                .doOnNext(copy -> applyCopy(peer, fromRevision, copy))
-                .doFinally(signal -> mCopyInProgress.set(false))
-                .subscribe(copy -> {}, e -> logCopyFailure(peer, e));
-    }
-
-    private void applyCopy(
-            HostRecord peer, long fromRevision, PeerMessage.StoreEntriesResponse copy) {
-        long revision = new StoreRevision(copy.era(), copy.revision()).ordered();
-        mState.applySnapshot(revision, toStoreEntries(copy));
-        mLog.write(new Decision.StateCopied(peer.id().value(), fromRevision, revision));
-    }
-
-    private void logCopyFailure(HostRecord peer, Throwable cause) {
-        mLog.write(
-                new Decision.PeerSeen(
-                        peer.id().value(),
-                        peer.peerAddress(),
-                        "copy failed: " + cause.getMessage()));
-    }
-
-    private static List<StoreEntry> toStoreEntries(PeerMessage.StoreEntriesResponse copy) {
-        return copy.entries().stream()
-                .map(
-                        e ->
-                                new StoreEntry(
-                                        new StoreKey(e.key()),
-                                        e.value(),
-                                        new StoreRevision(e.era(), e.revision()).ordered()))
-                .toList();
+    boolean isBehind() {
+        return mCatchUp.isBehind();
     }
 
     /** Returns the store entries known to this host, for a host with an earlier revision. */
     public PeerMessage.StoreEntriesResponse storeEntries() {
-        StoreRevision revision = StoreRevision.ofOrdered(mState.revision());
-        return new PeerMessage.StoreEntriesResponse(
-                revision.number(),
-                mState.entries().stream().map(HeartbeatExchange::toCopy).toList(),
-                revision.era());
-    }
-
-    private static PeerMessage.StoreEntryCopy toCopy(StoreEntry entry) {
-        StoreRevision revision = StoreRevision.ofOrdered(entry.revision());
-        return new PeerMessage.StoreEntryCopy(
-                entry.key().value(), entry.value(), revision.number(), revision.era());
+        return mCatchUp.storeEntries();
     }
 }
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireCompatibilityTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireCompatibilityTest.java
@@ -4,8 +4,13 @@
 
 import java.io.IOException;
 import net.jqwik.api.Example;
+import org.fuchsiaford.backend.BackendServerId;
+import org.fuchsiaford.backend.ServiceId;
+import org.fuchsiaford.fleet.HostHeartbeat;
 import org.fuchsiaford.peer.message.PeerMessage;
+import org.fuchsiaford.registry.ServerRun;
 import org.fuchsiaford.selection.StreamPace;
+import org.fuchsiaford.serverlimit.ColdServer;
 
 /**
  * Guards against messages of other builds that a host cannot read while hosts are replaced one at a
@@ -40,6 +45,27 @@
         assertThat(more.events().get(0).pace()).isEqualTo(new StreamPace(7, 8));
     }
 
+    /** Guards against hosts that do not understand those of the build before, and the reverse. */
+    @Example
+    void messagesOfTheBuildBeforeAreReadAndLongerOnesAsWell() throws IOException {
+        var fields = "[['h1','f1','c:2','p:1',1.5],7,true,9,[],[],[],[['e1',8,2]],[],[],[],[],[],2";
+        var before = readHeartbeat(fields + "]");
+        assertThat(before.cold()).isNull();
+        assertThat(before.outcomes().get(0).answerMicros()).isZero();
+        var longer = readHeartbeat(fields + ",[[['e1',9],'v1',700]],'new']");
+        assertThat(longer.cold())
+                .containsExactly(
+                        new ColdServer(
+                                new ServerRun(new BackendServerId("e1"), 9),
+                                new ServiceId("v1"),
+                                700));
+    }
+
+    private static HostHeartbeat readHeartbeat(String fields) throws IOException {
+        var json = "['v',{'pulse':" + fields + ",'wantsLoads':true}]";
+        return WireForm.read(json, PeerMessage.Heartbeat.class).pulse();
+    }
+
     @Example
     void anUnknownFieldIsIgnored() throws IOException {
         var form = "['D',{'new':1}]";
--- a/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
+++ b/peer/src/test/java/org/fuchsiaford/peer/PeerWireFormTest.java
@@ -197,14 +197,14 @@
         var waiting = List.of(new QueuedWork(new ServiceId("v1"), 6));
         var record = new HostRecord(host(), new FailureDomainId("f1"), "c:2", "p:1", 1.5);
         var held = List.of(new RequestId("r1"));
-        var outcomes = List.of(new ServerOutcomes(new BackendServerId("e1"), 8, 2));
+        var outcomes = List.of(new ServerOutcomes(new BackendServerId("e1"), 8, 2, 600));
         var quarantined = List.of(new QuarantinedPrompt(Set.of(new PromptPartId("p1")), 1, 8));
         var leaving = List.of(new ServerRun(new BackendServerId("e1"), 9));
         var limits = List.of(new NamedLimit(leaving.get(0), 1.5, 200));
         var failing = List.of(new FailureRate(new BackendServerId("e1"), 0.25));
         add(
                 "['v',{'pulse':[['h1','f1','c:2','p:1',1.5],7,true,9,[['w1',2,3]],[['e1',3,4,5]],"
-                        + "['r1'],[['e1',8,2]],[['v1',6]],[['e1',9]],[[['p1'],1,8]],"
+                        + "['r1'],[['e1',8,2,600]],[['v1',6]],[['e1',9]],[[['p1'],1,8]],"
                         + "[[['e1',9],1.5,200]],[['v1','b1',['k1','k2']]],2,"
                         + "[[['e1',9],'v1',700]]],'wantsLoads':true}]",
                 new PeerMessage.Heartbeat(
