Grant a seat of a paused server if there is no other

The book of seats left paused servers out also when all were paused, so that a service whose servers had all failed stayed without seats while it was near full. It now follows the choice of hosts, which take a paused server if there is no other.

--- a/core/src/main/java/org/fuchsiaford/selection/SeatBook.java
+++ b/core/src/main/java/org/fuchsiaford/selection/SeatBook.java
@@ -163,13 +163,21 @@
         return new SeatAnswer.Refused(request, retryMillis, reason);
     }
 
+    /** A paused server is used only if all that are eligible are paused. */
     private Optional<SeatAnswer.Granted> tryGrant(SeatRequest request, long nowNanos) {
-        return mPool.usable(request.service(), nowNanos).stream()
-                .filter(server -> !request.excluded().contains(server.id()))
-                .filter(server -> !mHealth.isPaused(server.id(), nowNanos))
-                .filter(server -> usedFraction(server) < 1)
-                .min(Comparator.comparingDouble(server -> score(server, nowNanos)))
-                .map(server -> grant(request, server, nowNanos));
+        List<LiveServer> eligible =
+                mPool.usable(request.service(), nowNanos).stream()
+                        .filter(server -> !request.excluded().contains(server.id()))
+                        .toList();
+        List<LiveServer> unpaused =
+                eligible.stream()
+                        .filter(server -> !mHealth.isPaused(server.id(), nowNanos))
+                        .toList();
+        return (unpaused.isEmpty() ? eligible : unpaused)
+                .stream()
+                        .filter(server -> usedFraction(server) < 1)
+                        .min(Comparator.comparingDouble(server -> score(server, nowNanos)))
+                        .map(server -> grant(request, server, nowNanos));
     }
 
     private double usedFraction(LiveServer server) {
--- a/core/src/test/java/org/fuchsiaford/selection/SeatBookTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/SeatBookTest.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.fuchsiaford.TestServers;
+import org.fuchsiaford.attempt.AttemptOutcome;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServiceId;
 import org.fuchsiaford.bundle.FailureDomainId;
@@ -29,8 +30,9 @@
 
     private final LiveServer mServer = TestServers.plain("p", "d");
     private final LoadTracker mLoads = new LoadTracker();
+    private final ServerHealth mHealth = new ServerHealth();
     private final SeatBook mBook =
-            new SeatBook(new HostId("self"), pool(), mLoads, new ServerHealth(), () -> 0.5);
+            new SeatBook(new HostId("self"), pool(), mLoads, mHealth, () -> 0.5);
 
     private EnginePool pool() {
         return new EnginePool() {
@@ -151,6 +153,14 @@
         assertThat(seats.of(mServer)).isEqualTo(SEATS);
     }
 
+    /** Otherwise nobody would find out that the only server has recovered. */
+    @Example
+    void aPausedServerIsUsedIfThereIsNoOther() {
+        mHealth.recordOutcome(mServer.id(), AttemptOutcome.NOT_SENT, 0, NOW);
+        assertThat(mHealth.isPaused(mServer.id(), NOW)).isTrue();
+        assertThat(submit("r")).isInstanceOf(SeatAnswer.Granted.class);
+    }
+
     /** While a service is calm, no call is added. */
     @Example
     void aHostAsksForSeatsOnlyWhileAServiceIsNearFull() {
