--- a/core/src/main/java/org/fuchsiaford/hostmemory/HeadCost.java
+++ b/core/src/main/java/org/fuchsiaford/hostmemory/HeadCost.java
@@ -28,6 +28,9 @@
      * @return whether the head goes on
      */
     public boolean add(byte value) {
+        if (mEnded) {
+            return false;
+        }
         if (value == '\n') {
             mEnded = mLineEmpty && mLines > 0;
             mLines += mLineEmpty ? 0 : 1;
