Use measured splits, declared pauses and shares only where settings ask

The order by shares had no setting. A queued request that was refused was told to return after the wait that was ahead of it, 3.5 s at half.

A queued request that is refused returns as soon as before.

EngineQueueTest, TimedEnginePoolTest, GatewaySettingsReaderTest and the tests of selection pass.

--- a/core/src/main/java/org/fuchsiaford/order/StageSplitPolicy.java
+++ b/core/src/main/java/org/fuchsiaford/order/StageSplitPolicy.java
@@ -30,6 +30,12 @@
  * sooner than several times the time that an order takes. Thread-safe.
  */
 public final class StageSplitPolicy {
+    /**
+     * Fewest engines of a service whose split is measured. With fewer, an order takes more than a
+     * tenth of them away for several seconds, and a wrong one costs more than the right one gains.
+     */
+    public static final int MIN_SERVICE_ENGINES = 10;
+
     /** With fewer engines, an order would leave a stage to less than half of the engines. */
     private static final int MIN_ENGINES = 3;
 
--- a/core/src/main/java/org/fuchsiaford/routing/EngineCapacity.java
+++ b/core/src/main/java/org/fuchsiaford/routing/EngineCapacity.java
@@ -33,6 +33,18 @@
         this(maxConcurrentRequests, kvCacheTokens, handleTtlMillis, 0, 0, 0, 0);
     }
 
+    /** Returns the same capacity with unknown tokens in events. */
+    public EngineCapacity withoutEventTokens() {
+        return new EngineCapacity(
+                maxConcurrentRequests,
+                kvCacheTokens,
+                handleTtlMillis,
+                0,
+                kvTokenBytes,
+                linkMegabitsPerSecond,
+                reconfigureMillis);
+    }
+
     /** Returns whether it is known how long KV cache takes to move between engines. */
     public boolean isTransferKnown() {
         return kvTokenBytes > 0 && linkMegabitsPerSecond > 0;
--- a/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueue.java
@@ -64,15 +64,24 @@
     /** Time for which the ranks of queued requests are kept; bounds the work of an overload. */
     private static final long RANK_INTERVAL_NANOS = 20_000_000L;
 
-    private static final Comparator<Entry> ORDER =
-            Comparator.comparingInt((Entry entry) -> entry.flow().priority())
+    private static final Comparator<Entry> FAIR_ORDER =
+            Comparator.comparingInt((Entry entry) -> entry.mQueued.claim().kind().priority())
                     .thenComparing(entry -> entry.mRank)
                     .thenComparingDouble(entry -> entry.mLatestStartNanos);
 
+    private static final Comparator<Entry> ARRIVAL_ORDER =
+            Comparator.comparingInt((Entry entry) -> entry.mQueued.claim().kind().priority())
+                    .thenComparingLong(entry -> entry.mQueued.arrivedNanos());
+
+    /** The only flow of a queue without shares. */
+    private static final Kind ANY_KIND = new Kind("", 0);
+
     private final Map<RequestId, QueuedRequest> mQueued = new LinkedHashMap<>();
     private final FairAccounts mAccounts = new FairAccounts();
-    private final FairQueue<Kind, Entry> mOnTime = new FairQueue<>(ORDER);
-    private final FairQueue<Kind, Entry> mLate = new FairQueue<>(ORDER);
+    private final boolean mIsFair;
+    private final Comparator<Entry> mOrder;
+    private final FairQueue<Kind, Entry> mOnTime;
+    private final FairQueue<Kind, Entry> mLate;
     private long mRankedNanos;
     private double mMeanRunNanos;
     private double mNanosPerToken = INITIAL_NANOS_PER_TOKEN;
@@ -80,18 +89,33 @@
     private double mFirstEventDeviationNanos;
     private double mNanosPerPromptToken = INITIAL_NANOS_PER_PROMPT_TOKEN;
 
-    /** Creates the queue of a service of engines. */
+    /** Creates the queue of a service of engines, with shares of kinds and workspaces. */
     public EngineQueue() {
-        this(INITIAL_RUN_NANOS, INITIAL_FIRST_EVENT_NANOS);
+        this(true);
+    }
+
+    /**
+     * Creates the queue of a service of engines.
+     *
+     * @param isFair whether kinds and workspaces have shares; if not, requests go by priority and
+     *     then by arrival
+     */
+    EngineQueue(boolean isFair) {
+        this(isFair, INITIAL_RUN_NANOS, INITIAL_FIRST_EVENT_NANOS);
     }
 
     /**
      * Creates a queue.
      *
+     * @param isFair whether kinds and workspaces have shares
      * @param runNanos the duration of a run until one is observed
      * @param firstEventNanos the time to the first event until one is observed
      */
-    EngineQueue(long runNanos, long firstEventNanos) {
+    EngineQueue(boolean isFair, long runNanos, long firstEventNanos) {
+        mIsFair = isFair;
+        mOrder = isFair ? FAIR_ORDER : ARRIVAL_ORDER;
+        mOnTime = new FairQueue<>(mOrder);
+        mLate = new FairQueue<>(mOrder);
         mMeanRunNanos = runNanos;
         mMeanFirstEventNanos = firstEventNanos;
     }
@@ -117,19 +141,21 @@
     /** A request in the order of its kind. */
     private static final class Entry implements FairQueue.Item<Kind> {
         private final QueuedRequest mQueued;
+        private final Kind mFlow;
         private final double mWeight;
         private final double mLatestStartNanos;
         private FairAccounts.Rank mRank;
 
-        Entry(QueuedRequest queued, double weight, double latestStartNanos) {
+        Entry(QueuedRequest queued, Kind flow, double weight, double latestStartNanos) {
             mQueued = queued;
+            mFlow = flow;
             mWeight = weight;
             mLatestStartNanos = latestStartNanos;
         }
 
         @Override
         public Kind flow() {
-            return mQueued.claim().kind();
+            return mFlow;
         }
 
         @Override
@@ -193,7 +219,12 @@
 
     /** Returns the place of a request among those of its kind. */
     public synchronized FairAccounts.Rank rank(Claim claim) {
-        return mAccounts.rank(claim);
+        return mIsFair ? mAccounts.rank(claim) : FairAccounts.Rank.EVEN;
+    }
+
+    /** Returns whether kinds and workspaces have shares. */
+    boolean isFair() {
+        return mIsFair;
     }
 
     /** Adds a request. */
@@ -207,9 +238,10 @@
         Entry entry =
                 new Entry(
                         queued,
+                        mIsFair ? queued.claim().kind() : ANY_KIND,
                         mAccounts.weight(queued.claim().kind()),
                         queued.targetStartNanos() - readNanos);
-        entry.mRank = mAccounts.rank(queued.claim());
+        entry.mRank = rank(queued.claim());
         return entry;
     }
 
@@ -255,10 +287,13 @@
      * queued, before this one.
      */
     public synchronized long tokensAhead(QueuedRequest queued, long nowNanos) {
+        if (!mIsFair) {
+            return onTimeTokens(nowNanos);
+        }
         postponeLate(nowNanos);
         Entry entry = entry(queued);
         return entry.isWithinShare()
-                ? mOnTime.costAhead(entry, other -> ORDER.compare(other, entry) < 0)
+                ? mOnTime.costAhead(entry, other -> mOrder.compare(other, entry) < 0)
                 : mOnTime.totalCost();
     }
 
@@ -304,7 +339,7 @@
         if (nowNanos - mRankedNanos >= RANK_INTERVAL_NANOS) {
             mRankedNanos = nowNanos;
             Stream.concat(mOnTime.all().stream(), mLate.all().stream())
-                    .forEach(entry -> entry.mRank = mAccounts.rank(entry.mQueued.claim()));
+                    .forEach(entry -> entry.mRank = rank(entry.mQueued.claim()));
         }
     }
 
--- a/core/src/main/java/org/fuchsiaford/selection/EngineQueues.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineQueues.java
@@ -20,11 +20,28 @@
     private final Map<ServiceId, EngineQueue> mQueues = new ConcurrentHashMap<>();
     private final Map<Bound, EngineQueue> mBoundQueues = new ConcurrentHashMap<>();
 
+    private final boolean mIsFair;
+
+    /** Creates queues with shares of kinds and workspaces. */
+    public EngineQueues() {
+        this(true);
+    }
+
+    /**
+     * Creates queues.
+     *
+     * @param isFair whether kinds and workspaces have shares; if not, requests go by priority and
+     *     then by arrival
+     */
+    public EngineQueues(boolean isFair) {
+        mIsFair = isFair;
+    }
+
     private record Bound(ServiceId service, SoftwareVersion version) {}
 
     /** Returns the queue of a service, creating it if needed. */
     public EngineQueue of(ServiceId service) {
-        return mQueues.computeIfAbsent(service, id -> new EngineQueue());
+        return mQueues.computeIfAbsent(service, id -> new EngineQueue(mIsFair));
     }
 
     /** Returns the queue of a service for requests that are bound to a version, if there is one. */
@@ -32,7 +49,7 @@
         return version.isEmpty()
                 ? of(service)
                 : mBoundQueues.computeIfAbsent(
-                        new Bound(service, version.get()), id -> new EngineQueue());
+                        new Bound(service, version.get()), id -> new EngineQueue(mIsFair));
     }
 
     /** Returns the versions of a service that queued requests are bound to. */
--- a/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
+++ b/core/src/main/java/org/fuchsiaford/selection/EngineScheduler.java
@@ -253,7 +253,8 @@
             List<LiveServer> engines = eligible(request, nowNanos);
             if (fullRegions.contains(regions)) {
                 room.passOver(request);
-            } else if (!room.keepFor(request, engines, mPool.capacity(request.service()))) {
+            } else if (!queue.isFair()
+                    || !room.keepFor(request, engines, mPool.capacity(request.service()))) {
                 Optional<EngineAnswer.Granted> grant =
                         tryGrant(request, room.free(engines), nowNanos);
                 if (grant.isPresent()) {
@@ -275,10 +276,11 @@
             EngineQueue queue, EngineQueue.QueuedRequest queued, long nowNanos) {
         EngineRequest request = mQueued.remove(queued.request()).mRequest;
         queue.remove(queued.request());
-        long waitNanos = mWaits.estimateWaitNanos(request, nowNanos);
+        // It has waited already: what is ahead of it in the queue must not delay its return as
+        // well.
         return new EngineAnswer.Refused(
                 request,
-                mWaits.busyRetryMillis(request, waitNanos, nowNanos),
+                mWaits.busyRetryMillis(request, 0, nowNanos),
                 "no engine had free capacity in time");
     }
 
--- a/core/src/main/java/org/fuchsiaford/selection/SeatBook.java
+++ b/core/src/main/java/org/fuchsiaford/selection/SeatBook.java
@@ -120,7 +120,7 @@
 
     private EngineQueue queue(ServiceId service) {
         return mQueues.computeIfAbsent(
-                service, id -> new EngineQueue(INITIAL_RUN_NANOS, INITIAL_RUN_NANOS));
+                service, id -> new EngineQueue(true, INITIAL_RUN_NANOS, INITIAL_RUN_NANOS));
     }
 
     private Claim claim(SeatRequest request) {
--- a/core/src/test/java/org/fuchsiaford/selection/EngineQueueTest.java
+++ b/core/src/test/java/org/fuchsiaford/selection/EngineQueueTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.Example;
 import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.fairness.Claim;
+import org.fuchsiaford.fairness.FairAccounts;
 import org.fuchsiaford.fairness.Kind;
 import org.fuchsiaford.request.RequestId;
 import org.fuchsiaford.routing.TokenCounts;
@@ -59,6 +60,24 @@
         assertThat(mQueue.next(false, 10)).contains(second);
     }
 
+    /** Guards against shares that act in deployments that do not ask for them. */
+    @Example
+    void withoutSharesRequestsGoByPriorityAndArrivalOnly() {
+        EngineQueue queue = new EngineQueue(false);
+        EngineQueue.QueuedRequest first = queuedRequest("a", 1, 4);
+        EngineQueue.QueuedRequest second = queuedRequest("b", 1, 5);
+        queue.add(second);
+        queue.add(first);
+        for (int i = 0; i < 100; i++) {
+            queue.recordAsked(first.claim(), 6);
+            queue.recordServed(first.claim(), 6);
+        }
+        assertThat(queue.rank(first.claim())).isEqualTo(FairAccounts.Rank.EVEN);
+        assertThat(queue.next(false, 10)).contains(first);
+        queue.serve(first.request());
+        assertThat(queue.next(false, 10)).contains(second);
+    }
+
     /**
      * A burst of 4 s at twice the capacity: in 100 ms two requests arrive and one starts. Served in
      * order of arrival, most requests of such a burst would be late. Unservable requests are
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewayHost.java
@@ -13,6 +13,7 @@
 import org.fuchsiaford.entry.gateway.engine.EngineReportClient;
 import org.fuchsiaford.entry.gateway.engine.EngineRuns;
 import org.fuchsiaford.entry.gateway.fleet.Coordination;
+import org.fuchsiaford.entry.gateway.fleet.PlacementSettings;
 import org.fuchsiaford.entry.gateway.forward.GatewayServer;
 import org.fuchsiaford.entry.gateway.forward.HostShutdown;
 import org.fuchsiaford.entry.gateway.log.Decision;
@@ -30,6 +31,7 @@
 import org.fuchsiaford.fleet.FleetView;
 import org.fuchsiaford.fleet.HostRecord;
 import org.fuchsiaford.host.HostId;
+import org.fuchsiaford.order.StageSplitPolicy;
 import org.fuchsiaford.peer.PeerServer;
 import org.fuchsiaford.peer.TcpPeerClient;
 import org.fuchsiaford.peer.message.PeerMessage;
@@ -129,7 +131,8 @@
                         mLog,
                         mTicker,
                         mFollower,
-                        this::isReady);
+                        this::isReady,
+                        placement(settings));
         mEngineRuns =
                 new EngineRuns(
                         new EngineReportClient(adapter.orderProtocol()),
@@ -156,6 +159,14 @@
                 .create(mSettings.orderLeaseSeconds(), mSettings.measuredStageSplit());
     }
 
+    private static PlacementSettings placement(GatewaySettings settings) {
+        return new PlacementSettings(
+                settings.measuredStageSplit()
+                        ? StageSplitPolicy.MIN_SERVICE_ENGINES
+                        : Integer.MAX_VALUE,
+                settings.fairQueue());
+    }
+
     private GatewayServer createServer(ServerHealth health, LoadTracker loads) {
         return new GatewayServerFactory(
                         mSettings,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettings.java
@@ -42,6 +42,8 @@
  *     book of a coordinator
  * @param serverPace whether servers that have started or recovered are sent requests at a pace that
  *     is found from their answers
+ * @param fairQueue whether kinds of request and workspaces have shares of the engines while
+ *     requests wait
  */
 public record GatewaySettings(
         String adapter,
@@ -69,4 +71,5 @@
         int maxResponseBytes,
         MemorySettings memory,
         boolean sharedSeats,
-        boolean serverPace) {}
+        boolean serverPace,
+        boolean fairQueue) {}
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/GatewaySettingsReader.java
@@ -101,7 +101,8 @@
                         : DEFAULT_MAX_RESPONSE_BYTES,
                 MemorySettings.read(root),
                 root.flag("sharedSeats", false),
-                root.flag("serverPace", false));
+                root.flag("serverPace", false),
+                root.flag("fairQueue", false));
     }
 
     /** Reads the regions of the failure domains; that of the host itself need not be repeated. */
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/fleet/Coordination.java
@@ -26,6 +26,7 @@
 import org.fuchsiaford.selection.OutcomeTally;
 import org.fuchsiaford.selection.SeatBook;
 import org.fuchsiaford.selection.ServerHealth;
+import org.fuchsiaford.selection.TimedEnginePool;
 import org.fuchsiaford.serverlimit.ColdServers;
 import org.fuchsiaford.serverlimit.ServerLimits;
 import org.fuchsiaford.serverlimit.ServerRateLimiter;
@@ -62,6 +63,7 @@
     private static final long COMPARED_WATCH_WAIT_MILLIS = 6_000;
 
     private final FleetView mFleet;
+    private final int mMinTimedEngines;
     private final GatewayState mState;
     private final Ticker mTicker;
     private final HeldEngines mHeld = new HeldEngines();
@@ -86,6 +88,7 @@
      * @param random a source of uniformly distributed random numbers from 0 to 1
      * @param follower what reads the registry
      * @param isAccepting whether this host accepts new callers
+     * @param placement what the settings ask of placement
      */
     public Coordination(
             FleetView fleet,
@@ -100,12 +103,14 @@
             DecisionLog log,
             Ticker ticker,
             StateFollower follower,
-            BooleanSupplier isAccepting) {
+            BooleanSupplier isAccepting,
+            PlacementSettings placement) {
         mFleet = fleet;
+        mMinTimedEngines = placement.minTimedEngines();
         mState = state;
         mTicker = ticker;
         long startNanos = ticker.nowNanos();
-        EngineQueues queues = new EngineQueues();
+        EngineQueues queues = new EngineQueues(placement.fairQueue());
         FleetQuota quota = new FleetQuota(limitWindowNanos, startNanos);
         CoordinatorTracker tracker = new CoordinatorTracker(fleet, startNanos);
         mCalls = new CoordinatorCalls(fleet.self(), tracker, peerClient, log, ticker);
@@ -191,6 +196,13 @@
                 mTicker);
     }
 
+    private static int engineCount(GatewayState state, ServiceId service) {
+        return (int)
+                state.servers().registered().stream()
+                        .filter(server -> server.service().equals(service))
+                        .count();
+    }
+
     private EngineScheduler createScheduler(
             GatewayState state,
             ServerHealth health,
@@ -200,7 +212,8 @@
             DoubleSupplier random) {
         return new EngineScheduler(
                 mFleet.self().id(),
-                state,
+                new TimedEnginePool(
+                        state, service -> engineCount(state, service), mMinTimedEngines),
                 loads,
                 new EnginePlanner(loads, health, random),
                 queues,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageChooser.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/order/StageChooser.java
@@ -29,6 +29,7 @@
  */
 final class StageChooser {
     private final boolean mMeasuredSplit;
+
     private final PendingOrders mPending;
     private final EngineScheduler mScheduler;
     private final BooleanSupplier mIsCoordinator;
@@ -70,7 +71,9 @@
     synchronized Optional<StageOrder> next(
             ServiceId service, List<LiveServer> engines, EngineCapacity capacity, long nowNanos) {
         Set<BackendServerId> pending = mPending.engines();
-        if (!mMeasuredSplit || capacity.reconfigureMillis() <= 0) {
+        boolean isMeasured =
+                mMeasuredSplit && engines.size() >= StageSplitPolicy.MIN_SERVICE_ENGINES;
+        if (!isMeasured || capacity.reconfigureMillis() <= 0) {
             double usedFraction = mPending.usedKvCacheFraction(engines, capacity);
             return StagePolicy.next(engines, pending, usedFraction);
         }
