Read evacuations and served versions outside GatewayState

The tests of the state, of versions and of evacuations pass. The two test classes named EngineReplay have different names.

--- a/core/src/test/java/org/fuchsiaford/order/StageSplitReplayTest.java
+++ b/core/src/test/java/org/fuchsiaford/order/StageSplitReplayTest.java
@@ -31,30 +31,39 @@
     private static final double SIGMA = 0.894;
 
     private static final int LONGEST_PROMPT = 32_200;
-    private static final EngineReplay.PromptLengths LONG = logNormal(9_200);
-    private static final EngineReplay.PromptLengths SHORT = logNormal(1_500);
+    private static final StagedEngineReplay.PromptLengths LONG = logNormal(9_200);
+    private static final StagedEngineReplay.PromptLengths SHORT = logNormal(1_500);
 
-    private static EngineReplay.PromptLengths logNormal(double mean) {
+    private static StagedEngineReplay.PromptLengths logNormal(double mean) {
         double mu = Math.log(mean) - SIGMA * SIGMA / 2;
         return (random, time) ->
                 Math.min(LONGEST_PROMPT, (long) Math.exp(mu + SIGMA * random.nextGaussian()) + 1);
     }
 
-    private static EngineReplay replay(
-            long seed, int split, DoubleUnaryOperator rate, EngineReplay.PromptLengths prompts) {
-        return new EngineReplay(
-                seed, ENGINES, split, rate, prompts, EngineReplay.GAP_TARGET, Optional.empty());
+    private static StagedEngineReplay replay(
+            long seed,
+            int split,
+            DoubleUnaryOperator rate,
+            StagedEngineReplay.PromptLengths prompts) {
+        return new StagedEngineReplay(
+                seed,
+                ENGINES,
+                split,
+                rate,
+                prompts,
+                StagedEngineReplay.GAP_TARGET,
+                Optional.empty());
     }
 
     /** Returns the streams in time over several runs of a load at a split that stays. */
-    private static long inTime(int split, double rate, EngineReplay.PromptLengths prompts) {
+    private static long inTime(int split, double rate, StagedEngineReplay.PromptLengths prompts) {
         return LongStream.range(0, 5)
                 .map(seed -> replay(seed, split, t -> rate, prompts).run(DURATION).inTime())
                 .sum();
     }
 
-    private static int wanted(double rate, EngineReplay.PromptLengths prompts) {
-        EngineReplay replay = replay(1, FIXED_SPLIT, t -> rate, prompts);
+    private static int wanted(double rate, StagedEngineReplay.PromptLengths prompts) {
+        StagedEngineReplay replay = replay(1, FIXED_SPLIT, t -> rate, prompts);
         replay.run(DURATION);
         return replay.wantedPrefillEngines();
     }
@@ -83,9 +92,10 @@
     @Example
     void ordersLeadFromAWrongSplitToABetterOneInAllFailureDomains() {
         for (int split : List.of(1, ENGINES / 2)) {
-            EngineReplay.Result kept = replay(3, split, t -> LONG_RATE, LONG).run(LONGER_DURATION);
-            EngineReplay replay = replayWithOrders(split, t -> LONG_RATE, LONG);
-            EngineReplay.Result ordered = replay.run(LONGER_DURATION);
+            StagedEngineReplay.Result kept =
+                    replay(3, split, t -> LONG_RATE, LONG).run(LONGER_DURATION);
+            StagedEngineReplay replay = replayWithOrders(split, t -> LONG_RATE, LONG);
+            StagedEngineReplay.Result ordered = replay.run(LONGER_DURATION);
             assertThat(ordered.inTime()).isGreaterThan(kept.inTime());
             assertThat(ordered.prefillEngines()).isEqualTo(3);
             assertThat(replay.prefillEnginesByDomain().values()).containsOnly(1L);
@@ -96,11 +106,11 @@
     /** While prompts were placed without regard to pauses, one stream of six made too long ones. */
     @Example
     void streamsMakeNoTooLongPausesWherePromptsAreReadApart() {
-        EngineReplay without =
-                new EngineReplay(
+        StagedEngineReplay without =
+                new StagedEngineReplay(
                         3, ENGINES, FIXED_SPLIT, t -> LONG_RATE, LONG, 0, Optional.empty());
-        EngineReplay.Result former = without.run(DURATION);
-        EngineReplay.Result now = replay(3, FIXED_SPLIT, t -> LONG_RATE, LONG).run(DURATION);
+        StagedEngineReplay.Result former = without.run(DURATION);
+        StagedEngineReplay.Result now = replay(3, FIXED_SPLIT, t -> LONG_RATE, LONG).run(DURATION);
         assertThat(former.paused()).isGreaterThan(former.asked() / 10);
         assertThat(now.paused()).isZero();
         assertThat(now.inTime()).isGreaterThan(former.inTime());
@@ -110,12 +120,13 @@
     @Example
     void ordersDoNotFollowTheSwingsOfALoad() {
         for (double period : List.of(10_000.0, 30_000.0, 60_000.0, 120_000.0)) {
-            EngineReplay.PromptLengths prompts =
+            StagedEngineReplay.PromptLengths prompts =
                     (random, t) -> (isFirstHalf(t, period) ? LONG : SHORT).draw(random, t);
             DoubleUnaryOperator rate = t -> isFirstHalf(t, period) ? LONG_RATE : SHORT_RATE;
             for (int split : List.of(FIXED_SPLIT, 4)) {
-                EngineReplay.Result kept = replay(3, split, rate, prompts).run(SWING_DURATION);
-                EngineReplay.Result ordered =
+                StagedEngineReplay.Result kept =
+                        replay(3, split, rate, prompts).run(SWING_DURATION);
+                StagedEngineReplay.Result ordered =
                         replayWithOrders(split, rate, prompts).run(SWING_DURATION);
                 assertThat(stages(ordered)).hasSizeLessThanOrEqualTo(1);
                 assertThat(ordered.orders()).hasSizeLessThanOrEqualTo(2);
@@ -128,15 +139,15 @@
     @Example
     void ordersTurnBackOnceALoadHasChangedForLong() {
         double change = 100_000;
-        EngineReplay.PromptLengths veryShort = (random, t) -> 100;
-        EngineReplay.PromptLengths prompts =
+        StagedEngineReplay.PromptLengths veryShort = (random, t) -> 100;
+        StagedEngineReplay.PromptLengths prompts =
                 (random, t) -> (t < change ? LONG : veryShort).draw(random, t);
         DoubleUnaryOperator rate = t -> t < change ? LONG_RATE : 210;
-        EngineReplay.Result ordered = replayWithOrders(1, rate, prompts).run(LONGER_DURATION);
-        EngineReplay.Result kept = replay(3, 3, rate, prompts).run(LONGER_DURATION);
+        StagedEngineReplay.Result ordered = replayWithOrders(1, rate, prompts).run(LONGER_DURATION);
+        StagedEngineReplay.Result kept = replay(3, 3, rate, prompts).run(LONGER_DURATION);
         assertThat(ordered.inTime()).isGreaterThan(kept.inTime());
-        List<EngineReplay.Order> orders = ordered.orders();
-        assertThat(orders.stream().map(EngineReplay.Order::stage))
+        List<StagedEngineReplay.Order> orders = ordered.orders();
+        assertThat(orders.stream().map(StagedEngineReplay.Order::stage))
                 .containsExactly(EngineStage.PREFILL, EngineStage.PREFILL, EngineStage.DECODE);
         assertThat(orders.get(2).time() - orders.get(1).time()).isGreaterThan(37_000);
     }
@@ -145,19 +156,21 @@
         return time % (2 * period) < period;
     }
 
-    private static EngineReplay replayWithOrders(
-            int split, DoubleUnaryOperator rate, EngineReplay.PromptLengths prompts) {
-        return new EngineReplay(
+    private static StagedEngineReplay replayWithOrders(
+            int split, DoubleUnaryOperator rate, StagedEngineReplay.PromptLengths prompts) {
+        return new StagedEngineReplay(
                 3,
                 ENGINES,
                 split,
                 rate,
                 prompts,
-                EngineReplay.GAP_TARGET,
+                StagedEngineReplay.GAP_TARGET,
                 Optional.of(new StageSplitPolicy()));
     }
 
-    private static Set<EngineStage> stages(EngineReplay.Result result) {
-        return result.orders().stream().map(EngineReplay.Order::stage).collect(Collectors.toSet());
+    private static Set<EngineStage> stages(StagedEngineReplay.Result result) {
+        return result.orders().stream()
+                .map(StagedEngineReplay.Order::stage)
+                .collect(Collectors.toSet());
     }
 }
--- a/core/src/test/java/org/fuchsiaford/order/EngineReplay.java
+++ b/core/src/test/java/org/fuchsiaford/order/StagedEngineReplay.java
@@ -46,7 +46,7 @@
  * host, prefill engines read one prompt after the other, and decode engines read a chunk before
  * each decode step of their streams. Times are in milliseconds.
  */
-final class EngineReplay {
+final class StagedEngineReplay {
     static final int EVENTS = 66;
     static final double FIRST_EVENT_TARGET = 909;
     static final double GAP_TARGET = 300;
@@ -148,7 +148,7 @@
      *     without regard to pauses
      * @param policy what orders engines; empty to keep their stages
      */
-    EngineReplay(
+    StagedEngineReplay(
             long seed,
             int engines,
             int prefillEngines,
--- a/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
+++ b/entry/src/main/java/org/fuchsiaford/entry/gateway/state/GatewayState.java
@@ -1,7 +1,5 @@
 package org.fuchsiaford.entry.gateway.state;
 
-import com.fasterxml.jackson.core.type.TypeReference;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,10 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import org.fuchsiaford.backend.BackendServerId;
 import org.fuchsiaford.backend.ServiceId;
-import org.fuchsiaford.bundle.FailureDomainId;
 import org.fuchsiaford.entry.gateway.log.Decision;
 import org.fuchsiaford.entry.gateway.log.DecisionLog;
 import org.fuchsiaford.entry.gateway.protocol.StateDecoder;
@@ -23,7 +19,6 @@
 import org.fuchsiaford.registry.RegionMap;
 import org.fuchsiaford.registry.ServerRegistry;
 import org.fuchsiaford.registry.ServerRun;
-import org.fuchsiaford.registry.SoftwareVersion;
 import org.fuchsiaford.routing.ColdStart;
 import org.fuchsiaford.routing.EngineCapacity;
 import org.fuchsiaford.routing.RoutingTable;
@@ -49,14 +44,12 @@
  * streams, then still holds. Thread-safe.
  */
 public final class GatewayState implements EnginePool {
-    private static final JsonMapper MAPPER = JsonMapper.builder().build();
-    private static final TypeReference<List<SoftwareVersion>> VERSIONS = new TypeReference<>() {};
-
     private final StateDecoder mDecoder;
     private final ServerRegistry mServers;
     private final ColdServerRecorder mCold;
     private final ServerPaceRecorder mPace;
-    private final ServedVersions mVersions = new ServedVersions();
+    private final EvacuationRecorder mEvacuations;
+    private final ServedVersionsReader mVersions = new ServedVersionsReader();
     private final FleetView mFleet;
     private final DecisionLog mLog;
     private final Ticker mTicker;
@@ -65,7 +58,6 @@
     private final Map<StoreKey, Long> mRemovedRevisions = new HashMap<>();
     private final Map<BackendServerId, LiveServer> mLastServers = new HashMap<>();
     private final Map<BackendServerId, LiveServer> mEndedServers = new HashMap<>();
-    private final Set<ServiceId> mIncompleteVersions = ConcurrentHashMap.newKeySet();
     private volatile Optional<RoutingTable> mTable = Optional.empty();
     private volatile long mRevision;
     private volatile long mLastChangeRevision;
@@ -89,6 +81,7 @@
         mTicker = ticker;
         mOnServerStarted = onServerStarted;
         mPace = new ServerPaceRecorder(servers, log, ticker);
+        mEvacuations = new EvacuationRecorder(servers.evacuated(), log, ticker);
         mCold = new ColdServerRecorder(this::coldStart, servers, log, ticker);
     }
 
@@ -123,12 +116,12 @@
 
     /** Returns the software versions that serve streams. */
     public ServedVersions versions() {
-        return mVersions;
+        return mVersions.versions();
     }
 
     /** Returns whether the store has lost versions of a service that this host still knows. */
     public boolean isVersionRecordIncomplete(ServiceId service) {
-        return mIncompleteVersions.contains(service);
+        return mVersions.isIncomplete(service);
     }
 
     /** Returns the registry of backend servers. */
@@ -283,32 +276,11 @@
         } else if (server.isPresent()) {
             putServer(server.get(), entry, isOfNewEra);
         } else if (mDecoder.evacuatedDomain(entry.key()).isPresent()) {
-            beginEvacuation(mDecoder.evacuatedDomain(entry.key()).get(), entry.revision());
+            mEvacuations.begin(mDecoder.evacuatedDomain(entry.key()).get(), entry.revision());
         } else if (hostId(entry.key()).isPresent()) {
             mFleet.register(HostEntry.read(hostId(entry.key()).get(), entry.value()));
         } else if (recordedService(entry.key()).isPresent()) {
-            putVersions(
-                    recordedService(entry.key()).get(),
-                    MAPPER.readValue(entry.value(), VERSIONS),
-                    isOfNewEra);
-        }
-    }
-
-    private void beginEvacuation(FailureDomainId domain, long revision) {
-        if (mServers.evacuated().begin(domain)) {
-            mLog.write(new Decision.Evacuation(domain.value(), "begun", revision));
-        }
-    }
-
-    private void putVersions(
-            ServiceId service, List<SoftwareVersion> versions, boolean isOfNewEra) {
-        Set<SoftwareVersion> known = new HashSet<>(isOfNewEra ? mVersions.of(service) : List.of());
-        known.addAll(versions);
-        mVersions.replace(service, List.copyOf(known));
-        if (known.size() > Set.copyOf(versions).size()) {
-            mIncompleteVersions.add(service);
-        } else {
-            mIncompleteVersions.remove(service);
+            mVersions.put(recordedService(entry.key()).get(), entry, isOfNewEra);
         }
     }
 
@@ -376,47 +348,17 @@
         mEntries.remove(key);
         mRemovedRevisions.merge(key, revision, Math::max);
         hostId(key).ifPresent(mFleet::unregister);
-        recordedService(key).ifPresent(service -> removeVersions(service, last, revision));
+        boolean isOfNewEra = last != null && isOfNewEra(revision, last, 0);
+        recordedService(key).ifPresent(service -> mVersions.remove(service, isOfNewEra));
         mDecoder.serverId(key).ifPresent(id -> removeServer(id, revision, isMissing));
-        boolean isLost = isMissing && last != null && isOfNewEra(revision, last, 0);
+        boolean isLost = isMissing && isOfNewEra;
         mDecoder.evacuatedDomain(key)
-                .ifPresent(domain -> removeEvacuation(domain, revision, isLost));
-    }
-
-    /**
-     * Ends an evacuation.
-     *
-     * @param isLost whether the store has lost its key, since it was restored from a copy
-     */
-    private void removeEvacuation(FailureDomainId domain, long revision, boolean isLost) {
-        boolean isNews =
-                isLost
-                        ? mServers.evacuated().keepMissing(domain, mTicker.nowNanos())
-                        : mServers.evacuated().end(domain);
-        if (isNews) {
-            String state = isLost ? "kept" : "ended";
-            mLog.write(new Decision.Evacuation(domain.value(), state, revision));
-        }
+                .ifPresent(domain -> mEvacuations.end(domain, revision, isLost));
     }
 
     /** Ends the evacuations that a restored store has lacked for too long. */
     public void endDueEvacuations() {
-        mServers.evacuated()
-                .endDue(mTicker.nowNanos())
-                .forEach(
-                        domain ->
-                                mLog.write(
-                                        new Decision.Evacuation(
-                                                domain.value(), "ended", mRevision)));
-    }
-
-    private void removeVersions(ServiceId service, StoreEntry last, long revision) {
-        if (last != null && isOfNewEra(revision, last, 0)) {
-            mIncompleteVersions.add(service);
-        } else {
-            mIncompleteVersions.remove(service);
-            mVersions.remove(service);
-        }
+        mEvacuations.endDue(mRevision);
     }
 
     private void removeServer(BackendServerId id, long revision, boolean isMissing) {
