--- a/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
+++ b/entry/src/test/java/org/fuchsiaford/entry/settings/GatewaySettingsReaderTest.java
@@ -138,10 +138,12 @@
     @Example
     void theMeasuredStageSplitIsOffUnlessStated() throws IOException, SettingsException {
         GatewaySettingsReader reader = new GatewaySettingsReader();
-        assertThat(reader.read(renderedTemplate()).measuredStageSplit()).isTrue();
-        String without = renderedTemplate().replace("\"measuredStageSplit\": true,", "");
+        assertThat(reader.read(renderedTemplate()).measuredStageSplit()).isFalse();
+        String without = renderedTemplate().replace("\"measuredStageSplit\": false,", "");
         assertThat(reader.read(without).measuredStageSplit()).isFalse();
-        String wrong = renderedTemplate().replace("Split\": true", "Split\": 1");
+        String stated = renderedTemplate().replace("Split\": false", "Split\": true");
+        assertThat(reader.read(stated).measuredStageSplit()).isTrue();
+        String wrong = renderedTemplate().replace("Split\": false", "Split\": 1");
         assertThatThrownBy(() -> reader.read(wrong))
                 .isInstanceOf(SettingsException.class)
                 .hasMessageContaining("measuredStageSplit");
@@ -161,12 +163,14 @@
                 .hasMessageContaining("fairQueue");
     }
 
+    /** Guards against deployments whose servers get a pace without asking for it. */
     @Example
-    void theTemplateAsksForThePaceOfServersAndItIsOffWhereNoneIsStated()
-            throws IOException, SettingsException {
+    void thePaceOfServersIsOffUnlessStated() throws IOException, SettingsException {
         GatewaySettingsReader reader = new GatewaySettingsReader();
-        String pace = "\"serverPace\": true";
-        assertThat(reader.read(renderedTemplate()).serverPace()).isTrue();
+        String pace = "\"serverPace\": false";
+        assertThat(reader.read(renderedTemplate()).serverPace()).isFalse();
+        String stated = renderedTemplate().replace(pace, "\"serverPace\": true");
+        assertThat(reader.read(stated).serverPace()).isTrue();
         String unstated = renderedTemplate().replace(pace, "\"maxResponseBytes\": 65536");
         assertThat(reader.read(unstated).serverPace()).isFalse();
         assertThatThrownBy(() -> reader.read(renderedTemplate().replace(pace, "\"serverPace\": 1")))
