Review case 6: a tenant gets nearly twice its limit after late refusals

Cause: the tokens of a request that is refused as not run are taken back at the time of the refusal, not at that of the charge (FleetQuota.refundGrant, TokenWindow). The charge leaves the window 8 s after it was made, the refund later; in between the window is too low by all that was refused, and as much is granted beyond the limit.

The case starts six hosts, nine model workers and the platform's store. Both hosts of one zone are cut off from all workers for 5.5 s while a tenant sends 7.5 times its usual there for 11 s.

--- a/review/second/Client.java
+++ b/review/second/Client.java
@@ -76,6 +76,17 @@
 
     /** Sends a request with the key of a tenant as a first try, to one of the addresses. */
     Sent send(String key, String method, String path, String body) {
+        return send(key, method, path, body, Map.of(), Site.DEADLINE_MILLIS);
+    }
+
+    /** Sends a request with further headers and a time limit of its own. */
+    Sent send(
+            String key,
+            String method,
+            String path,
+            String body,
+            Map<String, String> further,
+            int deadlineMillis) {
         List<Integer> ports = ports();
         if (ports.isEmpty()) {
             return null;
@@ -90,12 +101,13 @@
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Host", Site.HOST);
         headers.put("Fuchsiaford-Request-Id", id);
-        headers.put("Fuchsiaford-Deadline-Ms", Integer.toString(Site.DEADLINE_MILLIS));
+        headers.put("Fuchsiaford-Deadline-Ms", Integer.toString(deadlineMillis));
         headers.put("X-Api-Key", key);
+        headers.putAll(further);
         boolean inTouch = host.isInTouch();
         double atSeconds = mTimeline.seconds();
         Call call =
-                Call.send(port, method, path, headers, body, Site.DEADLINE_MILLIS + 500);
+                Call.send(port, method, path, headers, body, deadlineMillis + 500);
         mTimeline.write(
                 "client in %s: %s %s as %s to host %s: %d %s %s",
                 mZone,
--- a/review/second/CrashingRequest.java
+++ b/review/second/CrashingRequest.java
@@ -17,7 +17,8 @@
  *
  * <p>Arguments: the record file; {@code same-id}, in which one of the three workers is lost for good
  * and the others start again under the ids that they had, or {@code kill}, in which the host that
- * coordinates the others is killed once; 0 without the disruption: new ids, or no kill.
+ * coordinates the others is killed once, or {@code query}, in which the client adds the time to the
+ * query of the same path; 0 without the disruption: new ids, no kill, or no query.
  */
 final class CrashingRequest {
     private static final String BODY = "{\"order\": \"the one that no worker survives\"}";
@@ -34,7 +35,7 @@
 
     private CrashingRequest() {}
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         boolean sameId = args[1].equals("same-id");
         boolean trouble = !args[2].equals("0");
         int verdict;
@@ -45,18 +46,21 @@
             if (sameId) {
                 deployment.workers.get(Site.ZONES.size() - 1).loseForGood();
             }
-            verdict = run(deployment, timeline, !sameId && trouble);
+            verdict = run(deployment, timeline, trouble ? args[1] : "");
+        } catch (Exception e) {
+            e.printStackTrace();
+            verdict = Deployment.NOT_RUN;
         }
         System.exit(verdict);
     }
 
-    private static int run(Deployment deployment, Timeline timeline, boolean kills)
+    private static int run(Deployment deployment, Timeline timeline, String trouble)
             throws InterruptedException {
         ExecutorService threads = Executors.newCachedThreadPool(Threads2.DAEMON);
         for (String zone : Site.ZONES) {
             threads.execute(() -> sendSound(deployment, zone, timeline));
         }
-        if (kills) {
+        if (trouble.equals("kill")) {
             threads.execute(() -> kill(deployment, timeline));
         }
         Client client = new Client(Site.ZONES.get(0), deployment.hosts, timeline, 1);
@@ -64,7 +68,8 @@
         double at = 0;
         while (at < LENGTH_SECONDS) {
             Threads2.sleepUntil(timeline, at);
-            Client.Sent sent = client.send("POST", PATH, BODY);
+            String query = trouble.equals("query") ? "?at=" + System.currentTimeMillis() : "";
+            Client.Sent sent = client.send("POST", PATH + query, BODY);
             if (sent != null) {
                 inTouch.put(sent.id(), sent.inTouch());
             }
--- a/review/second/CutFromWorkers.java
+++ b/review/second/CutFromWorkers.java
@@ -33,11 +33,14 @@
         mTimeline = timeline;
     }
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         int verdict;
         try (Timeline timeline = new Timeline(Path.of(args[0]));
                 Deployment deployment = new Deployment(timeline)) {
             verdict = new CutFromWorkers(deployment, timeline).run(!args[1].equals("0"));
+        } catch (Exception e) {
+            e.printStackTrace();
+            verdict = Deployment.NOT_RUN;
         }
         System.exit(verdict);
     }
--- a/review/second/Site.java
+++ b/review/second/Site.java
@@ -15,6 +15,8 @@
     static final String KEY = "review-key-storefront";
     static final String SERVICE = "orderdesk";
     static final int SLOTS = 6;
+    static final String MODEL_SERVICE = "brewnotes";
+    static final int STREAM_DEADLINE_MILLIS = 14_000;
 
     private Site() {}
 
@@ -63,4 +65,35 @@
                 """
                 .formatted(version, list);
     }
+
+    /** A manifest with a streaming route and two tenants, of which the first has a limit. */
+    static String modelManifest(
+            String tenant,
+            String key,
+            long ratePerSecond,
+            long burst,
+            String otherTenant,
+            String otherKey) {
+        return """
+                {"version": 4,
+                 "routes": [
+                  {"name": "flavor-swap", "host": "orders.example", "pathPrefix": "/flavor/",
+                   "kind": "streaming", "timeoutMs": 14000, "targetLatencyMs": 900, "priority": 1,
+                   "service": "brewnotes", "maxAttempts": 1, "public": false, "sticky": true,
+                   "resumable": false, "targetGapMs": 300}],
+                 "services": [
+                  {"name": "brewnotes", "healthPath": "/healthz", "maxConnections": 360,
+                   "engine": {"slots": 64, "kvCapacityTokens": 66719, "kvTokenBytes": 163840,
+                    "linkMbps": 1600000.0, "moves": true, "backups": true, "stride": 11,
+                    "most": 12, "handleTtlS": 0.5, "reconfigureS": 6.0, "pinMs": 4000.0,
+                    "holdMs": 2000.0, "models": [{"name": "m"}]}}],
+                 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
+                  "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+                 "tenants": [{"name": "%s", "apiKeys": ["%s"], "unit": "token_stream",
+                  "plainTokens": 200, "ratePerS": %d, "burst": %d},
+                  {"name": "%s", "apiKeys": ["%s"], "unit": "token_stream", "plainTokens": 200,
+                   "ratePerS": 0, "burst": 0}]}
+                """
+                .formatted(tenant, key, ratePerSecond, burst, otherTenant, otherKey);
+    }
 }
--- a/review/second/TenantNames.java
+++ b/review/second/TenantNames.java
@@ -25,13 +25,16 @@
 
     private TenantNames() {}
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         int verdict;
         try (Timeline timeline = new Timeline(Path.of(args[0]));
                 Deployment deployment = new Deployment(timeline)) {
             deployment.addWorkers(false, 0, body -> false);
             deployment.startHosts(index -> deployment.storePort());
             verdict = run(deployment, timeline, args[1].equals("0") ? ASCII_NAMES : NAMES);
+        } catch (Exception e) {
+            e.printStackTrace();
+            verdict = Deployment.NOT_RUN;
         }
         System.exit(verdict);
     }
--- a/review/second/WorkerPath.java
+++ b/review/second/WorkerPath.java
@@ -6,10 +6,14 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * The path from one host to one worker: a relay that can be cut, so that open channels are reset and
@@ -17,11 +21,17 @@
  */
 final class WorkerPath {
     private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_TRIES = 100;
+    private static final long TRY_GAP_NANOS = 5_000_000;
+
+    /** More channels than the queue of a listener with the smallest backlog takes. */
+    private static final int FILLING_CHANNELS = 4;
 
     final int port = Ports.free();
     private final int mWorkerPort;
     private final ExecutorService mThreads = Executors.newCachedThreadPool(Threads2.DAEMON);
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final List<SocketChannel> mFilling = new ArrayList<>();
     private volatile ServerSocket mListener;
 
     WorkerPath(int workerPort) {
@@ -31,17 +41,29 @@
 
     /** Lets channels through. */
     void heal() {
-        try {
-            mListener = new ServerSocket();
-            mListener.setReuseAddress(true);
-            mListener.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 96);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        ServerSocket listener = mListener;
+        ServerSocket listener = listen(96);
+        mListener = listener;
         mThreads.execute(() -> accept(listener));
     }
 
+    /** Opens the port; the listener before may take a moment to end. */
+    private ServerSocket listen(int backlog) {
+        for (int tries = 0; ; tries++) {
+            try {
+                ServerSocket listener = new ServerSocket();
+                listener.setReuseAddress(true);
+                listener.bind(
+                        new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), backlog);
+                return listener;
+            } catch (IOException e) {
+                if (tries == MAX_TRIES) {
+                    throw new UncheckedIOException(e);
+                }
+                LockSupport.parkNanos(TRY_GAP_NANOS);
+            }
+        }
+    }
+
     /** Resets all channels and refuses new ones. */
     void cut() {
         try {
@@ -50,6 +72,34 @@
             throw new UncheckedIOException(e);
         }
         mSockets.forEach(WorkerPath::reset);
+        closeFilling();
+    }
+
+    /** Resets all channels and leaves new ones hanging: the queue of the listener is full. */
+    void hang() {
+        cut();
+        mListener = listen(1);
+        try {
+            for (int i = 0; i < FILLING_CHANNELS; i++) {
+                SocketChannel channel = SocketChannel.open();
+                channel.configureBlocking(false);
+                channel.connect(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port));
+                mFilling.add(channel);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void closeFilling() {
+        for (SocketChannel channel : mFilling) {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+        mFilling.clear();
     }
 
     private static void reset(Socket socket) {
