--- a/review/second/Ports.java
+++ b/review/second/Ports.java
@@ -1,30 +1,33 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
-import java.util.HashSet;
-import java.util.Random;
-import java.util.Set;
 
 /**
  * Free ports of the loopback address, below those that the system gives to outgoing channels, which
- * could else take one before it is used.
+ * could else take one before it is used. Drivers that run side by side take them from different
+ * blocks.
  */
 final class Ports {
     private static final int FIRST = 11_000;
-    private static final int COUNT = 21_000;
-    private static final Random RANDOM = new Random();
-    private static final Set<Integer> GIVEN = new HashSet<>();
+    private static final int END = 32_000;
+    private static final int BLOCK = 150;
+    private static final int BLOCKS = (END - FIRST) / BLOCK;
+    private static int sNext = FIRST + (int) (ProcessHandle.current().pid() % BLOCKS) * BLOCK;
 
     private Ports() {}
 
     /** Returns a port that is free now and was not returned before. */
     static synchronized int free() {
-        while (true) {
-            int port = FIRST + RANDOM.nextInt(COUNT);
-            if (GIVEN.add(port) && isFree(port)) {
-                return port;
-            }
+        while (!isFree(sNext)) {
+            advance();
         }
+        int port = sNext;
+        advance();
+        return port;
+    }
+
+    private static void advance() {
+        sNext = sNext + 1 < END ? sNext + 1 : FIRST;
     }
 
     private static boolean isFree(int port) {
